--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/config/EffectiveConfig.java
@@ -0,0 +1,36 @@
+package io.daisyhoist.core.config;
+
+import java.util.Map;
+import java.util.Optional;
+
+import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.ServiceName;
+
+/**
+ * Validated result of merging the files of one configuration version. Immutable.
+ *
+ * @param version version of the configuration document, 0 when there is none
+ * @param services rules by service
+ * @param zones states of the zones that the files name
+ */
+public record EffectiveConfig(
+        long version, Map<ServiceName, ServiceSettings> services, Map<AvailabilityZone, ZoneState> zones) {
+    /** The configuration before the first push. */
+    public static final EffectiveConfig EMPTY = new EffectiveConfig(0, Map.of(), Map.of());
+
+    /** Copies the maps. */
+    public EffectiveConfig {
+        services = Map.copyOf(services);
+        zones = Map.copyOf(zones);
+    }
+
+    /** Finds the rules of a service. */
+    public Optional<ServiceSettings> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns whether a zone has been taken out. */
+    public boolean isOut(AvailabilityZone zone) {
+        return zones.getOrDefault(zone, ZoneState.IN) == ZoneState.OUT;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/package-info.java
@@ -0,0 +1,2 @@
+/** Decision core: no threads, no I/O, time only through an injected clock. */
+package io.daisyhoist.core;
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/time/SystemTimeSource.java
@@ -0,0 +1,16 @@
+package io.daisyhoist.core.time;
+
+import java.time.Instant;
+
+/** Time of the running process. Stateless and thread-safe. */
+public final class SystemTimeSource implements TimeSource {
+    @Override
+    public long monotonicNanos() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public Instant wallTime() {
+        return Instant.now();
+    }
+}
