Add the ownership interfaces of the core

Cause: the daemon's control loop is written at the same time and needs the types that it drives. Ruled out: no behavior has been tested yet. Before: no ownership types. Conclusion: interfaces only.

--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/lease/FenceOutcome.java
@@ -0,0 +1,29 @@
+package io.daisyhoist.core.lease;
+
+import java.time.Duration;
+
+/**
+ * A witness's response to a request to fence a session. Immutable.
+ *
+ * @param result what the witness did
+ * @param remaining time left of the promise when the result is {@link Result#PROMISED}, otherwise zero
+ */
+public record FenceOutcome(Result result, Duration remaining) {
+    /** The session is fenced. */
+    public static final FenceOutcome FENCED = new FenceOutcome(Result.FENCED, Duration.ZERO);
+
+    /** The record that the witness knows does not list the session. */
+    public static final FenceOutcome NOT_A_WITNESS = new FenceOutcome(Result.NOT_A_WITNESS, Duration.ZERO);
+
+    /** What the witness did. */
+    public enum Result {
+        FENCED,
+        PROMISED,
+        NOT_A_WITNESS
+    }
+
+    /** Refuses because a promise still runs. */
+    public static FenceOutcome promised(Duration remaining) {
+        return new FenceOutcome(Result.PROMISED, remaining);
+    }
+}
