--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/admission/ConcurrencyLimit.java
@@ -0,0 +1,24 @@
+package io.daisyhoist.core.admission;
+
+import java.time.Duration;
+
+/** Number of requests that a backend server may run at once. Implementations are confined to one thread. */
+public interface ConcurrencyLimit {
+    /** Returns the present limit, at least 1. */
+    int limit();
+
+    /** Returns whether the backend server is held to be in a cold start. */
+    boolean isCold();
+
+    /**
+     * Learns how a request ended.
+     *
+     * @param startNanos monotonic time at which the request was admitted
+     * @param latency time from admission to the outcome
+     * @param outcome how it ended
+     */
+    void onCompletion(long startNanos, Duration latency, Outcome outcome);
+
+    /** Learns that the backend server was started anew. */
+    void onRestart();
+}
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/admission/FixedLimit.java
@@ -0,0 +1,25 @@
+package io.daisyhoist.core.admission;
+
+import java.time.Duration;
+
+/**
+ * A limit that never changes; the baseline against which the adaptive limit is measured. Immutable.
+ *
+ * @param limit requests at once
+ */
+public record FixedLimit(int limit) implements ConcurrencyLimit {
+    @Override
+    public boolean isCold() {
+        return false;
+    }
+
+    @Override
+    public void onCompletion(long startNanos, Duration latency, Outcome outcome) {
+        // The limit does not depend on outcomes.
+    }
+
+    @Override
+    public void onRestart() {
+        // The limit does not depend on restarts.
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/admission/TicketQueue.java
@@ -0,0 +1,99 @@
+package io.daisyhoist.core.admission;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Bounded queue ordered by rank, then by arrival. Confined to one thread. */
+final class TicketQueue {
+    private final int bound;
+    private final Map<Rank, ArrayDeque<Ticket>> byRank = new EnumMap<>(Rank.class);
+    private int size;
+
+    TicketQueue(int bound) {
+        this.bound = bound;
+        for (Rank rank : Rank.values()) {
+            byRank.put(rank, new ArrayDeque<>());
+        }
+    }
+
+    int size() {
+        return size;
+    }
+
+    boolean isFull() {
+        return size >= bound;
+    }
+
+    void add(Ticket ticket) {
+        byRank.get(ticket.rank()).addLast(ticket);
+        size++;
+    }
+
+    void remove(Ticket ticket) {
+        if (byRank.get(ticket.rank()).remove(ticket)) {
+            size--;
+        }
+    }
+
+    Optional<Ticket> peek() {
+        return byRank.values().stream()
+                .filter(tickets -> !tickets.isEmpty())
+                .findFirst()
+                .map(ArrayDeque::peekFirst);
+    }
+
+    Ticket poll() {
+        Ticket ticket = peek().orElseThrow();
+        remove(ticket);
+        return ticket;
+    }
+
+    boolean hasTicketNotBelow(Rank rank) {
+        return countNotBelow(rank) > 0;
+    }
+
+    int countNotBelow(Rank rank) {
+        return byRank.entrySet().stream()
+                .filter(entry -> !rank.isAbove(entry.getKey()))
+                .mapToInt(entry -> entry.getValue().size())
+                .sum();
+    }
+
+    /** Removes the latest ticket of the lowest rank, if that rank is below the given one. */
+    Optional<Ticket> removeLastBelow(Rank rank) {
+        Rank[] ranks = Rank.values();
+        for (int i = ranks.length - 1; i > rank.ordinal(); i--) {
+            ArrayDeque<Ticket> tickets = byRank.get(ranks[i]);
+            if (!tickets.isEmpty()) {
+                size--;
+                return Optional.of(tickets.removeLast());
+            }
+        }
+        return Optional.empty();
+    }
+
+    List<Ticket> removeExpired(long nowNanos) {
+        List<Ticket> expired = new ArrayList<>();
+        for (ArrayDeque<Ticket> tickets : byRank.values()) {
+            tickets.stream()
+                    .filter(ticket -> ticket.deadlineNanos() - nowNanos <= 0)
+                    .forEach(expired::add);
+        }
+        expired.forEach(this::remove);
+        return expired;
+    }
+
+    List<Ticket> removeAll() {
+        List<Ticket> all = new ArrayList<>();
+        byRank.values().forEach(tickets -> {
+            all.addAll(tickets);
+            tickets.clear();
+        });
+        size = 0;
+        return all;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/atmostonce/LedgerLimits.java
@@ -0,0 +1,17 @@
+package io.daisyhoist.core.atmostonce;
+
+import java.time.Duration;
+
+/**
+ * Bounds of an attempt ledger. Immutable.
+ *
+ * @param tokenLifetime time after issue during which a token may start a run, and after the start of a run during which
+ *     its record is kept
+ * @param maxRecords most records
+ * @param maxBytes most memory for records, approximate
+ * @param maxBodyBytes largest response body that is kept
+ */
+public record LedgerLimits(Duration tokenLifetime, int maxRecords, long maxBytes, int maxBodyBytes) {
+    /** Bounds of the design: 10 min, bodies up to 64 KB; 10,000 records and 8 MB per partition. */
+    public static final LedgerLimits DEFAULT = new LedgerLimits(Duration.ofMinutes(10), 10_000, 8L << 20, 64 << 10);
+}
