--- a/core/src/main/java/io/daisyhoist/core/config/EffectiveConfig.java
+++ b/core/src/main/java/io/daisyhoist/core/config/EffectiveConfig.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ServiceName;
 
 /**
@@ -12,9 +13,13 @@
  * @param version version of the configuration document, 0 when there is none
  * @param services rules by service
  * @param zones states of the zones that the files name
+ * @param workers planned backend servers by the id of their daemon
  */
 public record EffectiveConfig(
-        long version, Map<ServiceName, ServiceSettings> services, Map<AvailabilityZone, ZoneState> zones) {
+        long version,
+        Map<ServiceName, ServiceSettings> services,
+        Map<AvailabilityZone, ZoneState> zones,
+        Map<DaemonId, WorkerSettings> workers) {
     /** The configuration before the first push. */
     public static final EffectiveConfig EMPTY = new EffectiveConfig(0, Map.of(), Map.of());
 
@@ -22,6 +27,13 @@
     public EffectiveConfig {
         services = Map.copyOf(services);
         zones = Map.copyOf(zones);
+        workers = Map.copyOf(workers);
+    }
+
+    /** Creates a configuration that names no workers. */
+    public EffectiveConfig(
+            long version, Map<ServiceName, ServiceSettings> services, Map<AvailabilityZone, ZoneState> zones) {
+        this(version, services, zones, Map.of());
     }
 
     /** Finds the rules of a service. */
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/config/SettingsReader.java
@@ -0,0 +1,182 @@
+package io.daisyhoist.core.config;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Reads typed values from one table of a TOML tree and collects every fault instead of stopping at the first.
+ *
+ * <p>A method that finds a fault records it and returns the default, so that reading can go on; the caller must discard
+ * the result when faults were recorded. {@link #finish()} reports the keys that nobody asked for. Not thread-safe.
+ */
+public final class SettingsReader {
+    private final ObjectNode table;
+    private final List<String> path;
+    private final Function<List<String>, String> fileOf;
+    private final List<ConfigFault> faults;
+    private final Set<String> known = new LinkedHashSet<>();
+
+    SettingsReader(
+            ObjectNode table, List<String> path, Function<List<String>, String> fileOf, List<ConfigFault> faults) {
+        this.table = table;
+        this.path = path;
+        this.fileOf = fileOf;
+        this.faults = faults;
+    }
+
+    /**
+     * Reads the root table of a single file.
+     *
+     * @param faults receives the faults; a syntax fault leaves an empty table
+     */
+    public static SettingsReader ofFile(String file, String content, List<ConfigFault> faults) {
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        try {
+            root = TomlText.parse(file, content);
+        } catch (InvalidConfigException e) {
+            faults.addAll(e.faults());
+        }
+        return new SettingsReader(root, List.of(), unused -> file, faults);
+    }
+
+    /** Reads a sub-table; an absent table reads as empty. */
+    public SettingsReader table(String key) {
+        JsonNode node = take(key).orElse(JsonNodeFactory.instance.objectNode());
+        if (!node.isObject()) {
+            fault(key, "must be a table");
+        }
+        ObjectNode child = node instanceof ObjectNode object ? object : JsonNodeFactory.instance.objectNode();
+        return new SettingsReader(child, KeyPaths.child(path, key), fileOf, faults);
+    }
+
+    /** Reads a table of tables, sorted by name; entries that are not tables are faults. */
+    public Map<String, SettingsReader> tables(String key) {
+        SettingsReader parent = table(key);
+        Map<String, SettingsReader> children = new TreeMap<>();
+        parent.table.fieldNames().forEachRemaining(name -> children.put(name, parent.table(name)));
+        return children;
+    }
+
+    /** Reads a text value. */
+    public Optional<String> text(String key) {
+        Optional<JsonNode> node = take(key);
+        if (node.isPresent() && !node.get().isTextual()) {
+            fault(key, "must be a string");
+            return Optional.empty();
+        }
+        return node.map(JsonNode::textValue);
+    }
+
+    /** Reads a text value that must be present and satisfy a rule. */
+    public String requiredText(String key, Predicate<String> rule, String expected) {
+        if (!table.has(key)) {
+            known.add(key);
+            fault(key, "is required: " + expected);
+            return "";
+        }
+        Optional<String> value = text(key);
+        value.filter(rule.negate()).ifPresent(text -> fault(key, "must be " + expected + ", not \"" + text + "\""));
+        return value.orElse("");
+    }
+
+    /** Reads a whole number within bounds, both included. */
+    public long number(String key, long defaultValue, long min, long max) {
+        Optional<JsonNode> node = take(key);
+        if (node.isEmpty()) {
+            return defaultValue;
+        }
+        boolean valid = node.get().isIntegralNumber() && node.get().canConvertToLong();
+        long value = valid ? node.get().longValue() : defaultValue;
+        if (!valid || value < min || value > max) {
+            fault(key, "must be a whole number from " + min + " to " + max + ", not " + abbreviated(node.get()));
+            return defaultValue;
+        }
+        return value;
+    }
+
+    /** Reads a whole number that must be present. */
+    public long requiredNumber(String key, long min, long max) {
+        if (!table.has(key)) {
+            fault(key, "is required: a whole number from " + min + " to " + max);
+        }
+        return number(key, min, min, max);
+    }
+
+    /** Reads a truth value. */
+    public boolean flag(String key, boolean defaultValue) {
+        Optional<JsonNode> node = take(key);
+        if (node.isPresent() && !node.get().isBoolean()) {
+            fault(key, "must be true or false");
+            return defaultValue;
+        }
+        return node.map(JsonNode::booleanValue).orElse(defaultValue);
+    }
+
+    /** Reads a truth value that must be present. */
+    public boolean requiredFlag(String key, String meaning) {
+        if (!table.has(key)) {
+            fault(key, "is required: " + meaning);
+        }
+        return flag(key, false);
+    }
+
+    /** Reads a list of text values. */
+    public List<String> texts(String key, List<String> defaultValue, Predicate<String> rule, String expected) {
+        Optional<JsonNode> node = take(key);
+        if (node.isEmpty()) {
+            return defaultValue;
+        }
+        List<String> values = new ArrayList<>();
+        boolean valid = node.get().isArray();
+        for (JsonNode element : node.get()) {
+            valid &= element.isTextual() && rule.test(element.textValue());
+            values.add(element.asText());
+        }
+        if (!valid) {
+            fault(key, "must be a list of " + expected);
+            return defaultValue;
+        }
+        return values;
+    }
+
+    /** Records a fault of a key of this table. */
+    public void fault(String key, String reason) {
+        List<String> keyPath = KeyPaths.child(path, key);
+        faults.add(new ConfigFault(fileOf.apply(keyPath), KeyPaths.text(keyPath), reason));
+    }
+
+    /** Records a fault of this table itself. */
+    public void fault(String reason) {
+        faults.add(new ConfigFault(fileOf.apply(path), KeyPaths.text(path), reason));
+    }
+
+    /** Records the keys of this table that were never read as faults. */
+    public void finish() {
+        table.fieldNames().forEachRemaining(key -> {
+            if (!known.contains(key)) {
+                fault(key, "is not known here; known keys: " + String.join(", ", known));
+            }
+        });
+    }
+
+    private Optional<JsonNode> take(String key) {
+        known.add(key);
+        return Optional.ofNullable(table.get(key));
+    }
+
+    private static String abbreviated(JsonNode node) {
+        String text = node.toString();
+        return text.length() <= 40 ? text : text.substring(0, 40) + "...";
+    }
+}
