--- /dev/null
+++ b/daemon/src/test/java/io/daisyhoist/daemon/process/settings/DaemonSettingsTest.java
@@ -0,0 +1,112 @@
+package io.daisyhoist.daemon.process.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.daisyhoist.core.config.InvalidConfigException;
+import io.daisyhoist.core.error.DaisyhoistException;
+import io.daisyhoist.core.error.ErrorCode;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class DaemonSettingsTest {
+    private static final String REQUIRED = """
+            daemon_id = "archive-1"
+            zone = "heimaey"
+            service = "fault-archive"
+            platform_urls = ["http://127.0.0.1:7000"]
+            backend_url = "http://127.0.0.1:9000"
+            """;
+
+    @Nested
+    class Parse {
+        /** Guards against defaults that drift from the documented ones. */
+        @Test
+        void parse_requiredKeysOnly_usesDefaults() {
+            DaemonSettings settings = DaemonSettings.parse("d.toml", REQUIRED);
+            assertEquals("daisyhoist", settings.cluster());
+            assertEquals("127.0.0.1:8080", settings.httpEndpoint().toString());
+            assertEquals("127.0.0.1:8081", settings.adminEndpoint().toString());
+            assertEquals("127.0.0.1:8082", settings.peerEndpoint().toString());
+            assertEquals(new LeaseOptions(Duration.ofMillis(700), Duration.ofMillis(2100), 3), settings.lease());
+            assertEquals(new LimitOptions(16_384, 1 << 20, 10_000, Duration.ofSeconds(20)), settings.limits());
+            assertEquals(LogLevel.INFO, settings.logLevel());
+            assertEquals(Optional.empty(), settings.traceFile());
+        }
+
+        /** Guards against a start that reports only the first fault, or accepts a misspelled key. */
+        @Test
+        void parse_manyFaults_listsAllWithFileKeyAndReason() {
+            String toml = """
+                    daemon_id = "archive 1"
+                    service = 7
+                    http_prot = 8080
+                    host = "localhost"
+                    admin_port = 8080
+                    platform_urls = ["ftp://x"]
+                    backend_url = "http://127.0.0.1:9000/base"
+                    log_level = "loud"
+                    [lease]
+                    heartbeat_ms = 1500
+                    witnesses = 4
+                    [limits]
+                    max_body_bytes = "1 MB"
+                    """;
+            List<String> faults =
+                    assertThrows(InvalidConfigException.class, () -> DaemonSettings.parse("d.toml", toml))
+                            .faults()
+                            .stream()
+                            .map(fault -> fault.file() + " " + fault.key())
+                            .sorted()
+                            .toList();
+            assertEquals(
+                    List.of(
+                            "d.toml admin_port",
+                            "d.toml backend_url",
+                            "d.toml daemon_id",
+                            "d.toml host",
+                            "d.toml http_prot",
+                            "d.toml lease.lease_ttl_ms",
+                            "d.toml lease.witnesses",
+                            "d.toml limits.max_body_bytes",
+                            "d.toml log_level",
+                            "d.toml platform_urls",
+                            "d.toml service",
+                            "d.toml zone"),
+                    faults);
+        }
+
+        /** Guards against a syntax error being drowned in reports of missing keys. */
+        @Test
+        void parse_syntaxError_listsOnlyTheSyntaxError() {
+            InvalidConfigException e = assertThrows(
+                    InvalidConfigException.class, () -> DaemonSettings.parse("d.toml", REQUIRED + "zone = \"b\"\n"));
+            assertEquals(1, e.faults().size(), e.getMessage());
+        }
+
+        /** Guards against an unchecked exception for a path that the file system cannot hold. */
+        @Test
+        void parse_traceFileWithNulCharacter_isAFault() {
+            InvalidConfigException e = assertThrows(
+                    InvalidConfigException.class,
+                    () -> DaemonSettings.parse("d.toml", REQUIRED + "trace_file = \"a\\u0000b\"\n"));
+            assertEquals("trace_file", e.faults().get(0).key());
+        }
+    }
+
+    @Nested
+    class Load {
+        /** Guards against a stack trace for a mistyped path. */
+        @Test
+        void load_missingFile_isAUsageError() {
+            DaisyhoistException e = assertThrows(
+                    DaisyhoistException.class, () -> DaemonSettings.load(Path.of("no-such-directory", "d.toml")));
+            assertEquals(ErrorCode.USAGE, e.code());
+        }
+    }
+}
