--- /dev/null
+++ b/testkit/src/main/java/io/daisyhoist/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for outside systems, a load client and checks; used by tests and the demo, not shipped. */
+package io.daisyhoist.testkit;
--- /dev/null
+++ b/testkit/src/main/java/io/daisyhoist/testkit/platform/KeyValueTable.java
@@ -0,0 +1,91 @@
+package io.daisyhoist.testkit.platform;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.vertx.core.buffer.Buffer;
+
+/**
+ * Values with compare-and-swap by revision, in memory.
+ *
+ * <p>Invariant: every change takes the next number of one counter, so the revisions of a key rise strictly and none is
+ * reused, not even after a delete. Thread-safe; change listeners run on the thread of the change.
+ */
+public final class KeyValueTable {
+    /** Stands for an absent key. */
+    public static final long ABSENT = 0;
+
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final Map<String, List<Runnable>> listeners = new HashMap<>();
+    private long lastRevision;
+
+    /**
+     * One value.
+     *
+     * @param value the bytes
+     * @param revision number of the change that wrote it
+     */
+    public record Entry(Buffer value, long revision) {}
+
+    /** Finds the value of a key. */
+    public synchronized Optional<Entry> get(String key) {
+        return Optional.ofNullable(entries.get(key));
+    }
+
+    /** Returns the revision of a key, {@link #ABSENT} if there is none. */
+    public synchronized long revision(String key) {
+        return get(key).map(Entry::revision).orElse(ABSENT);
+    }
+
+    /** Writes a value if the key has the expected revision; returns the new revision, or empty on a conflict. */
+    public Optional<Long> put(String key, long expectedRevision, Buffer value) {
+        List<Runnable> notified;
+        long revision;
+        synchronized (this) {
+            if (revision(key) != expectedRevision) {
+                return Optional.empty();
+            }
+            revision = ++lastRevision;
+            entries.put(key, new Entry(value, revision));
+            notified = takeListeners(key);
+        }
+        notified.forEach(Runnable::run);
+        return Optional.of(revision);
+    }
+
+    /** Deletes a key if it has the expected revision; returns whether it did. */
+    public boolean delete(String key, long expectedRevision) {
+        List<Runnable> notified;
+        synchronized (this) {
+            if (expectedRevision == ABSENT || revision(key) != expectedRevision) {
+                return false;
+            }
+            lastRevision++;
+            entries.remove(key);
+            notified = takeListeners(key);
+        }
+        notified.forEach(Runnable::run);
+        return true;
+    }
+
+    /** Calls the listener once at the next change of the key. */
+    public synchronized void onNextChange(String key, Runnable listener) {
+        listeners.computeIfAbsent(key, absent -> new ArrayList<>()).add(listener);
+    }
+
+    /** Removes a listener that has not been called yet. */
+    public synchronized void removeListener(String key, Runnable listener) {
+        List<Runnable> ofKey = listeners.getOrDefault(key, List.of());
+        ofKey.remove(listener);
+        if (ofKey.isEmpty()) {
+            listeners.remove(key);
+        }
+    }
+
+    private List<Runnable> takeListeners(String key) {
+        return Optional.ofNullable(listeners.remove(key)).orElse(List.of());
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/io/daisyhoist/testkit/platform/PlatformMain.java
@@ -0,0 +1,19 @@
+package io.daisyhoist.testkit.platform;
+
+import io.daisyhoist.testkit.launch.StandIn;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/** Runs the platform stand-in as a process. */
+public final class PlatformMain {
+    private PlatformMain() {}
+
+    /** Starts the server. */
+    public static void main(String[] args) {
+        ArgumentParser parser = StandIn.parser("platform", "Stand-in for the platform's key-value service");
+        StandIn.intOption(parser, "--port", 0, "port; 0 takes a free one");
+        Namespace options = StandIn.parse(parser, args);
+        StandIn.run(vertx -> PlatformServer.start(vertx, options.getString("host"), options.getInt("port"))
+                .map(server -> "port=" + server.port()));
+    }
+}
