--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
@@ -0,0 +1,203 @@
+package io.daisyhoist.daemon.connection;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.connection.BackendResult.Answered;
+import io.daisyhoist.daemon.connection.BackendResult.NotWritten;
+import io.daisyhoist.daemon.connection.BackendResult.NotWrittenReason;
+import io.daisyhoist.daemon.connection.BackendResult.StaleFence;
+import io.daisyhoist.daemon.connection.BackendResult.Unknown;
+import io.daisyhoist.daemon.connection.BackendResult.UnknownReason;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.ConnectionPoolTooBusyException;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+
+/**
+ * One request to the backend server and its result.
+ *
+ * <p>Invariant: the phase leaves {@code WAITING} once, either to {@code WRITTEN} immediately before the write or to
+ * {@code ENDED} without a write; only the former allows a result other than not written. Runs on the client's event loop;
+ * {@link #cancel} may be called from any thread.
+ */
+final class BackendExchange implements BackendCall {
+    /** Bound of a response: with its headers it must fit into a frame between daemons. */
+    static final int MAX_RESPONSE_BYTES = 1 << 20;
+
+    private static final int PRECONDITION_FAILED = 412;
+
+    private enum Phase {
+        WAITING,
+        WRITTEN,
+        ENDED
+    }
+
+    private final Context context;
+    private final HttpClient client;
+    private final Endpoint backend;
+    private final BackendRequest request;
+    private final BooleanSupplier lastCheck;
+    private final TimeSource time;
+    private final Promise<BackendResult> result = Promise.promise();
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
+    private volatile Optional<HttpClientRequest> stream = Optional.empty();
+
+    BackendExchange(
+            Context context,
+            HttpClient client,
+            Endpoint backend,
+            BackendRequest request,
+            BooleanSupplier lastCheck,
+            TimeSource time) {
+        this.context = context;
+        this.client = client;
+        this.backend = backend;
+        this.request = request;
+        this.lastCheck = lastCheck;
+        this.time = time;
+    }
+
+    @Override
+    public Future<BackendResult> result() {
+        return result.future();
+    }
+
+    @Override
+    public void cancel() {
+        context.runOnContext(now -> {
+            endUnwritten(NotWrittenReason.CANCELLED, "cancelled before the write");
+            endWritten(UnknownReason.CANCELLED, "cancelled after the write");
+        });
+    }
+
+    void start() {
+        long remainingMillis = request.deadline().remaining(time).toMillis();
+        if (remainingMillis < 1) {
+            endUnwritten(NotWrittenReason.DEADLINE, "deadline has passed");
+            return;
+        }
+        long timer = context.owner().setTimer(remainingMillis, fired -> {
+            endUnwritten(NotWrittenReason.DEADLINE, "no connection before the deadline");
+            endWritten(UnknownReason.DEADLINE, "no complete response before the deadline");
+        });
+        result.future().onComplete(done -> context.owner().cancelTimer(timer));
+        try {
+            client.request(options()).onSuccess(this::write).onFailure(this::connectFailed);
+        } catch (IllegalArgumentException e) {
+            endUnwritten(NotWrittenReason.INVALID_REQUEST, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private RequestOptions options() {
+        RequestOptions options = new RequestOptions()
+                .setHost(backend.host())
+                .setPort(backend.port())
+                .setMethod(HttpMethod.valueOf(request.method()))
+                .setURI(request.path());
+        request.headers().forEach(field -> options.addHeader(field.name(), field.value()));
+        request.fence().ifPresent(fence -> options.putHeader(DaisyhoistHeaders.FENCE, fence));
+        return options;
+    }
+
+    private void connectFailed(Throwable failure) {
+        NotWrittenReason reason = failure instanceof ConnectionPoolTooBusyException
+                ? NotWrittenReason.POOL_EXHAUSTED
+                : NotWrittenReason.CONNECTION_REFUSED;
+        endUnwritten(reason, String.valueOf(failure.getMessage()));
+    }
+
+    private void write(HttpClientRequest open) {
+        stream = Optional.of(open);
+        long remainingMillis = request.deadline().remaining(time).toMillis();
+        open.putHeader(DaisyhoistHeaders.DEADLINE_MS, Long.toString(remainingMillis));
+        if (!lastCheckPasses()) {
+            endUnwritten(NotWrittenReason.LAST_CHECK, "refused by the check before the write");
+        }
+        if (!phase.compareAndSet(Phase.WAITING, Phase.WRITTEN)) {
+            open.reset();
+            return;
+        }
+        open.send(request.body())
+                .compose(this::read)
+                .onSuccess(this::end)
+                .onFailure(failure -> endWritten(reasonOf(failure), String.valueOf(failure.getMessage())));
+    }
+
+    private boolean lastCheckPasses() {
+        try {
+            return lastCheck.getAsBoolean();
+        } catch (RuntimeException e) {
+            return false;
+        }
+    }
+
+    private Future<BackendResult> read(HttpClientResponse response) {
+        boolean staleFence = response.statusCode() == PRECONDITION_FAILED
+                && "true".equalsIgnoreCase(response.getHeader(DaisyhoistHeaders.STALE_FENCE));
+        List<HttpField> headers = HopByHopHeaders.endToEnd(response.headers());
+        return readBody(response)
+                .map(body -> staleFence ? new StaleFence() : new Answered(response.statusCode(), headers, body));
+    }
+
+    private static Future<Buffer> readBody(HttpClientResponse response) {
+        Promise<Buffer> complete = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.handler(chunk -> {
+            if (body.length() + chunk.length() > MAX_RESPONSE_BYTES) {
+                complete.tryFail(new ResponseTooLargeException());
+                return;
+            }
+            body.appendBuffer(chunk);
+        });
+        response.exceptionHandler(complete::tryFail);
+        response.endHandler(end -> complete.tryComplete(body));
+        return complete.future();
+    }
+
+    private static UnknownReason reasonOf(Throwable failure) {
+        if (failure instanceof ResponseTooLargeException) {
+            return UnknownReason.RESPONSE_TOO_LARGE;
+        }
+        return failure instanceof TimeoutException ? UnknownReason.DEADLINE : UnknownReason.CONNECTION_LOST;
+    }
+
+    private void end(BackendResult complete) {
+        if (phase.compareAndSet(Phase.WRITTEN, Phase.ENDED)) {
+            result.complete(complete);
+        }
+    }
+
+    private void endUnwritten(NotWrittenReason reason, String message) {
+        if (phase.compareAndSet(Phase.WAITING, Phase.ENDED)) {
+            result.complete(new NotWritten(reason, message));
+        }
+    }
+
+    private void endWritten(UnknownReason reason, String message) {
+        if (phase.compareAndSet(Phase.WRITTEN, Phase.ENDED)) {
+            stream.ifPresent(HttpClientRequest::reset);
+            result.complete(new Unknown(reason, message));
+        }
+    }
+
+    /** The response exceeds {@link #MAX_RESPONSE_BYTES}. */
+    private static final class ResponseTooLargeException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        ResponseTooLargeException() {
+            super("response exceeds " + MAX_RESPONSE_BYTES + " bytes", null, false, false);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/NettyFutures.java
@@ -0,0 +1,31 @@
+package io.daisyhoist.daemon.connection;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.daisyhoist.core.model.Endpoint;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+
+/** Conversions of Netty's types to those of the JDK and the core. Stateless. */
+final class NettyFutures {
+    private NettyFutures() {}
+
+    static CompletionStage<Channel> toStage(ChannelFuture future) {
+        CompletableFuture<Channel> stage = new CompletableFuture<>();
+        future.addListener(done -> {
+            if (done.isSuccess()) {
+                stage.complete(future.channel());
+            } else {
+                stage.completeExceptionally(done.cause());
+            }
+        });
+        return stage;
+    }
+
+    static Endpoint localEndpoint(Channel channel) {
+        InetSocketAddress address = (InetSocketAddress) channel.localAddress();
+        return new Endpoint(address.getAddress().getHostAddress(), address.getPort());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerCall.java
@@ -0,0 +1,64 @@
+package io.daisyhoist.daemon.connection;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import io.daisyhoist.wire.proto.Envelope;
+
+/**
+ * One message on its way to a peer, with its result.
+ *
+ * <p>The sent flag is owned by the connection's event loop; the result may be completed by any thread.
+ */
+final class PeerCall {
+    private final Envelope message;
+    private final Duration timeout;
+    private final CompletableFuture<Envelope> result = new CompletableFuture<>();
+    private boolean sent;
+
+    PeerCall(long requestId, Envelope message, Duration timeout) {
+        this.message = message.toBuilder().setRequestId(requestId).build();
+        this.timeout = timeout;
+    }
+
+    static PeerCall oneWay(Envelope message, Duration timeout) {
+        return new PeerCall(0, message, timeout);
+    }
+
+    long requestId() {
+        return message.getRequestId();
+    }
+
+    Envelope message() {
+        return message;
+    }
+
+    Duration timeout() {
+        return timeout;
+    }
+
+    CompletableFuture<Envelope> result() {
+        return result;
+    }
+
+    boolean expectsReply() {
+        return requestId() != 0;
+    }
+
+    boolean isSent() {
+        return sent;
+    }
+
+    void markSent() {
+        sent = true;
+    }
+
+    /** Fails with the certainty that follows from whether the message was handed to the network. */
+    void fail(PeerException.Reason reason, String text) {
+        fail(reason, sent ? Certainty.MAY_HAVE_BEEN_SENT : Certainty.NOT_SENT, text);
+    }
+
+    void fail(PeerException.Reason reason, Certainty certainty, String text) {
+        result.completeExceptionally(new PeerException(reason, certainty, text));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
@@ -0,0 +1,89 @@
+package io.daisyhoist.daemon.connection;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.wire.proto.Envelope;
+import io.netty.channel.EventLoopGroup;
+
+/**
+ * Sends messages to other daemons.
+ *
+ * <p>Keeps one connection per address and {@link PeerChannel}, opened on first use, reopened with jittered backoff when
+ * it is lost, and closed when it is idle. Invariants: a request id is used once by this process, over all connections; a
+ * reply completes only the call with its id on the connection that carried the call; a call never waits longer than its
+ * timeout. Thread-safe; calls complete on an event loop. The event loops belong to the caller.
+ */
+public final class PeerClient implements AutoCloseable {
+    private record Target(Endpoint endpoint, PeerChannel channel) {}
+
+    private final EventLoopGroup eventLoops;
+    private final PeerIdentity identity;
+    private final PeerLimits limits;
+    private final RandomGenerator random;
+    private final AtomicLong requestIds = new AtomicLong();
+    private final Map<Target, PeerConnection> connections = new ConcurrentHashMap<>();
+    private volatile boolean closed;
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param random source of backoff jitter; must be thread-safe
+     */
+    public PeerClient(EventLoopGroup eventLoops, PeerIdentity identity, PeerLimits limits, RandomGenerator random) {
+        this.eventLoops = eventLoops;
+        this.identity = identity;
+        this.limits = limits;
+        this.random = random;
+    }
+
+    /**
+     * Sends a request and waits for its reply.
+     *
+     * <p>A failed call completes with a {@link PeerException} whose certainty says whether the peer may have received the
+     * request. Cancelling the result, or its timeout, drops a late reply and sends a {@code CancelRequest} when the
+     * message was a {@code ForwardRequest} that may have been sent.
+     *
+     * @param message the request; its request id is replaced
+     * @param timeout time until the call fails, including the time to connect
+     */
+    public CompletableFuture<Envelope> call(
+            Endpoint endpoint, PeerChannel channel, Envelope message, Duration timeout) {
+        PeerCall call = new PeerCall(requestIds.incrementAndGet(), message, timeout);
+        submit(endpoint, channel, call);
+        return call.result();
+    }
+
+    /** Sends a message that has no reply; it is dropped when the peer cannot be reached or is congested. */
+    public void send(Endpoint endpoint, PeerChannel channel, Envelope message) {
+        submit(endpoint, channel, PeerCall.oneWay(message, limits.connectTimeout()));
+    }
+
+    private void submit(Endpoint endpoint, PeerChannel channel, PeerCall call) {
+        if (closed) {
+            call.fail(PeerException.Reason.CLOSED, Certainty.NOT_SENT, "client is closed");
+            return;
+        }
+        if (call.message().getSerializedSize() > limits.maxFrameBytes()) {
+            call.fail(PeerException.Reason.TOO_LARGE, Certainty.NOT_SENT, "message exceeds the frame limit");
+            return;
+        }
+        connections
+                .computeIfAbsent(
+                        new Target(endpoint, channel),
+                        target -> new PeerConnection(eventLoops.next(), endpoint, identity, limits, random))
+                .submit(call);
+    }
+
+    /** Closes all connections and fails all pending calls. */
+    @Override
+    public void close() {
+        closed = true;
+        connections.values().forEach(PeerConnection::shutDown);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerException.java
@@ -0,0 +1,42 @@
+package io.daisyhoist.daemon.connection;
+
+import io.daisyhoist.core.error.DaisyhoistException;
+import io.daisyhoist.core.error.ErrorCode;
+
+/** Failure of a call to another daemon. */
+public final class PeerException extends DaisyhoistException {
+    private static final long serialVersionUID = 1L;
+
+    /** Causes of a failed call. */
+    public enum Reason {
+        CONNECT_FAILED,
+        BACKOFF,
+        TOO_MANY_PENDING,
+        CONGESTED,
+        TOO_LARGE,
+        CONNECTION_LOST,
+        TIMEOUT,
+        CLOSED
+    }
+
+    private final Reason reason;
+    private final Certainty certainty;
+
+    PeerException(Reason reason, Certainty certainty, String message) {
+        super(
+                certainty == Certainty.NOT_SENT ? ErrorCode.INTERNAL : ErrorCode.OUTCOME_UNKNOWN,
+                reason + ": " + message);
+        this.reason = reason;
+        this.certainty = certainty;
+    }
+
+    /** Returns the cause. */
+    public Reason reason() {
+        return reason;
+    }
+
+    /** Returns whether the peer may have received the message. */
+    public Certainty certainty() {
+        return certainty;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to other daemons, to the platform's store and to the local backend server. */
+package io.daisyhoist.daemon.connection;
