--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeRoutes.java
@@ -0,0 +1,149 @@
+package io.daisyhoist.daemon.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.error.Refusal;
+import io.daisyhoist.core.error.RefusalCode;
+import io.daisyhoist.core.error.RunState;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.telemetry.DaemonMetrics;
+import io.daisyhoist.daemon.telemetry.Hop;
+import io.daisyhoist.daemon.telemetry.HopSpan;
+import io.daisyhoist.daemon.telemetry.HopTracer;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+
+/**
+ * HTTP routes for clients.
+ *
+ * <p>Invariants: each request gets one answer; a request that is refused here did not run and has not reached the
+ * {@link RequestHandler}. Stateless; runs on the event loop of each request.
+ */
+public final class EdgeRoutes {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final String TOKEN_PATH = "/attempt-token";
+
+    private final RequestHandler handler;
+    private final RequestParser parser;
+    private final EdgeLimits limits;
+    private final TimeSource time;
+    private final DaemonMetrics metrics;
+    private final HopTracer tracer;
+
+    /** Creates the routes. */
+    public EdgeRoutes(
+            RequestHandler handler,
+            ServiceTimeouts timeouts,
+            EdgeLimits limits,
+            TimeSource time,
+            DaemonMetrics metrics,
+            HopTracer tracer) {
+        this.handler = handler;
+        this.parser = new RequestParser(timeouts, time);
+        this.limits = limits;
+        this.time = time;
+        this.metrics = metrics;
+        this.tracer = tracer;
+    }
+
+    /** Returns a router with the routes; every path is answered. */
+    public Router router(Vertx vertx) {
+        Router router = Router.router(vertx);
+        router.route().handler(this::serve);
+        return router;
+    }
+
+    private void serve(RoutingContext context) {
+        HttpServerRequest http = context.request();
+        try {
+            RequestTarget target = parser.target(http);
+            if (isTokenRequest(http, target)) {
+                issueToken(http, target);
+            } else {
+                forward(http, target);
+            }
+        } catch (RefusedException e) {
+            refuse(http, e.refusal());
+        }
+    }
+
+    private void forward(HttpServerRequest http, RequestTarget target) {
+        long startNanos = time.monotonicNanos();
+        HopSpan span = tracer.start(Hop.CLIENT_EDGE, Optional.ofNullable(http.getHeader("traceparent")));
+        Promise<Void> gone = Promise.promise();
+        http.response().closeHandler(closed -> gone.tryComplete());
+        Future<OutboundResponse> answer;
+        try {
+            InboundRequest head = parser.parse(http, target, span.traceparent());
+            answer = BodyReader.read(http, limits.maxBodyBytes())
+                    .compose(body -> handler.handle(withBody(head, body), gone.future()));
+        } catch (RefusedException e) {
+            answer = Future.failedFuture(e);
+        }
+        answer.onComplete(done -> {
+            OutboundResponse response = done.succeeded() ? done.result() : onFailure(http, done.cause());
+            metrics.onAnswer(
+                    target.service(),
+                    response.refusal().map(Refusal::code),
+                    response.run(),
+                    Duration.ofNanos(time.monotonicNanos() - startNanos));
+            span.attribute("service", target.service().name());
+            span.end(response.status());
+            ResponseWriter.write(http.response(), response);
+        });
+    }
+
+    private boolean isTokenRequest(HttpServerRequest http, RequestTarget target) {
+        return http.method().equals(HttpMethod.POST) && http.path().equals("/s/" + target.service() + TOKEN_PATH);
+    }
+
+    private void issueToken(HttpServerRequest http, RequestTarget target) {
+        Optional<String> key = Optional.ofNullable(http.getParam("key")).map(RequestTarget::key);
+        handler.issueToken(target.service(), key, parser.deadline(http, target.service()))
+                .otherwise(failure -> onFailure(http, failure))
+                .onSuccess(response -> ResponseWriter.write(http.response(), response));
+    }
+
+    private void refuse(HttpServerRequest http, Refusal refusal) {
+        metrics.onRefusedAtEdge(refusal.code());
+        if (!http.isEnded()) {
+            ResponseWriter.writeAndClose(http.response(), refusal);
+            return;
+        }
+        ResponseWriter.write(http.response(), OutboundResponse.refused(refusal));
+    }
+
+    private static OutboundResponse onFailure(HttpServerRequest http, Throwable failure) {
+        if (failure instanceof RefusedException refused) {
+            if (!http.isEnded()) {
+                http.response().putHeader("Connection", "close");
+            }
+            return OutboundResponse.refused(refused.refusal());
+        }
+        LOGGER.atWarning().withCause(failure).log("event=request_failed path=%s", http.path());
+        return OutboundResponse.refused(
+                new Refusal(RefusalCode.BACKEND_LOST, RunState.UNKNOWN, "internal error", Duration.ZERO));
+    }
+
+    private static InboundRequest withBody(InboundRequest head, Buffer body) {
+        return new InboundRequest(
+                head.service(),
+                head.key(),
+                head.method(),
+                head.path(),
+                head.headers(),
+                body,
+                head.rank(),
+                head.deadline(),
+                head.attemptToken(),
+                head.traceparent());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeServer.java
@@ -0,0 +1,62 @@
+package io.daisyhoist.daemon.request;
+
+import java.time.Duration;
+
+import io.daisyhoist.core.error.Refusal;
+import io.daisyhoist.core.error.RefusalCode;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.ext.web.Router;
+
+/**
+ * HTTP/1.1 server for clients.
+ *
+ * <p>A request that cannot be decoded gets a typed refusal and its connection is closed. Thread-safe.
+ */
+public final class EdgeServer {
+    private static final int MAX_LINE_BYTES = 8 << 10;
+    private static final int IDLE_SECONDS = 75;
+
+    private final HttpServer server;
+
+    /** Creates a server that does not listen yet. */
+    public EdgeServer(Vertx vertx, Router router, EdgeLimits limits) {
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(limits.maxHeaderBytes())
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setIdleTimeout(IDLE_SECONDS)
+                .setHandle100ContinueAutomatically(true)
+                .setHttp2ClearTextEnabled(false);
+        server =
+                vertx.createHttpServer(options).requestHandler(router).invalidRequestHandler(EdgeServer::refuseInvalid);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param port TCP port, 0 for any free one
+     * @return the port in use
+     */
+    public Future<Integer> listen(String host, int port) {
+        return server.listen(port, host).map(HttpServer::actualPort);
+    }
+
+    /** Stops listening and closes the connections. */
+    public Future<Void> close() {
+        return server.close();
+    }
+
+    private static void refuseInvalid(HttpServerRequest http) {
+        Throwable cause = http.decoderResult().cause();
+        boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        Refusal refusal = tooLarge
+                ? Refusal.of(RefusalCode.TOO_LARGE, "request head is too large", Duration.ZERO)
+                : Refusal.of(RefusalCode.BAD_REQUEST, "request cannot be decoded", Duration.ZERO);
+        ResponseWriter.writeAndClose(http.response(), refusal);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/OutboundResponse.java
@@ -0,0 +1,72 @@
+package io.daisyhoist.daemon.request;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.daisyhoist.core.error.Refusal;
+import io.daisyhoist.core.error.RunState;
+import io.daisyhoist.daemon.connection.HttpField;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Answer to a client. Immutable.
+ *
+ * @param status HTTP status
+ * @param headers end-to-end headers
+ * @param body the body, may be empty
+ * @param run whether the request ran
+ * @param refusal the refusal, if the request was refused
+ * @param attemptToken fresh token for the client
+ */
+public record OutboundResponse(
+        int status,
+        List<HttpField> headers,
+        Buffer body,
+        RunState run,
+        Optional<Refusal> refusal,
+        Optional<String> attemptToken) {
+    private static final HttpField JSON = new HttpField("Content-Type", "application/json");
+
+    /** Copies the list. */
+    public OutboundResponse {
+        headers = List.copyOf(headers);
+    }
+
+    /** Returns the answer of a backend server that ran the request. */
+    public static OutboundResponse ran(int status, List<HttpField> headers, Buffer body) {
+        return new OutboundResponse(status, headers, body, RunState.RAN, Optional.empty(), Optional.empty());
+    }
+
+    /** Returns a refusal. */
+    public static OutboundResponse refused(Refusal refusal) {
+        return refused(refusal, Optional.empty());
+    }
+
+    /** Returns a refusal that gives the client a token for its next attempt. */
+    public static OutboundResponse refused(Refusal refusal, Optional<String> attemptToken) {
+        JsonObject body = new JsonObject()
+                .put("code", refusal.code().label())
+                .put("run", refusal.runState().label())
+                .put("message", refusal.message())
+                .put("retry_after_ms", refusal.retryAfter().toMillis());
+        return new OutboundResponse(
+                refusal.code().httpStatus(),
+                List.of(JSON),
+                body.toBuffer(),
+                refusal.runState(),
+                Optional.of(refusal),
+                attemptToken);
+    }
+
+    /** Returns the answer to the request for a token. */
+    public static OutboundResponse token(String attemptToken) {
+        return new OutboundResponse(
+                200,
+                List.of(JSON),
+                new JsonObject().put("attempt_token", attemptToken).toBuffer(),
+                RunState.NOT_RUN,
+                Optional.empty(),
+                Optional.of(attemptToken));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/RequestParser.java
@@ -0,0 +1,108 @@
+package io.daisyhoist.daemon.request;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.daisyhoist.core.admission.Rank;
+import io.daisyhoist.core.atmostonce.AttemptToken;
+import io.daisyhoist.core.error.RefusalCode;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.connection.DaisyhoistHeaders;
+import io.daisyhoist.daemon.connection.HopByHopHeaders;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+
+/** Validates HTTP requests of clients. Stateless and thread-safe. */
+final class RequestParser {
+    private static final int MAX_METHOD_CHARS = 32;
+    private static final Duration MAX_DEADLINE = Duration.ofMinutes(10);
+
+    private final ServiceTimeouts timeouts;
+    private final TimeSource time;
+
+    RequestParser(ServiceTimeouts timeouts, TimeSource time) {
+        this.timeouts = timeouts;
+        this.time = time;
+    }
+
+    /**
+     * Reads the target of a request.
+     *
+     * @throws RefusedException if the request is invalid or its service unknown
+     */
+    RequestTarget target(HttpServerRequest http) {
+        String path = http.uri().startsWith("/") ? http.path() : null;
+        if (path == null || http.method().name().length() > MAX_METHOD_CHARS) {
+            throw new RefusedException(RefusalCode.BAD_REQUEST, "invalid request line");
+        }
+        RequestTarget target = RequestTarget.parse(path);
+        if (timeouts.requestTimeout(target.service()).isEmpty()) {
+            throw new RefusedException(RefusalCode.UNKNOWN_SERVICE, "no such service: " + target.service());
+        }
+        return target;
+    }
+
+    /**
+     * Reads everything but the body, which is empty in the result.
+     *
+     * @throws RefusedException if a header is invalid
+     */
+    InboundRequest parse(HttpServerRequest http, RequestTarget target, Optional<String> traceparent) {
+        return new InboundRequest(
+                target.service(),
+                target.key(),
+                http.method().name(),
+                http.uri(),
+                HopByHopHeaders.endToEnd(http.headers()),
+                Buffer.buffer(),
+                rank(http),
+                deadline(http, target.service()),
+                attemptToken(http, target.service()),
+                traceparent);
+    }
+
+    /** Returns the deadline that a request states, else that of its service. */
+    Deadline deadline(HttpServerRequest http, ServiceName service) {
+        Optional<String> stated = single(http, DaisyhoistHeaders.DEADLINE_MS);
+        if (stated.isEmpty()) {
+            return Deadline.after(time, timeouts.requestTimeout(service).orElse(MAX_DEADLINE));
+        }
+        if (!stated.get().matches("\\d{1,9}")) {
+            throw new RefusedException(RefusalCode.BAD_REQUEST, DaisyhoistHeaders.DEADLINE_MS + " is not a number");
+        }
+        Duration wait = Duration.ofMillis(Long.parseLong(stated.get()));
+        return Deadline.after(time, wait.compareTo(MAX_DEADLINE) < 0 ? wait : MAX_DEADLINE);
+    }
+
+    private static Rank rank(HttpServerRequest http) {
+        return single(http, DaisyhoistHeaders.RANK)
+                .map(label -> Rank.fromLabel(label)
+                        .orElseThrow(() -> new RefusedException(
+                                RefusalCode.BAD_REQUEST,
+                                DaisyhoistHeaders.RANK + " must be internal, normal or browse")))
+                .orElse(Rank.NORMAL);
+    }
+
+    private static Optional<AttemptToken> attemptToken(HttpServerRequest http, ServiceName service) {
+        Optional<String> stated = single(http, DaisyhoistHeaders.ATTEMPT_TOKEN);
+        Optional<AttemptToken> token = stated.flatMap(AttemptToken::parse)
+                .filter(parsed -> parsed.partition().service().equals(service));
+        if (stated.isPresent() && token.isEmpty()) {
+            throw new RefusedException(
+                    RefusalCode.BAD_REQUEST, DaisyhoistHeaders.ATTEMPT_TOKEN + " is not a token of this service");
+        }
+        return token;
+    }
+
+    /** Two values of one field could be read differently by the hops. */
+    private static Optional<String> single(HttpServerRequest http, String name) {
+        List<String> values = http.headers().getAll(name);
+        if (values.size() > 1) {
+            throw new RefusedException(RefusalCode.BAD_REQUEST, name + " is given more than once");
+        }
+        return values.stream().findFirst();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics and spans of the daemon. */
+package io.daisyhoist.daemon.telemetry;
