Test the connections between daemons

Cause: replies must reach their own call, and a failed call must not claim that the peer cannot have received the request. Ruled out: nothing; the tests passed on the first run, so they guard, they did not find a fault. Before: no test.

--- /dev/null
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/PeerClientTest.java
@@ -0,0 +1,249 @@
+package io.daisyhoist.daemon.connection;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.wire.proto.Envelope;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards the matching of replies and what a failed call says about the peer. */
+class PeerClientTest {
+    private static final Duration LONG = Duration.ofSeconds(5);
+
+    private record Received(Envelope message, Consumer<Envelope> reply) {}
+
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    private PeerNode node(String name, String cluster, PeerHandler handler) {
+        PeerNode node = new PeerNode(name, cluster, handler);
+        open.add(node);
+        return node;
+    }
+
+    private PeerNode caller() {
+        return node("caller", "test", (from, message, reply) -> {});
+    }
+
+    private PeerNode holder() {
+        return node("holder", "test", (from, message, reply) -> received.add(new Received(message, reply)));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable closeable : open) {
+            closeable.close();
+        }
+    }
+
+    private static PeerException failureOf(CompletableFuture<Envelope> call) {
+        return (PeerException) assertThrows(Exception.class, () -> call.get(10, TimeUnit.SECONDS))
+                .getCause();
+    }
+
+    private static void assertFailure(
+            PeerException.Reason reason, Certainty certainty, CompletableFuture<Envelope> call) {
+        PeerException failure = failureOf(call);
+        assertEquals(reason, failure.reason(), failure.getMessage());
+        assertEquals(certainty, failure.certainty(), failure.getMessage());
+    }
+
+    @Nested
+    class Replies {
+        /** A reply matched to the wrong call would give a client the response to another request. */
+        @Test
+        void call_repliesInRandomOrder_eachGetsItsOwn() throws Exception {
+            PeerNode holder = holder();
+            PeerNode caller = caller();
+            for (int round = 0; round < 20; round++) {
+                received.clear();
+                List<CompletableFuture<Envelope>> calls = new ArrayList<>();
+                for (int i = 0; i < PeerNode.LIMITS.maxPendingCalls(); i++) {
+                    calls.add(
+                            caller.client.call(holder.endpoint, PeerChannel.TRAFFIC, PeerNode.request("r" + i), LONG));
+                }
+                await().atMost(LONG).until(() -> received.size() == calls.size());
+                List<Received> shuffled = new ArrayList<>(received);
+                Collections.shuffle(shuffled, new Random(round));
+                shuffled.forEach(each -> each.reply()
+                        .accept(PeerNode.response(
+                                each.message().getForwardRequest().getPath())));
+                for (int i = 0; i < calls.size(); i++) {
+                    Envelope reply = calls.get(i).get(10, TimeUnit.SECONDS);
+                    assertEquals("r" + i, reply.getForwardResponse().getBackend());
+                }
+            }
+        }
+
+        /** A late reply must be dropped, and the peer must be told to stop. */
+        @Test
+        void call_cancelledThenLateReply_isNotDeliveredToTheNextCall() throws Exception {
+            PeerNode holder = holder();
+            PeerNode caller = caller();
+            CompletableFuture<Envelope> first =
+                    caller.client.call(holder.endpoint, PeerChannel.TRAFFIC, PeerNode.request("first"), LONG);
+            await().until(() -> received.size() == 1);
+            first.cancel(true);
+            await().until(() -> received.size() == 2);
+            Envelope cancel = received.get(1).message();
+            assertEquals(
+                    received.get(0).message().getRequestId(),
+                    cancel.getCancelRequest().getCancelledRequestId());
+            CompletableFuture<Envelope> second =
+                    caller.client.call(holder.endpoint, PeerChannel.TRAFFIC, PeerNode.request("second"), LONG);
+            await().until(() -> received.size() == 3);
+            received.get(0).reply().accept(PeerNode.response("first"));
+            received.get(2).reply().accept(PeerNode.response("second"));
+            assertEquals(
+                    "second",
+                    second.get(5, TimeUnit.SECONDS).getForwardResponse().getBackend());
+        }
+
+        @Test
+        void send_oneWay_arrivesWithoutRequestId() {
+            PeerNode holder = holder();
+            caller().client.send(holder.endpoint, PeerChannel.CONTROL, PeerNode.request("one-way"));
+            await().until(() -> received.size() == 1);
+            assertEquals(0, received.get(0).message().getRequestId());
+        }
+
+        /** Bulk data on the traffic connection must not delay a heartbeat. */
+        @Test
+        void call_bothChannels_useSeparateConnections() {
+            PeerNode holder = holder();
+            PeerNode caller = caller();
+            caller.client.send(holder.endpoint, PeerChannel.CONTROL, PeerNode.request("c"));
+            caller.client.send(holder.endpoint, PeerChannel.TRAFFIC, PeerNode.request("t"));
+            await().until(() -> received.size() == 2);
+            assertEquals(2, holder.server.connectionCount());
+        }
+    }
+
+    @Nested
+    class Failures {
+        @Test
+        void call_connectionRefused_isNotSentAndLaterReconnects() throws Exception {
+            Endpoint free = freeEndpoint();
+            PeerNode caller = caller();
+            assertFailure(
+                    PeerException.Reason.CONNECT_FAILED,
+                    Certainty.NOT_SENT,
+                    caller.client.call(free, PeerChannel.TRAFFIC, PeerNode.request("r"), LONG));
+            PeerNode late = new PeerNode(
+                    "late", "test", (from, message, reply) -> reply.accept(PeerNode.response("ok")), free.port());
+            open.add(late);
+            await().atMost(LONG)
+                    .ignoreExceptions()
+                    .until(() -> caller.callAndWait(free, PeerNode.request("r"), LONG)
+                            .hasForwardResponse());
+        }
+
+        /** Calling a possibly received request "not run" would let it run twice. */
+        @Test
+        void call_connectionLostWhilePending_failsAllAsMaybeSent() {
+            PeerNode holder = holder();
+            PeerNode caller = caller();
+            List<CompletableFuture<Envelope>> calls = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                calls.add(caller.client.call(holder.endpoint, PeerChannel.TRAFFIC, PeerNode.request("r" + i), LONG));
+            }
+            await().until(() -> received.size() == calls.size());
+            holder.server.close();
+            calls.forEach(
+                    call -> assertFailure(PeerException.Reason.CONNECTION_LOST, Certainty.MAY_HAVE_BEEN_SENT, call));
+        }
+
+        @Test
+        void call_noReply_timesOutAsMaybeSent() {
+            PeerNode holder = holder();
+            CompletableFuture<Envelope> call = caller().client
+                    .call(holder.endpoint, PeerChannel.TRAFFIC, PeerNode.request("r"), Duration.ofMillis(150));
+            assertFailure(PeerException.Reason.TIMEOUT, Certainty.MAY_HAVE_BEEN_SENT, call);
+            await().until(() ->
+                    received.stream().anyMatch(each -> each.message().hasCancelRequest()));
+        }
+
+        @Test
+        void call_otherCluster_isNotSent() {
+            PeerNode other =
+                    node("other", "other", (from, message, reply) -> received.add(new Received(message, reply)));
+            PeerException failure =
+                    failureOf(caller().client.call(other.endpoint, PeerChannel.TRAFFIC, PeerNode.request("r"), LONG));
+            assertEquals(Certainty.NOT_SENT, failure.certainty());
+            assertTrue(received.isEmpty(), "the request reached a daemon of another cluster");
+        }
+
+        @Test
+        void call_tooManyPending_isNotSent() {
+            PeerNode holder = holder();
+            PeerNode caller = caller();
+            for (int i = 0; i < PeerNode.LIMITS.maxPendingCalls(); i++) {
+                caller.client.call(holder.endpoint, PeerChannel.TRAFFIC, PeerNode.request("r"), LONG);
+            }
+            assertFailure(
+                    PeerException.Reason.TOO_MANY_PENDING,
+                    Certainty.NOT_SENT,
+                    caller.client.call(holder.endpoint, PeerChannel.TRAFFIC, PeerNode.request("r"), LONG));
+        }
+
+        @Test
+        void call_messageBeyondFrameLimit_isNotSent() {
+            assertFailure(
+                    PeerException.Reason.TOO_LARGE,
+                    Certainty.NOT_SENT,
+                    caller().client
+                            .call(
+                                    holder().endpoint,
+                                    PeerChannel.TRAFFIC,
+                                    PeerNode.request("x".repeat(PeerNode.LIMITS.maxFrameBytes())),
+                                    LONG));
+        }
+
+        /** A frozen peer keeps its connection open; without a probe, heartbeats would wait on it after its end. */
+        @Test
+        void call_peerFallsSilent_connectionIsClosed() throws Exception {
+            try (ServerSocket frozen = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+                Endpoint endpoint = new Endpoint("127.0.0.1", frozen.getLocalPort());
+                CompletableFuture<Envelope> call =
+                        caller().client.call(endpoint, PeerChannel.CONTROL, PeerNode.request("r"), LONG);
+                try (Socket accepted = frozen.accept()) {
+                    greet(accepted);
+                    long start = System.nanoTime();
+                    assertFailure(PeerException.Reason.CONNECTION_LOST, Certainty.MAY_HAVE_BEEN_SENT, call);
+                    assertTrue(System.nanoTime() - start < Duration.ofSeconds(2).toNanos());
+                }
+            }
+        }
+
+        private void greet(Socket accepted) throws Exception {
+            InputStream in = accepted.getInputStream();
+            Envelope hello = Envelope.parseDelimitedFrom(in);
+            hello.writeDelimitedTo(accepted.getOutputStream());
+        }
+
+        private Endpoint freeEndpoint() throws Exception {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                return new Endpoint("127.0.0.1", socket.getLocalPort());
+            }
+        }
+    }
+}
