--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendClient.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendClient.java
@@ -22,6 +22,9 @@
     /** Loopback connections open in about 1 ms; a backend server that takes longer is not accepting. */
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** Connections that are being opened count as waiting, and so do cancelled requests until a connection is free. */
+    private static final int WAITING_PER_CONNECTION = 2;
+
     private final Context context;
     private final HttpClient client;
     private final Endpoint backend;
@@ -42,7 +45,9 @@
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                         .setPipelining(false)
                         .setKeepAlive(true),
-                new PoolOptions().setHttp1MaxSize(maxConnections).setMaxWaitQueueSize(maxConnections));
+                new PoolOptions()
+                        .setHttp1MaxSize(maxConnections)
+                        .setMaxWaitQueueSize(WAITING_PER_CONNECTION * maxConnections));
     }
 
     /**
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
@@ -94,7 +94,9 @@
         });
         result.future().onComplete(done -> context.owner().cancelTimer(timer));
         try {
-            client.request(options()).onSuccess(this::write).onFailure(this::connectFailed);
+            // Without the timeout, a request that nobody waits for would keep its place in the pool's queue.
+            RequestOptions options = options().setConnectTimeout(remainingMillis);
+            client.request(options).onSuccess(this::write).onFailure(this::connectFailed);
         } catch (IllegalArgumentException e) {
             endUnwritten(NotWrittenReason.INVALID_REQUEST, String.valueOf(e.getMessage()));
         }
--- /dev/null
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/BackendClientTest.java
@@ -0,0 +1,278 @@
+package io.daisyhoist.daemon.connection;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.core.time.SystemTimeSource;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.connection.BackendResult.Answered;
+import io.daisyhoist.daemon.connection.BackendResult.NotWritten;
+import io.daisyhoist.daemon.connection.BackendResult.NotWrittenReason;
+import io.daisyhoist.daemon.connection.BackendResult.StaleFence;
+import io.daisyhoist.daemon.connection.BackendResult.Unknown;
+import io.daisyhoist.daemon.connection.BackendResult.UnknownReason;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards what is said about a request to the backend server: not run only if it was never written. */
+class BackendClientTest {
+    private static final Duration LONG = Duration.ofSeconds(5);
+
+    private final Vertx vertx = Vertx.vertx();
+    private final TimeSource time = new SystemTimeSource();
+    private final List<HttpServerRequest> arrived = new CopyOnWriteArrayList<>();
+
+    @AfterEach
+    void close() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private BackendClient client(int maxConnections, Handler<HttpServerRequest> handler) throws Exception {
+        HttpServer server = vertx.createHttpServer().requestHandler(request -> {
+            arrived.add(request);
+            handler.handle(request);
+        });
+        int port = server.listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(5, TimeUnit.SECONDS)
+                .actualPort();
+        return client(maxConnections, port);
+    }
+
+    private BackendClient client(int maxConnections, int port) {
+        return new BackendClient(
+                vertx, vertx.getOrCreateContext(), new Endpoint("127.0.0.1", port), maxConnections, time);
+    }
+
+    private BackendRequest request(String path, Duration remaining) {
+        return new BackendRequest(
+                "POST",
+                path,
+                List.of(new HttpField("X-Crew", "two")),
+                Buffer.buffer("body"),
+                Optional.of("archive/3:17"),
+                Deadline.after(time, remaining));
+    }
+
+    private BackendCall send(BackendClient client, String path) {
+        return client.send(request(path, LONG), () -> true);
+    }
+
+    private static BackendResult join(BackendCall call) throws Exception {
+        return call.result().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    private static void assertNotWritten(NotWrittenReason reason, BackendCall call) throws Exception {
+        assertEquals(reason, assertInstanceOf(NotWritten.class, join(call)).reason());
+    }
+
+    private static void assertUnknown(UnknownReason reason, BackendCall call) throws Exception {
+        assertEquals(reason, assertInstanceOf(Unknown.class, join(call)).reason());
+    }
+
+    private static void answerWithPath(HttpServerRequest request) {
+        request.response().end(request.path());
+    }
+
+    @Nested
+    class Answers {
+        @Test
+        void send_answered_passesRequestAndResponseOn() throws Exception {
+            BackendClient client = client(
+                    2,
+                    request -> request.body()
+                            .onSuccess(body -> request.response()
+                                    .setStatusCode(201)
+                                    .putHeader("X-Record", "7")
+                                    .putHeader("Connection", "X-Hop")
+                                    .putHeader("X-Hop", "1")
+                                    .putHeader("Daisyhoist-Run", "forged")
+                                    .end(body)));
+            Answered answer = assertInstanceOf(Answered.class, join(send(client, "/s/archive/k/dish-7?a=b")));
+            assertEquals(201, answer.status());
+            assertEquals("body", answer.body().toString());
+            assertEquals(List.of(new HttpField("X-Record", "7")), answer.headers());
+            HttpServerRequest seen = arrived.get(0);
+            assertEquals("POST /s/archive/k/dish-7?a=b", seen.method() + " " + seen.uri());
+            assertEquals("two", seen.getHeader("X-Crew"));
+            assertEquals("archive/3:17", seen.getHeader("Daisyhoist-Fence"));
+            int deadlineMillis = Integer.parseInt(seen.getHeader("Daisyhoist-Deadline-Ms"));
+            assertTrue(deadlineMillis > 3000 && deadlineMillis <= 5000, "deadline " + deadlineMillis);
+        }
+
+        @Test
+        void send_fenceRefused_isStaleFenceButAnOrdinary412IsAnAnswer() throws Exception {
+            BackendClient client = client(2, request -> {
+                if (request.path().equals("/stale")) {
+                    request.response().putHeader("Daisyhoist-Stale-Fence", "true");
+                }
+                request.response().setStatusCode(412).end();
+            });
+            assertInstanceOf(StaleFence.class, join(send(client, "/stale")));
+            assertInstanceOf(Answered.class, join(send(client, "/ordinary")));
+        }
+
+        /** The response to a cancelled request must never reach the request that comes after it. */
+        @ParameterizedTest
+        @ValueSource(longs = {3, 20261206})
+        void send_randomlyCancelled_eachAnswerBelongsToItsRequest(long seed) throws Exception {
+            Random random = new Random(seed);
+            BackendClient client = client(
+                    4,
+                    request -> vertx.setTimer(1 + request.path().hashCode() % 7 + 7, fired -> answerWithPath(request)));
+            int answered = 0;
+            for (int round = 0; round < 150; round++) {
+                List<BackendCall> calls = new ArrayList<>();
+                for (int i = 0; i < 4; i++) {
+                    calls.add(send(client, "/r" + round + "-" + i));
+                }
+                for (BackendCall call : calls) {
+                    if (random.nextInt(3) == 0) {
+                        long delayMicros = random.nextInt(12_000);
+                        TimeUnit.MICROSECONDS.sleep(delayMicros);
+                        call.cancel();
+                    }
+                }
+                for (int i = 0; i < 4; i++) {
+                    if (join(calls.get(i)) instanceof Answered answer) {
+                        assertEquals("/r" + round + "-" + i, answer.body().toString());
+                        answered++;
+                    }
+                }
+            }
+            assertTrue(answered > 100, "only " + answered + " of 600 requests were answered");
+        }
+    }
+
+    @Nested
+    class CertainlyNotWritten {
+        @Test
+        void send_connectionRefused_isNotWritten() throws Exception {
+            int free;
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                free = socket.getLocalPort();
+            }
+            assertNotWritten(NotWrittenReason.CONNECTION_REFUSED, send(client(1, free), "/r"));
+        }
+
+        @Test
+        void send_poolAndQueueFull_isNotWritten() throws Exception {
+            BackendClient client = client(1, request -> {});
+            send(client, "/running");
+            await().until(() -> arrived.size() == 1);
+            send(client, "/queued1");
+            send(client, "/queued2");
+            assertNotWritten(NotWrittenReason.POOL_EXHAUSTED, send(client, "/third"));
+        }
+
+        /** A request reported as not run must not be written when its connection becomes free. */
+        @Test
+        void send_endedWhileWaitingForAConnection_isNeverWritten() throws Exception {
+            BackendClient client = client(2, request -> {
+                if (!request.path().startsWith("/running")) {
+                    answerWithPath(request);
+                }
+            });
+            send(client, "/running1");
+            send(client, "/running2");
+            await().until(() -> arrived.size() == 2);
+            BackendCall cancelled = send(client, "/cancelled");
+            BackendCall late = client.send(request("/late", Duration.ofMillis(100)), () -> true);
+            cancelled.cancel();
+            assertNotWritten(NotWrittenReason.CANCELLED, cancelled);
+            assertNotWritten(NotWrittenReason.DEADLINE, late);
+            arrived.forEach(BackendClientTest::answerWithPath);
+            assertInstanceOf(Answered.class, join(send(client, "/next")));
+            assertInstanceOf(Answered.class, join(send(client, "/next")));
+            assertEquals(
+                    List.of("/next", "/next"),
+                    arrived.stream().skip(2).map(HttpServerRequest::path).toList());
+        }
+
+        /** The lease may have ended while the request waited; the connection must stay usable. */
+        @Test
+        void send_lastCheckFails_isNeverWritten() throws Exception {
+            BackendClient client = client(1, BackendClientTest::answerWithPath);
+            for (int i = 0; i < 5; i++) {
+                assertNotWritten(NotWrittenReason.LAST_CHECK, client.send(request("/no", LONG), () -> false));
+            }
+            assertNotWritten(NotWrittenReason.LAST_CHECK, client.send(request("/no", LONG), () -> {
+                throw new IllegalStateException("check failed");
+            }));
+            assertInstanceOf(Answered.class, join(send(client, "/yes")));
+            assertEquals(
+                    List.of("/yes"),
+                    arrived.stream().map(HttpServerRequest::path).toList());
+        }
+    }
+
+    @Nested
+    class Unclear {
+        @Test
+        void send_connectionLostAfterTheWrite_isUnknown() throws Exception {
+            BackendClient client = client(1, request -> request.connection().close());
+            assertUnknown(UnknownReason.CONNECTION_LOST, send(client, "/r"));
+        }
+
+        @Test
+        void send_connectionLostWithinTheResponse_isUnknown() throws Exception {
+            BackendClient client = client(1, request -> {
+                request.response().putHeader("Content-Length", "100").write("part");
+                vertx.setTimer(30, fired -> request.connection().close());
+            });
+            assertUnknown(UnknownReason.CONNECTION_LOST, send(client, "/r"));
+        }
+
+        @Test
+        void send_noAnswerBeforeTheDeadline_isUnknownAndClosesTheStream() throws Exception {
+            List<String> closed = new CopyOnWriteArrayList<>();
+            BackendClient client =
+                    client(1, request -> request.response().closeHandler(gone -> closed.add(request.path())));
+            assertUnknown(UnknownReason.DEADLINE, client.send(request("/slow", Duration.ofMillis(100)), () -> true));
+            await().until(() -> closed.equals(List.of("/slow")));
+        }
+
+        @Test
+        void send_cancelledAfterTheWrite_isUnknownAndClosesTheStream() throws Exception {
+            List<String> closed = new CopyOnWriteArrayList<>();
+            BackendClient client =
+                    client(1, request -> request.response().closeHandler(gone -> closed.add(request.path())));
+            BackendCall call = send(client, "/r");
+            await().until(() -> arrived.size() == 1);
+            call.cancel();
+            assertUnknown(UnknownReason.CANCELLED, call);
+            await().until(() -> closed.equals(List.of("/r")));
+        }
+
+        @Test
+        void send_responseTooLarge_isUnknown() throws Exception {
+            BackendClient client = client(
+                    1,
+                    request -> request.response().end(Buffer.buffer(new byte[BackendExchange.MAX_RESPONSE_BYTES + 1])));
+            assertUnknown(UnknownReason.RESPONSE_TOO_LARGE, send(client, "/r"));
+        }
+    }
+}
