--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/membership/GroupRecordJson.java
@@ -0,0 +1,43 @@
+package io.daisyhoist.core.membership;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.daisyhoist.core.error.DaisyhoistException;
+import io.daisyhoist.core.error.ErrorCode;
+
+/**
+ * JSON form of the group record in the platform's store and in peer messages.
+ *
+ * <p>Unknown fields are ignored, so that a newer daemon may add some during a rolling upgrade. Thread-safe.
+ */
+public final class GroupRecordJson {
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+    private GroupRecordJson() {}
+
+    /** Returns the UTF-8 JSON text of a record. */
+    public static byte[] write(GroupRecord record) {
+        try {
+            return MAPPER.writeValueAsBytes(record);
+        } catch (JsonProcessingException e) {
+            throw new DaisyhoistException(ErrorCode.INTERNAL, "cannot encode the group record", e);
+        }
+    }
+
+    /**
+     * Parses a record.
+     *
+     * @throws DaisyhoistException with {@link ErrorCode#INTERNAL} when the bytes are not a group record
+     */
+    public static GroupRecord read(byte[] json) {
+        try {
+            return MAPPER.readValue(json, GroupRecord.class);
+        } catch (IOException e) {
+            throw new DaisyhoistException(ErrorCode.INTERNAL, "not a group record: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/ControlThread.java
@@ -0,0 +1,64 @@
+package io.daisyhoist.daemon.process;
+
+import java.time.Duration;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+
+/**
+ * The one thread that owns control state.
+ *
+ * <p>Tasks run one at a time, in order of submission; a failing task is logged and does not stop later ones. Tasks
+ * submitted after {@link #close()} are dropped. Thread-safe.
+ */
+public final class ControlThread implements Executor, AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "control");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    @Override
+    public void execute(Runnable task) {
+        try {
+            executor.execute(guarded(task));
+        } catch (RejectedExecutionException e) {
+            LOGGER.atFine().log("event=control_task_dropped reason=closed");
+        }
+    }
+
+    /** Runs a task repeatedly; a late run does not cause a burst of catch-up runs. */
+    public void scheduleRepeating(Runnable task, Duration interval) {
+        executor.scheduleWithFixedDelay(guarded(task), 0, interval.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a task once after a delay. */
+    public void scheduleOnce(Runnable task, Duration delay) {
+        try {
+            executor.schedule(guarded(task), delay.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOGGER.atFine().log("event=control_task_dropped reason=closed");
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOGGER.atSevere().withCause(e).log("event=control_task_failed");
+            }
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/GroupLoop.java
@@ -0,0 +1,256 @@
+package io.daisyhoist.daemon.process;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+
+import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.membership.GroupAction;
+import io.daisyhoist.core.membership.GroupController;
+import io.daisyhoist.core.membership.GroupRecord;
+import io.daisyhoist.core.membership.GroupRecordJson;
+import io.daisyhoist.core.membership.GroupSnapshot;
+import io.daisyhoist.core.membership.Member;
+import io.daisyhoist.core.membership.SwapResult;
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.daemon.connection.PeerChannel;
+import io.daisyhoist.wire.proto.Envelope;
+import io.daisyhoist.wire.proto.GroupFetch;
+import io.daisyhoist.wire.proto.Heartbeat;
+
+/**
+ * Carries out the actions of the {@link GroupController}.
+ *
+ * <p>Invariant: the controller is called on the control thread only, and each call is followed by publishing its
+ * snapshot, so that traffic threads never serve a partition longer than the controller allows. Methods other than {@link
+ * #start()} must be called on the control thread.
+ */
+final class GroupLoop {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration PEER_TIMEOUT = Duration.ofMillis(700);
+
+    private final ControlContext context;
+    private final String storeKey;
+    private final GroupController controller;
+    private final PeerVersions versions;
+    private final PartitionHandOver handOver;
+    private final Consumer<GroupSnapshot> publisher;
+    private long loggedVersion = -1;
+
+    GroupLoop(
+            ControlContext context,
+            String storeKey,
+            GroupController controller,
+            PeerVersions versions,
+            PartitionHandOver handOver,
+            Consumer<GroupSnapshot> publisher) {
+        this.context = context;
+        this.storeKey = storeKey;
+        this.controller = controller;
+        this.versions = versions;
+        this.handOver = handOver;
+        this.publisher = publisher;
+    }
+
+    /** Starts the timer on the control thread. */
+    void start() {
+        context.control().scheduleRepeating(this::step, TICK);
+    }
+
+    /** Carries out what is due and publishes the snapshot. */
+    void step() {
+        List<GroupAction> actions = controller.onTick();
+        publish();
+        actions.forEach(this::perform);
+    }
+
+    private void publish() {
+        GroupSnapshot snapshot = controller.snapshot();
+        publisher.accept(snapshot);
+        if (snapshot.record().version() == loggedVersion) {
+            return;
+        }
+        loggedVersion = snapshot.record().version();
+        LOGGER.atInfo().log(
+                "event=group_record version=%d members=%d grants=%d own_grants=%d",
+                loggedVersion,
+                snapshot.record().members().size(),
+                snapshot.record().grants().size(),
+                snapshot.served().size());
+    }
+
+    private void perform(GroupAction action) {
+        if (action instanceof GroupAction.SendHeartbeat heartbeat) {
+            sendHeartbeat(heartbeat);
+        } else if (action instanceof GroupAction.SendFence fence) {
+            sendFence(fence);
+        } else if (action instanceof GroupAction.Swap swap) {
+            swap(swap);
+        } else if (action instanceof GroupAction.ReadRecord) {
+            readRecord();
+        } else if (action instanceof GroupAction.FetchRecord fetch) {
+            fetchRecord(fetch);
+        } else if (action instanceof GroupAction.Publish push) {
+            pushRecord(push);
+        } else if (action instanceof GroupAction.HandOver move) {
+            handOver(move);
+        } else if (action instanceof GroupAction.RequestMove request) {
+            requestMove(request);
+        }
+    }
+
+    private void sendHeartbeat(GroupAction.SendHeartbeat action) {
+        if (action.to().equals(context.self())) {
+            controller.onHeartbeatAck(
+                    action.session(), context.self(), action.sentAt(), controller.onHeartbeat(action.session()));
+            return;
+        }
+        Envelope message = Envelope.newBuilder()
+                .setHeartbeat(Heartbeat.newBuilder()
+                        .setSession(PeerMessages.session(action.session()))
+                        .setVersions(versions.own())
+                        .setLoad(versions.ownLoad()))
+                .build();
+        call(action.peer(), message, reply -> {
+            if (!reply.hasHeartbeatAck()) {
+                return;
+            }
+            ProcessId witness =
+                    new ProcessId(action.to().daemon(), reply.getHeartbeatAck().getWitnessIncarnation());
+            controller.onHeartbeatAck(
+                    action.session(), witness, action.sentAt(), PeerMessages.outcome(reply.getHeartbeatAck()));
+            versions.onPeer(
+                    witness,
+                    action.peer(),
+                    reply.getHeartbeatAck().getVersions(),
+                    reply.getHeartbeatAck().getLoad());
+        });
+    }
+
+    private void sendFence(GroupAction.SendFence action) {
+        if (action.to().equals(context.self())) {
+            controller.onFenceReply(action.session(), context.self(), controller.onFenceRequest(action.session()));
+            return;
+        }
+        call(action.peer(), PeerMessages.fenceRequest(action.session()), reply -> {
+            if (!reply.hasFenceReply()) {
+                return;
+            }
+            ProcessId witness =
+                    new ProcessId(action.to().daemon(), reply.getFenceReply().getWitnessIncarnation());
+            controller.onFenceReply(action.session(), witness, PeerMessages.outcome(reply.getFenceReply()));
+        });
+    }
+
+    private void swap(GroupAction.Swap action) {
+        byte[] json = GroupRecordJson.write(action.newRecord());
+        context.store()
+                .swap(storeKey, action.expectedRevision(), json)
+                .onComplete(result -> context.control().execute(() -> {
+                    // A failed future means that nothing was sent, so the write can never take effect.
+                    SwapResult outcome = result.succeeded() ? result.result().result() : SwapResult.CONFLICT;
+                    long revision = result.succeeded() ? result.result().revision() : 0;
+                    LOGGER.atInfo().log(
+                            "event=group_swap swap=%d version=%d expected_revision=%d result=%s sent=%b",
+                            action.swapId(),
+                            action.newRecord().version(),
+                            action.expectedRevision(),
+                            outcome,
+                            result.succeeded());
+                    controller.onSwapResult(action.swapId(), outcome, revision);
+                    step();
+                }));
+    }
+
+    private void readRecord() {
+        context.store()
+                .read(storeKey)
+                .onComplete(result -> context.control().execute(() -> {
+                    if (result.failed()) {
+                        controller.onReadFailed();
+                    } else if (result.result().isEmpty()) {
+                        controller.onRecord(GroupRecord.EMPTY, 0);
+                    } else {
+                        controller.onRecord(
+                                GroupRecordJson.read(result.result().get().bytes()),
+                                result.result().get().revision());
+                    }
+                    step();
+                }));
+    }
+
+    private void fetchRecord(GroupAction.FetchRecord action) {
+        Envelope message = Envelope.newBuilder()
+                .setGroupFetch(GroupFetch.getDefaultInstance())
+                .build();
+        call(action.peer(), message, reply -> {
+            if (reply.hasGroupUpdate()) {
+                controller.onPeerRecord(
+                        PeerMessages.record(reply.getGroupUpdate()),
+                        reply.getGroupUpdate().getRevision());
+            }
+        });
+    }
+
+    private void pushRecord(GroupAction.Publish action) {
+        Envelope message = PeerMessages.groupUpdate(action.record(), action.revision());
+        for (Member member : action.record().members()) {
+            if (!member.session().process().equals(context.self())) {
+                context.peers().send(member.peer(), PeerChannel.CONTROL, message);
+            }
+        }
+    }
+
+    private void handOver(GroupAction.HandOver action) {
+        handOver.handOver(action.grant(), action.to())
+                .whenComplete((result, failure) -> context.control().execute(() -> {
+                    PartitionHandOver.Result ended =
+                            failure == null ? result : PartitionHandOver.Result.FAILED_AFTER_TRANSFER;
+                    LOGGER.atInfo().log(
+                            "event=hand_over partition=%s epoch=%d to=%s result=%s",
+                            action.grant().partition(),
+                            action.grant().epoch(),
+                            action.to().session().daemon(),
+                            ended);
+                    if (ended == PartitionHandOver.Result.DONE) {
+                        controller.onHandedOver(action.grant().partition());
+                    } else {
+                        controller.onHandOverFailed(
+                                action.grant().partition(), ended == PartitionHandOver.Result.FAILED_AFTER_TRANSFER);
+                    }
+                    step();
+                }));
+    }
+
+    private void requestMove(GroupAction.RequestMove action) {
+        if (action.owner().equals(context.self())) {
+            controller.requestMove(action.partition(), action.to());
+            return;
+        }
+        context.peers()
+                .send(
+                        action.peer(),
+                        PeerChannel.CONTROL,
+                        PeerMessages.moveRequest(
+                                action.partition(),
+                                action.to(),
+                                controller.snapshot().record().version()));
+    }
+
+    private void call(Endpoint peer, Envelope message, Consumer<Envelope> onReply) {
+        context.peers()
+                .call(peer, PeerChannel.CONTROL, message, PEER_TIMEOUT)
+                .whenComplete((reply, failure) -> context.control().execute(() -> {
+                    if (failure != null) {
+                        LOGGER.atFine().log(
+                                "event=peer_call_failed peer=%s message=%s reason=\"%s\"",
+                                peer, message.getBodyCase(), failure.getMessage());
+                        return;
+                    }
+                    onReply.accept(reply);
+                    step();
+                }));
+    }
+}
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ConfigUpdate.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ConfigUpdate.java
@@ -86,6 +86,21 @@
     return confirmedAgeMs_;
   }
 
+  public static final int REVISION_FIELD_NUMBER = 4;
+  private long revision_ = 0L;
+  /**
+   * <pre>
+   * Platform revision of the document.
+   * </pre>
+   *
+   * <code>uint64 revision = 4;</code>
+   * @return The revision.
+   */
+  @java.lang.Override
+  public long getRevision() {
+    return revision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -109,6 +124,9 @@
     if (confirmedAgeMs_ != 0) {
       output.writeUInt32(3, confirmedAgeMs_);
     }
+    if (revision_ != 0L) {
+      output.writeUInt64(4, revision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -130,6 +148,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, confirmedAgeMs_);
     }
+    if (revision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, revision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -151,6 +173,8 @@
         .equals(other.getDocumentJson())) return false;
     if (getConfirmedAgeMs()
         != other.getConfirmedAgeMs()) return false;
+    if (getRevision()
+        != other.getRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -169,6 +193,9 @@
     hash = (53 * hash) + getDocumentJson().hashCode();
     hash = (37 * hash) + CONFIRMED_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + getConfirmedAgeMs();
+    hash = (37 * hash) + REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -307,6 +334,7 @@
       version_ = 0L;
       documentJson_ = com.google.protobuf.ByteString.EMPTY;
       confirmedAgeMs_ = 0;
+      revision_ = 0L;
       return this;
     }
 
@@ -349,6 +377,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.confirmedAgeMs_ = confirmedAgeMs_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.revision_ = revision_;
+      }
     }
 
     @java.lang.Override
@@ -372,6 +403,9 @@
       if (other.getConfirmedAgeMs() != 0) {
         setConfirmedAgeMs(other.getConfirmedAgeMs());
       }
+      if (other.getRevision() != 0L) {
+        setRevision(other.getRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -413,6 +447,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              revision_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -526,6 +565,50 @@
       return this;
     }
 
+    private long revision_ ;
+    /**
+     * <pre>
+     * Platform revision of the document.
+     * </pre>
+     *
+     * <code>uint64 revision = 4;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+    /**
+     * <pre>
+     * Platform revision of the document.
+     * </pre>
+     *
+     * <code>uint64 revision = 4;</code>
+     * @param value The revision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRevision(long value) {
+
+      revision_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Platform revision of the document.
+     * </pre>
+     *
+     * <code>uint64 revision = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRevision() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      revision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.ConfigUpdate)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ConfigUpdateOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ConfigUpdateOrBuilder.java
@@ -27,4 +27,14 @@
    * @return The confirmedAgeMs.
    */
   int getConfirmedAgeMs();
+
+  /**
+   * <pre>
+   * Platform revision of the document.
+   * </pre>
+   *
+   * <code>uint64 revision = 4;</code>
+   * @return The revision.
+   */
+  long getRevision();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/GroupUpdate.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/GroupUpdate.java
@@ -75,6 +75,21 @@
     return recordJson_;
   }
 
+  public static final int REVISION_FIELD_NUMBER = 3;
+  private long revision_ = 0L;
+  /**
+   * <pre>
+   * Platform revision of the record.
+   * </pre>
+   *
+   * <code>uint64 revision = 3;</code>
+   * @return The revision.
+   */
+  @java.lang.Override
+  public long getRevision() {
+    return revision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -95,6 +110,9 @@
     if (!recordJson_.isEmpty()) {
       output.writeBytes(2, recordJson_);
     }
+    if (revision_ != 0L) {
+      output.writeUInt64(3, revision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -112,6 +130,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(2, recordJson_);
     }
+    if (revision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, revision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -131,6 +153,8 @@
         != other.getVersion()) return false;
     if (!getRecordJson()
         .equals(other.getRecordJson())) return false;
+    if (getRevision()
+        != other.getRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -147,6 +171,9 @@
         getVersion());
     hash = (37 * hash) + RECORD_JSON_FIELD_NUMBER;
     hash = (53 * hash) + getRecordJson().hashCode();
+    hash = (37 * hash) + REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -284,6 +311,7 @@
       bitField0_ = 0;
       version_ = 0L;
       recordJson_ = com.google.protobuf.ByteString.EMPTY;
+      revision_ = 0L;
       return this;
     }
 
@@ -323,6 +351,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.recordJson_ = recordJson_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.revision_ = revision_;
+      }
     }
 
     @java.lang.Override
@@ -343,6 +374,9 @@
       if (!other.getRecordJson().isEmpty()) {
         setRecordJson(other.getRecordJson());
       }
+      if (other.getRevision() != 0L) {
+        setRevision(other.getRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -379,6 +413,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              revision_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -460,6 +499,50 @@
       return this;
     }
 
+    private long revision_ ;
+    /**
+     * <pre>
+     * Platform revision of the record.
+     * </pre>
+     *
+     * <code>uint64 revision = 3;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+    /**
+     * <pre>
+     * Platform revision of the record.
+     * </pre>
+     *
+     * <code>uint64 revision = 3;</code>
+     * @param value The revision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRevision(long value) {
+
+      revision_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Platform revision of the record.
+     * </pre>
+     *
+     * <code>uint64 revision = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRevision() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      revision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.GroupUpdate)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/GroupUpdateOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/GroupUpdateOrBuilder.java
@@ -21,4 +21,14 @@
    * @return The recordJson.
    */
   com.google.protobuf.ByteString getRecordJson();
+
+  /**
+   * <pre>
+   * Platform revision of the record.
+   * </pre>
+   *
+   * <code>uint64 revision = 3;</code>
+   * @return The revision.
+   */
+  long getRevision();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -201,45 +201,46 @@
       "r.FenceReply.Result\022\033\n\023witness_incarnati" +
       "on\030\002 \001(\006\022\024\n\014remaining_ms\030\003 \001(\r\"5\n\006Result" +
       "\022\n\n\006FENCED\020\000\022\014\n\010PROMISED\020\001\022\021\n\rNOT_A_WITN" +
-      "ESS\020\002\"3\n\013GroupUpdate\022\017\n\007version\030\001 \001(\004\022\023\n" +
-      "\013record_json\030\002 \001(\014\"\014\n\nGroupFetch\"$\n\013Conf" +
-      "igFetch\022\025\n\rknown_version\030\001 \001(\004\"P\n\014Config" +
-      "Update\022\017\n\007version\030\001 \001(\004\022\025\n\rdocument_json" +
-      "\030\002 \001(\014\022\030\n\020confirmed_age_ms\030\003 \001(\r\"+\n\tPart" +
-      "ition\022\017\n\007service\030\001 \001(\t\022\r\n\005index\030\002 \001(\r\"y\n" +
-      "\013MoveRequest\022-\n\tpartition\030\001 \001(\0132\032.daisyh" +
-      "oist.peer.Partition\022$\n\002to\030\002 \001(\0132\030.daisyh" +
-      "oist.peer.Session\022\025\n\rgroup_version\030\003 \001(\004" +
-      "\"\342\001\n\rAttemptRecord\022\r\n\005token\030\001 \001(\t\0223\n\005sta" +
-      "te\030\002 \001(\0162$.daisyhoist.peer.AttemptRecord" +
-      ".State\022\016\n\006age_ms\030\003 \001(\r\022\016\n\006status\030\004 \001(\005\022(" +
-      "\n\007headers\030\005 \003(\0132\027.daisyhoist.peer.Header" +
-      "\022\014\n\004body\030\006 \001(\014\022\021\n\tbody_kept\030\007 \001(\010\"\"\n\005Sta" +
-      "te\022\013\n\007UNKNOWN\020\000\022\014\n\010FINISHED\020\001\"\212\001\n\020Transf" +
-      "erAttempts\022-\n\tpartition\030\001 \001(\0132\032.daisyhoi" +
-      "st.peer.Partition\022\026\n\016covered_epochs\030\002 \003(" +
-      "\004\022/\n\007records\030\003 \003(\0132\036.daisyhoist.peer.Att" +
-      "emptRecord\"\037\n\013TransferAck\022\020\n\010accepted\030\001 " +
-      "\001(\010\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001" +
-      "(\t\"\263\002\n\016ForwardRequest\022\017\n\007service\030\001 \001(\t\022\034" +
-      "\n\017partition_index\030\002 \001(\rH\000\210\001\001\022\020\n\003key\030\003 \001(" +
-      "\tH\001\210\001\001\022\016\n\006method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007" +
-      "headers\030\006 \003(\0132\027.daisyhoist.peer.Header\022\014" +
-      "\n\004body\030\007 \001(\014\022\035\n\025remaining_deadline_ms\030\010 " +
-      "\001(\r\022\014\n\004rank\030\t \001(\t\022\032\n\rattempt_token\030\n \001(\t" +
-      "H\002\210\001\001\022\023\n\013traceparent\030\013 \001(\tB\022\n\020_partition" +
-      "_indexB\006\n\004_keyB\020\n\016_attempt_token\"\275\001\n\017For" +
-      "wardResponse\022\016\n\006status\030\001 \001(\005\022(\n\007headers\030" +
-      "\002 \003(\0132\027.daisyhoist.peer.Header\022\014\n\004body\030\003" +
-      " \001(\014\022.\n\007refusal\030\004 \001(\0132\030.daisyhoist.peer." +
-      "RefusalH\000\210\001\001\022\025\n\rgroup_version\030\005 \001(\004\022\017\n\007b" +
-      "ackend\030\006 \001(\tB\n\n\010_refusal\"S\n\007Refusal\022\014\n\004c" +
-      "ode\030\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030" +
-      "\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n\rCancelR" +
-      "equest\022\034\n\024cancelled_request_id\030\001 \001(\004\"Q\n\013" +
-      "CrashReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_" +
-      "incarnation\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\tB" +
-      "\034\n\030io.daisyhoist.wire.protoP\001b\006proto3"
+      "ESS\020\002\"E\n\013GroupUpdate\022\017\n\007version\030\001 \001(\004\022\023\n" +
+      "\013record_json\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004\"\014\n\n" +
+      "GroupFetch\"$\n\013ConfigFetch\022\025\n\rknown_versi" +
+      "on\030\001 \001(\004\"b\n\014ConfigUpdate\022\017\n\007version\030\001 \001(" +
+      "\004\022\025\n\rdocument_json\030\002 \001(\014\022\030\n\020confirmed_ag" +
+      "e_ms\030\003 \001(\r\022\020\n\010revision\030\004 \001(\004\"+\n\tPartitio" +
+      "n\022\017\n\007service\030\001 \001(\t\022\r\n\005index\030\002 \001(\r\"y\n\013Mov" +
+      "eRequest\022-\n\tpartition\030\001 \001(\0132\032.daisyhoist" +
+      ".peer.Partition\022$\n\002to\030\002 \001(\0132\030.daisyhoist" +
+      ".peer.Session\022\025\n\rgroup_version\030\003 \001(\004\"\342\001\n" +
+      "\rAttemptRecord\022\r\n\005token\030\001 \001(\t\0223\n\005state\030\002" +
+      " \001(\0162$.daisyhoist.peer.AttemptRecord.Sta" +
+      "te\022\016\n\006age_ms\030\003 \001(\r\022\016\n\006status\030\004 \001(\005\022(\n\007he" +
+      "aders\030\005 \003(\0132\027.daisyhoist.peer.Header\022\014\n\004" +
+      "body\030\006 \001(\014\022\021\n\tbody_kept\030\007 \001(\010\"\"\n\005State\022\013" +
+      "\n\007UNKNOWN\020\000\022\014\n\010FINISHED\020\001\"\212\001\n\020TransferAt" +
+      "tempts\022-\n\tpartition\030\001 \001(\0132\032.daisyhoist.p" +
+      "eer.Partition\022\026\n\016covered_epochs\030\002 \003(\004\022/\n" +
+      "\007records\030\003 \003(\0132\036.daisyhoist.peer.Attempt" +
+      "Record\"\037\n\013TransferAck\022\020\n\010accepted\030\001 \001(\010\"" +
+      "%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\263" +
+      "\002\n\016ForwardRequest\022\017\n\007service\030\001 \001(\t\022\034\n\017pa" +
+      "rtition_index\030\002 \001(\rH\000\210\001\001\022\020\n\003key\030\003 \001(\tH\001\210" +
+      "\001\001\022\016\n\006method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007head" +
+      "ers\030\006 \003(\0132\027.daisyhoist.peer.Header\022\014\n\004bo" +
+      "dy\030\007 \001(\014\022\035\n\025remaining_deadline_ms\030\010 \001(\r\022" +
+      "\014\n\004rank\030\t \001(\t\022\032\n\rattempt_token\030\n \001(\tH\002\210\001" +
+      "\001\022\023\n\013traceparent\030\013 \001(\tB\022\n\020_partition_ind" +
+      "exB\006\n\004_keyB\020\n\016_attempt_token\"\275\001\n\017Forward" +
+      "Response\022\016\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003(" +
+      "\0132\027.daisyhoist.peer.Header\022\014\n\004body\030\003 \001(\014" +
+      "\022.\n\007refusal\030\004 \001(\0132\030.daisyhoist.peer.Refu" +
+      "salH\000\210\001\001\022\025\n\rgroup_version\030\005 \001(\004\022\017\n\007backe" +
+      "nd\030\006 \001(\tB\n\n\010_refusal\"S\n\007Refusal\022\014\n\004code\030" +
+      "\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030\003 \001(" +
+      "\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n\rCancelReque" +
+      "st\022\034\n\024cancelled_request_id\030\001 \001(\004\"Q\n\013Cras" +
+      "hReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_inca" +
+      "rnation\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\tB\034\n\030i" +
+      "o.daisyhoist.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -304,7 +305,7 @@
     internal_static_daisyhoist_peer_GroupUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_GroupUpdate_descriptor,
-        new java.lang.String[] { "Version", "RecordJson", });
+        new java.lang.String[] { "Version", "RecordJson", "Revision", });
     internal_static_daisyhoist_peer_GroupFetch_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_daisyhoist_peer_GroupFetch_fieldAccessorTable = new
@@ -322,7 +323,7 @@
     internal_static_daisyhoist_peer_ConfigUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_ConfigUpdate_descriptor,
-        new java.lang.String[] { "Version", "DocumentJson", "ConfirmedAgeMs", });
+        new java.lang.String[] { "Version", "DocumentJson", "ConfirmedAgeMs", "Revision", });
     internal_static_daisyhoist_peer_Partition_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_daisyhoist_peer_Partition_fieldAccessorTable = new
