--- a/core/src/main/java/io/daisyhoist/core/assignment/Assigner.java
+++ b/core/src/main/java/io/daisyhoist/core/assignment/Assigner.java
@@ -1,28 +1,53 @@
 package io.daisyhoist.core.assignment;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 import io.daisyhoist.core.config.EffectiveConfig;
 import io.daisyhoist.core.membership.GroupRecord;
+import io.daisyhoist.core.membership.Member;
+import io.daisyhoist.core.membership.OwnerRules;
 import io.daisyhoist.core.membership.PartitionMove;
 import io.daisyhoist.core.membership.Placement;
 import io.daisyhoist.core.model.PartitionId;
+import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.model.SessionId;
 
-/** Places partitions on the least-loaded members of their service. Stateless. */
+/**
+ * Places partitions on the least-loaded members of their service and moves few of them.
+ *
+ * <p>Invariants: placement moves nothing that has an owner; a rebalance does nothing while every member is within 20%
+ * of the mean load, and each move lowers the higher load of the two members concerned. Stateless and thread-safe.
+ */
 public final class Assigner implements Placement {
+    /** A move interrupts a partition briefly, so differences of this size, which noise makes too, do not start one. */
+    private static final double HYSTERESIS = 0.2;
+
     @Override
     public List<PartitionId> unassigned(GroupRecord record, EffectiveConfig config) {
-        return List.of();
+        return Partitions.unassigned(record, config);
     }
 
     @Override
     public Map<PartitionId, SessionId> place(
             GroupRecord record, EffectiveConfig config, Collection<PartitionId> partitions, Set<SessionId> excluded) {
-        return Map.of();
+        Map<SessionId, Integer> counts = new HashMap<>();
+        record.grants().forEach(grant -> counts.merge(grant.owner(), 1, Integer::sum));
+        Map<PartitionId, SessionId> owners = new HashMap<>();
+        for (PartitionId partition : new TreeSet<>(partitions)) {
+            leastLoaded(record, config, partition.service(), excluded, counts).ifPresent(session -> {
+                owners.put(partition, session);
+                counts.merge(session, 1, Integer::sum);
+            });
+        }
+        return owners;
     }
 
     @Override
@@ -31,6 +56,27 @@
             EffectiveConfig config,
             Map<PartitionId, Double> loads,
             Map<SessionId, Integer> budgets) {
-        return List.of();
+        List<PartitionMove> moves = new ArrayList<>();
+        config.services().keySet().stream().sorted().forEach(service -> {
+            List<SessionId> members = record.members().stream()
+                    .filter(member -> OwnerRules.mayReceive(member, service, config))
+                    .map(Member::session)
+                    .toList();
+            moves.addAll(new ServiceBalance(record, members, loads, budgets, HYSTERESIS).plan());
+        });
+        return moves;
+    }
+
+    private static Optional<SessionId> leastLoaded(
+            GroupRecord record,
+            EffectiveConfig config,
+            ServiceName service,
+            Set<SessionId> excluded,
+            Map<SessionId, Integer> counts) {
+        return record.members().stream()
+                .filter(member -> OwnerRules.mayReceive(member, service, config))
+                .map(Member::session)
+                .filter(session -> !excluded.contains(session))
+                .min(Comparator.comparingInt(session -> counts.getOrDefault(session, 0)));
     }
 }
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/assignment/ModuloPlacement.java
@@ -0,0 +1,61 @@
+package io.daisyhoist.core.assignment;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.daisyhoist.core.config.EffectiveConfig;
+import io.daisyhoist.core.membership.Grant;
+import io.daisyhoist.core.membership.GroupRecord;
+import io.daisyhoist.core.membership.Member;
+import io.daisyhoist.core.membership.OwnerRules;
+import io.daisyhoist.core.membership.PartitionMove;
+import io.daisyhoist.core.membership.Placement;
+import io.daisyhoist.core.model.PartitionId;
+import io.daisyhoist.core.model.SessionId;
+
+/**
+ * Baseline for comparison: the partition index modulo the number of eligible members names the owner. Ignores loads and
+ * limits, and moves most partitions when a member comes or goes. Stateless and thread-safe.
+ */
+public final class ModuloPlacement implements Placement {
+    @Override
+    public List<PartitionId> unassigned(GroupRecord record, EffectiveConfig config) {
+        return Partitions.unassigned(record, config);
+    }
+
+    @Override
+    public Map<PartitionId, SessionId> place(
+            GroupRecord record, EffectiveConfig config, Collection<PartitionId> partitions, Set<SessionId> excluded) {
+        Map<PartitionId, SessionId> owners = new HashMap<>();
+        for (PartitionId partition : partitions) {
+            List<SessionId> eligible = record.members().stream()
+                    .filter(member -> OwnerRules.mayReceive(member, partition.service(), config))
+                    .map(Member::session)
+                    .filter(session -> !excluded.contains(session))
+                    .toList();
+            if (!eligible.isEmpty()) {
+                owners.put(partition, eligible.get(partition.index() % eligible.size()));
+            }
+        }
+        return owners;
+    }
+
+    @Override
+    public List<PartitionMove> rebalance(
+            GroupRecord record,
+            EffectiveConfig config,
+            Map<PartitionId, Double> loads,
+            Map<SessionId, Integer> budgets) {
+        List<PartitionId> granted =
+                record.grants().stream().map(Grant::partition).toList();
+        Map<PartitionId, SessionId> wanted = place(record, config, granted, Set.of());
+        return record.grants().stream()
+                .filter(grant -> wanted.containsKey(grant.partition()))
+                .filter(grant -> !wanted.get(grant.partition()).equals(grant.owner()))
+                .map(grant -> new PartitionMove(grant.partition(), grant.owner(), wanted.get(grant.partition())))
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/assignment/Partitions.java
@@ -0,0 +1,24 @@
+package io.daisyhoist.core.assignment;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import io.daisyhoist.core.config.EffectiveConfig;
+import io.daisyhoist.core.config.ServiceSettings;
+import io.daisyhoist.core.membership.GroupRecord;
+import io.daisyhoist.core.model.PartitionId;
+
+/** Partitions that the configuration calls for. Stateless. */
+final class Partitions {
+    private Partitions() {}
+
+    static List<PartitionId> unassigned(GroupRecord record, EffectiveConfig config) {
+        return config.services().values().stream()
+                .filter(ServiceSettings::keyed)
+                .flatMap(service -> IntStream.range(0, service.partitions())
+                        .mapToObj(index -> new PartitionId(service.name(), index)))
+                .filter(partition -> record.grant(partition).isEmpty())
+                .sorted()
+                .toList();
+    }
+}
