Add the simulated histories of ownership

Cause: the ownership decisions had no test. Ruled out: checking leases or fences; the checker sees only who would serve. Before: no test.

--- /dev/null
+++ b/core/src/test/java/io/daisyhoist/core/membership/OwnershipHistoryTest.java
@@ -0,0 +1,139 @@
+package io.daisyhoist.core.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.LongStream;
+
+import io.daisyhoist.core.model.PartitionId;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against two owners of a partition, lost assignments and owners that are missing for too long.
+ *
+ * <p>Each history runs 4 to 9 controllers on a seed. {@code -Ddaisyhoist.history.seed=N} runs one history alone, {@code
+ * -Ddaisyhoist.history.count=N} another number of them.
+ */
+class OwnershipHistoryTest {
+    private static final int COUNT = Integer.getInteger("daisyhoist.history.count", 2_400);
+    private static final Duration BOUND = Duration.ofSeconds(4);
+
+    private enum Kind {
+        KILL,
+        FREEZE,
+        ISOLATE,
+        ANY,
+        MOVES,
+        WITNESS_CHANGES
+    }
+
+    @Test
+    void histories_neverTwoOwners() {
+        List<String> failures = Collections.synchronizedList(new ArrayList<>());
+        List<Long> gapsNanos = Collections.synchronizedList(new ArrayList<>());
+        seeds().parallel().forEach(seed -> {
+            try {
+                gapsNanos.addAll(runHistory(seed));
+            } catch (AssertionError | RuntimeException failure) {
+                failures.add("seed=" + seed + " kind=" + kind(seed) + " " + failure);
+            }
+        });
+        report(gapsNanos);
+        assertTrue(
+                failures.isEmpty(),
+                () -> failures.size() + " failed; replay with -Ddaisyhoist.history.seed=N:\n"
+                        + String.join("\n", failures.subList(0, Math.min(20, failures.size()))));
+    }
+
+    private static LongStream seeds() {
+        return Optional.ofNullable(Long.getLong("daisyhoist.history.seed"))
+                .map(LongStream::of)
+                .orElse(LongStream.range(0, COUNT));
+    }
+
+    private static Kind kind(long seed) {
+        return Kind.values()[(int) (seed % Kind.values().length)];
+    }
+
+    /** Returns how long each partition of a killed daemon had no owner. */
+    private static List<Long> runHistory(long seed) {
+        int size = 4 + (int) (seed / Kind.values().length % 6);
+        SimulatedGroup group = new SimulatedGroup(seed, size, 0.02, 50);
+        group.network().setQuality(0.005, 0.01, 0.02, 20);
+        group.startAll();
+        group.run(Duration.ofMillis(group.random().nextInt(4_000)));
+        List<Long> gaps = List.of();
+        switch (kind(seed)) {
+            case KILL:
+                gaps = runSingleLoss(group, SimulatedDaemon::kill);
+                break;
+            case FREEZE:
+                runSingleLoss(group, daemon -> daemon.pause(false));
+                break;
+            case ISOLATE:
+                runSingleLoss(group, daemon -> group.isolate(daemon, true));
+                break;
+            default:
+                runFaults(group, kind(seed));
+                break;
+        }
+        group.checker().checkLog(group.platform().log());
+        return gaps;
+    }
+
+    private static List<Long> runSingleLoss(SimulatedGroup group, java.util.function.Consumer<SimulatedDaemon> loss) {
+        SimulatedDaemon lost = group.randomDaemon();
+        List<PartitionId> owned = List.copyOf(lost.published().served().keySet());
+        group.checker().resetGaps(group.network().nowNanos(), group.partitions());
+        loss.accept(lost);
+        group.run(Duration.ofSeconds(10));
+        for (PartitionId partition : group.partitions()) {
+            Duration gap = gap(group, partition);
+            OwnershipChecker.require(gap.compareTo(BOUND) <= 0, partition + " had no owner for " + gap);
+        }
+        return owned.stream().map(partition -> gap(group, partition).toNanos()).toList();
+    }
+
+    private static Duration gap(SimulatedGroup group, PartitionId partition) {
+        return Duration.ofNanos(
+                group.checker().longestGapNanos(partition, group.network().nowNanos()));
+    }
+
+    private static void runFaults(SimulatedGroup group, Kind kind) {
+        HistoryFaults faults = new HistoryFaults(group);
+        Duration period = Duration.ofSeconds(20);
+        switch (kind) {
+            case MOVES:
+                faults.scheduleMoves(period);
+                break;
+            case WITNESS_CHANGES:
+                faults.scheduleWitnessChanges(period);
+                break;
+            default:
+                group.network().setQuality(0.03, 0.05, 0.05, 3_000);
+                faults.scheduleAny(4 + group.random().nextInt(8), period);
+                break;
+        }
+        group.run(period.plusSeconds(10));
+        faults.heal();
+        group.run(Duration.ofSeconds(20));
+    }
+
+    private static void report(List<Long> gapsNanos) {
+        List<Long> sorted = gapsNanos.stream().sorted().toList();
+        if (!sorted.isEmpty()) {
+            System.out.printf(
+                    "event=kill_unavailable partitions=%d median_ms=%d p99_ms=%d max_ms=%d%n",
+                    sorted.size(), millisAt(sorted, 0.5), millisAt(sorted, 0.99), millisAt(sorted, 1));
+        }
+    }
+
+    private static long millisAt(List<Long> sorted, double share) {
+        int index = (int) Math.ceil(share * sorted.size()) - 1;
+        return Duration.ofNanos(sorted.get(Math.max(0, index))).toMillis();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/daisyhoist/core/membership/SimulatedGroup.java
@@ -0,0 +1,155 @@
+package io.daisyhoist.core.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
+
+import io.daisyhoist.core.config.EffectiveConfig;
+import io.daisyhoist.core.config.ServiceSettings;
+import io.daisyhoist.core.config.ZoneState;
+import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.PartitionId;
+import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.core.model.ServiceName;
+
+/** Daemons of one history with their network and platform; ownership is checked after every event. */
+final class SimulatedGroup {
+    private static final List<ServiceName> SERVICES = List.of(new ServiceName("archive"), new ServiceName("location"));
+    private static final int PARTITIONS = 4;
+
+    private final Random random;
+    private final SimulatedNetwork network;
+    private final SimulatedPlatform platform;
+    private final OwnershipChecker checker = new OwnershipChecker();
+    private final Map<DaemonId, SimulatedDaemon> daemons = new TreeMap<>();
+    private final Set<PartitionId> partitions = new TreeSet<>();
+
+    SimulatedGroup(long seed, int size, double drift, long tickMillis) {
+        random = new Random(seed);
+        network = new SimulatedNetwork(random);
+        platform = new SimulatedPlatform(network, random);
+        SERVICES.forEach(service -> {
+            for (int index = 0; index < PARTITIONS; index++) {
+                partitions.add(new PartitionId(service, index));
+            }
+        });
+        for (int index = 0; index < size; index++) {
+            SimulatedDaemon daemon = daemon(index, drift, tickMillis);
+            daemons.put(daemon.id(), daemon);
+        }
+    }
+
+    private SimulatedDaemon daemon(int index, double drift, long tickMillis) {
+        // Extremes are as likely as all values between them, because only they use up the margin.
+        double rate = 1 + drift * (random.nextBoolean() ? random.nextInt(3) - 1 : random.nextDouble() * 2 - 1);
+        SimulatedClock clock = new SimulatedClock(network::nowNanos, rate, random.nextLong(1L << 40));
+        Endpoint endpoint = new Endpoint("127.0.0.1", 1000 + index);
+        MemberProfile profile = new MemberProfile(
+                new ProcessId(new DaemonId("d" + index), 0),
+                endpoint,
+                endpoint,
+                "region",
+                new AvailabilityZone("zone" + index % 3),
+                SERVICES.get(index % SERVICES.size()));
+        return new SimulatedDaemon(this, profile, clock, config(Set.of()), tickMillis * SimulatedNetwork.MILLI);
+    }
+
+    static EffectiveConfig config(Set<AvailabilityZone> out) {
+        Map<ServiceName, ServiceSettings> services = new TreeMap<>();
+        SERVICES.forEach(service -> services.put(
+                service,
+                new ServiceSettings(
+                        service, true, PARTITIONS, 6, 110, 2, false, Set.of("POST"), Duration.ofSeconds(2))));
+        Map<AvailabilityZone, ZoneState> zones = new TreeMap<>();
+        out.forEach(zone -> zones.put(zone, ZoneState.OUT));
+        return new EffectiveConfig(1, services, zones);
+    }
+
+    Random random() {
+        return random;
+    }
+
+    SimulatedNetwork network() {
+        return network;
+    }
+
+    SimulatedPlatform platform() {
+        return platform;
+    }
+
+    OwnershipChecker checker() {
+        return checker;
+    }
+
+    List<SimulatedDaemon> daemons() {
+        return List.copyOf(daemons.values());
+    }
+
+    SimulatedDaemon daemon(DaemonId id) {
+        return daemons.get(id);
+    }
+
+    SimulatedDaemon randomDaemon() {
+        return new ArrayList<>(daemons.values()).get(random.nextInt(daemons.size()));
+    }
+
+    Set<PartitionId> partitions() {
+        return partitions;
+    }
+
+    /** Starts all daemons within 200 ms and runs until every partition has an owner. */
+    void startAll() {
+        daemons.values().forEach(daemon -> network.after(random.nextInt(200) * SimulatedNetwork.MILLI, daemon::start));
+        runUntil(this::allServed, Duration.ofSeconds(20));
+        OwnershipChecker.require(allServed(), "not all partitions have an owner 20 s after the start");
+    }
+
+    void run(Duration period) {
+        runUntil(() -> false, period);
+    }
+
+    private void runUntil(BooleanSupplier end, Duration limit) {
+        long until = network.nowNanos() + limit.toNanos();
+        while (!end.getAsBoolean() && network.runNext(until)) {
+            checkNow();
+        }
+    }
+
+    void checkNow() {
+        checker.observe(network.nowNanos(), daemons.values());
+    }
+
+    boolean allServed() {
+        return partitions.stream().allMatch(this::isServed);
+    }
+
+    boolean isServed(PartitionId partition) {
+        return daemons.values().stream()
+                .anyMatch(daemon ->
+                        daemon.published().serving(partition, daemon.clock()).isPresent());
+    }
+
+    /** Cuts or heals both directions between one daemon and all others. */
+    void isolate(SimulatedDaemon isolated, boolean isCut) {
+        daemons.keySet().forEach(other -> {
+            setCut(isolated.id(), other, isCut);
+            setCut(other, isolated.id(), isCut);
+        });
+    }
+
+    void setCut(DaemonId from, DaemonId to, boolean isCut) {
+        if (isCut) {
+            network.cut(from, to);
+        } else {
+            network.heal(from, to);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/daisyhoist/core/membership/SimulatedPlatform.java
@@ -0,0 +1,123 @@
+package io.daisyhoist.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+import io.daisyhoist.core.model.DaemonId;
+
+/** Compare-and-swap register that can be down, slow or unreachable for some, and lose responses after the write. */
+final class SimulatedPlatform {
+    private static final long TIMEOUT_NANOS = 500 * SimulatedNetwork.MILLI;
+
+    private final SimulatedNetwork network;
+    private final Random random;
+    private final List<GroupRecord> log = new ArrayList<>(List.of(GroupRecord.EMPTY));
+    private final Set<DaemonId> cutOff = new HashSet<>();
+    private long revision;
+    private boolean down;
+    private double lostResponses;
+    private long slowestMillis;
+
+    SimulatedPlatform(SimulatedNetwork network, Random random) {
+        this.network = network;
+        this.random = random;
+    }
+
+    /** Returns all committed records in order. */
+    List<GroupRecord> log() {
+        return log;
+    }
+
+    void setDown(boolean isDown) {
+        down = isDown;
+    }
+
+    void setCutOff(DaemonId daemon, boolean isCutOff) {
+        if (isCutOff) {
+            cutOff.add(daemon);
+        } else {
+            cutOff.remove(daemon);
+        }
+    }
+
+    void setQuality(double lost, long slowest) {
+        lostResponses = lost;
+        slowestMillis = slowest;
+    }
+
+    void heal() {
+        down = false;
+        cutOff.clear();
+        setQuality(0, 0);
+    }
+
+    void swap(DaemonId from, long expected, GroupRecord next, BiConsumer<SwapResult, Long> reply) {
+        BiConsumer<SwapResult, Long> once = once(reply);
+        network.after(TIMEOUT_NANOS, () -> once.accept(SwapResult.UNKNOWN, 0L));
+        boolean unreachable = down || cutOff.contains(from);
+        // A request that is stuck on the way may still arrive after its sender has given up.
+        if (unreachable && random.nextBoolean()) {
+            return;
+        }
+        long stuckNanos = unreachable ? random.nextLong(8_000 * SimulatedNetwork.MILLI) : 0;
+        network.after(stuckNanos + delayNanos(), () -> apply(from, expected, next, once));
+    }
+
+    void read(DaemonId from, BiConsumer<GroupRecord, Long> reply, Runnable failure) {
+        BiConsumer<Boolean, Runnable> once = once((ended, work) -> work.run());
+        network.after(TIMEOUT_NANOS, () -> once.accept(true, failure));
+        network.after(delayNanos(), () -> {
+            GroupRecord current = log.get(log.size() - 1);
+            long at = revision;
+            if (isReachable(from) && random.nextDouble() >= lostResponses) {
+                network.after(delayNanos(), () -> {
+                    if (isReachable(from)) {
+                        once.accept(true, () -> reply.accept(current, at));
+                    }
+                });
+            }
+        });
+    }
+
+    private void apply(DaemonId from, long expected, GroupRecord next, BiConsumer<SwapResult, Long> reply) {
+        if (down) {
+            return;
+        }
+        boolean applied = expected == revision;
+        if (applied) {
+            revision += 1 + random.nextInt(3);
+            log.add(next);
+        }
+        long at = revision;
+        if (random.nextDouble() >= lostResponses && isReachable(from)) {
+            network.after(delayNanos(), () -> {
+                if (isReachable(from)) {
+                    reply.accept(applied ? SwapResult.APPLIED : SwapResult.CONFLICT, at);
+                }
+            });
+        }
+    }
+
+    private boolean isReachable(DaemonId from) {
+        return !down && !cutOff.contains(from);
+    }
+
+    private long delayNanos() {
+        long base = SimulatedNetwork.MILLI + random.nextInt((int) (4 * SimulatedNetwork.MILLI));
+        return slowestMillis == 0 ? base : base + random.nextLong(slowestMillis * SimulatedNetwork.MILLI);
+    }
+
+    private static <A, B> BiConsumer<A, B> once(BiConsumer<A, B> reply) {
+        boolean[] done = {false};
+        return (first, second) -> {
+            if (!done[0]) {
+                done[0] = true;
+                reply.accept(first, second);
+            }
+        };
+    }
+}
