Keep attempt runs at most once across moves and dropped records

Cause: a new owner may hold the transfer of a move that was abandoned; the sender has run more attempts since, so importing it after a later failover lets those run again. The same holds for a repeated earlier transfer.

Exports now name the epoch that the move would grant and a number. A sealed ledger answers HandedOver instead of an unknown outcome.

--- a/core/src/main/java/io/daisyhoist/core/atmostonce/AttemptDecision.java
+++ b/core/src/main/java/io/daisyhoist/core/atmostonce/AttemptDecision.java
@@ -25,6 +25,9 @@
      */
     record OutcomeUnknown(Reason reason) implements AttemptDecision {}
 
+    /** It has not run here, but the partition is being handed over: hold it and ask the next owner. */
+    record HandedOver() implements AttemptDecision {}
+
     /** Why the outcome of an attempt is not known. */
     enum Reason {
         /** The connection to the backend server was lost after the request had been written. */
@@ -34,8 +37,6 @@
         /** The token is older than its lifetime, or a record that old has been dropped. */
         EXPIRED,
         /** The token is dated in the future or belongs to another partition. */
-        NOT_ISSUED_HERE,
-        /** The partition is being handed over. */
-        SEALED
+        NOT_ISSUED_HERE
     }
 }
--- a/core/src/main/java/io/daisyhoist/core/atmostonce/AttemptLedger.java
+++ b/core/src/main/java/io/daisyhoist/core/atmostonce/AttemptLedger.java
@@ -1,13 +1,14 @@
 package io.daisyhoist.core.atmostonce;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -30,11 +31,14 @@
 
     private static final long NONE_DROPPED = -1;
 
+    /** Enough for a partition that moves every 40 s during the life of a token. */
+    private static final int MAX_COVERED_EPOCHS = 16;
+
     private final PartitionId partition;
     private final long epoch;
     private final LedgerLimits limits;
     private final TimeSource time;
-    private final Map<Long, Long> droppedUpToMillis = new HashMap<>();
+    private final NavigableMap<Long, Long> droppedUpToMillis = new TreeMap<>();
     private final Map<AttemptToken, Entry> entries = new LinkedHashMap<>();
     private long sizeBytes;
     private int exports;
@@ -70,6 +74,9 @@
         if (doubt.isPresent()) {
             return new AttemptDecision.OutcomeUnknown(doubt.get());
         }
+        if (sealed) {
+            return new AttemptDecision.HandedOver();
+        }
         put(new AttemptRecord(token, State.RUNNING, Optional.empty()), ElapsedTimer.start(time));
         dropExcess();
         return new AttemptDecision.Run();
@@ -112,11 +119,13 @@
     }
 
     /**
-     * Stops new runs and returns the records for the next owner.
+     * Stops new runs and returns the records for the next owner. The sender commits the move only after the receiver has
+     * acknowledged its latest export, and exports again when the expected record version changes.
      *
+     * @param targetEpoch epoch that the receiver's grant will have
      * @throws IllegalStateException if an attempt still runs
      */
-    public LedgerExport exportAndSeal() {
+    public LedgerExport exportAndSeal(long targetEpoch) {
         if (running() > 0) {
             throw new IllegalStateException("attempts still run: " + running());
         }
@@ -124,21 +133,23 @@
         exports++;
         List<AttemptRecord> records =
                 entries.values().stream().map(Entry::attempt).toList();
-        return new LedgerExport(epoch, exports, droppedUpToMillis, records);
+        return new LedgerExport(epoch, targetEpoch, exports, droppedUpToMillis, records);
     }
 
-    /** Allows new runs again, after the move certainly did not happen; earlier exports must not be imported any more. */
+    /** Allows new runs again, after the move certainly did not happen and can no longer happen. */
     public void resume() {
         sealed = false;
     }
 
     /**
-     * Takes over the records of the previous owner. The caller must know that the grant of this ownership was committed
-     * by the sender of the export after its latest export; a grant made by a failover does not qualify, even if an
-     * export of an abandoned move has arrived.
+     * Takes over the records of the previous owner, as returned by {@link TransferInbox#take}; also useful if they arrive
+     * after the ownership has begun.
      */
     public void importAll(LedgerExport export) {
         export.droppedUpToMillis().forEach((covered, mark) -> droppedUpToMillis.merge(covered, mark, Math::max));
+        while (droppedUpToMillis.size() > MAX_COVERED_EPOCHS) {
+            droppedUpToMillis.pollFirstEntry();
+        }
         export.records().forEach(attempt -> {
             if (!entries.containsKey(attempt.token())) {
                 put(attempt, ElapsedTimer.start(time));
@@ -159,9 +170,6 @@
     }
 
     private Optional<Reason> reasonNotToRun(AttemptToken token) {
-        if (sealed) {
-            return Optional.of(Reason.SEALED);
-        }
         Long mark = droppedUpToMillis.get(token.epoch());
         if (mark == null) {
             return Optional.of(Reason.EPOCH_NOT_COVERED);
@@ -203,7 +211,7 @@
 
     /** Drops settled records, the one that began first first, for as long as the condition holds. */
     private void dropWhile(Predicate<Entry> condition) {
-        Iterator<Entry> oldestFirst = List.copyOf(entries.values()).iterator();
+        Iterator<Entry> oldestFirst = entries.values().iterator();
         while (oldestFirst.hasNext()) {
             Entry entry = oldestFirst.next();
             if (!condition.test(entry)) {
@@ -211,8 +219,10 @@
             }
             if (entry.attempt().state() != State.RUNNING) {
                 AttemptToken token = entry.attempt().token();
-                remove(token);
-                droppedUpToMillis.merge(token.epoch(), token.issuedMillis(), Math::max);
+                oldestFirst.remove();
+                sizeBytes -= entry.attempt().sizeBytes();
+                droppedUpToMillis.computeIfPresent(
+                        token.epoch(), (epochOfToken, mark) -> Math.max(mark, token.issuedMillis()));
             }
         }
     }
