Slow the growth in a cold start and keep evidence of losses whole

The adaptive limit grows at most once per 200 ms until it has reached the slots, and slow responses neither grow it nor lower it below the cold limit. Evidence passed on with a retry keeps the full set of requests in flight; a set cut to one request would wrongly say that it was alone.

--- a/core/src/main/java/io/daisyhoist/core/admission/AdaptiveLimit.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/AdaptiveLimit.java
@@ -7,11 +7,18 @@
 /**
  * Limit that starts at the cold limit, grows with successes and shrinks on slow responses and sheds.
  *
- * <p>Invariants: 1 &lt;= limit &lt;= slots; after a restart, a refused or broken connection, the limit is at most the cold
- * limit and grows by at most one per {@code limit} successes of requests that were admitted after it. Confined to one
- * thread.
+ * <p>Invariants: 1 &lt;= limit &lt;= slots; after a restart, a refused or broken connection or a jump of the latency, the
+ * limit is at most the cold limit, and it grows by at most one per {@code limit} successes of requests that were admitted
+ * afterwards. Until it has reached the slots it also grows by at most one per {@link #COLD_STEP}. Slow responses lower it
+ * to the cold limit at most, sheds to 1. Confined to one thread.
  */
 public final class AdaptiveLimit implements ConcurrencyLimit {
+    /**
+     * Without it a backend server that answers in 6 ms would be at 9 slots within about 0.1 s of its start. A process that
+     * loads code and fills caches takes seconds; 2 to 9 slots now take at least 1.4 s.
+     */
+    static final Duration COLD_STEP = Duration.ofMillis(200);
+
     private final TimeSource time;
     private final int coldLimit;
     private final int slots;
@@ -21,6 +28,7 @@
     private int successes;
     private boolean cold = true;
     private long lastDecreaseNanos;
+    private long lastChangeNanos;
 
     /**
      * Creates a limit for a backend server that is assumed to be in a cold start.
@@ -37,6 +45,7 @@
         this.slots = slots;
         this.limit = coldLimit;
         this.lastDecreaseNanos = time.monotonicNanos();
+        this.lastChangeNanos = lastDecreaseNanos;
     }
 
     @Override
@@ -59,7 +68,7 @@
         if (outcome == Outcome.CONNECTION_REFUSED || outcome == Outcome.LOST) {
             enterColdStart();
         } else if (outcome == Outcome.SHED) {
-            halve(startNanos);
+            halve(startNanos, 1);
         } else if (outcome != Outcome.CANCELLED) {
             onLatency(startNanos, latency, outcome);
         }
@@ -73,28 +82,30 @@
         if (baseline.isJump()) {
             enterColdStart();
         } else if (baseline.isSlow() || outcome == Outcome.TIMED_OUT) {
-            halve(startNanos);
-        } else {
+            halve(startNanos, coldLimit);
+        } else if (!baseline.isSlow(latency)) {
             grow();
         }
     }
 
     private void grow() {
         successes++;
-        if (successes < limit) {
+        long now = time.monotonicNanos();
+        if (successes < limit || cold && now - lastChangeNanos < COLD_STEP.toNanos()) {
             return;
         }
         successes = 0;
+        lastChangeNanos = now;
         limit = Math.min(slots, limit + 1);
         cold = cold && limit < slots;
     }
 
-    private void halve(long startNanos) {
+    private void halve(long startNanos, int floor) {
         // Requests admitted before the last decrease reflect the old limit, so they do not halve it again.
         if (startNanos - lastDecreaseNanos < 0) {
             return;
         }
-        limit = Math.max(1, limit / 2);
+        limit = Math.min(limit, Math.max(floor, limit / 2));
         decreased();
     }
 
@@ -107,6 +118,7 @@
     private void decreased() {
         successes = 0;
         lastDecreaseNanos = time.monotonicNanos();
+        lastChangeNanos = lastDecreaseNanos;
         baseline.restartWindow();
     }
 }
--- a/core/src/main/java/io/daisyhoist/core/admission/AdmissionGate.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/AdmissionGate.java
@@ -33,6 +33,8 @@
 
     private long nextNumber = 1;
     private double meanLatencyNanos;
+    private int peakInFlight;
+    private int previousPeakInFlight;
     private int reportedCapacity = Integer.MAX_VALUE;
     private long reportExpiryNanos;
     private OptionalLong backendIncarnation = OptionalLong.empty();
@@ -148,9 +150,17 @@
         return new GateUpdate(List.copyOf(admitted), shed);
     }
 
-    /** Takes a load report as a hint: it lowers the limit while it is recent and never raises it. */
+    /**
+     * Takes a load report as a hint: it lowers the limit while it is recent and never raises it.
+     *
+     * <p>Reported requests in excess of the most that this gate had in flight since the report before last are work that
+     * the gate does not see, for example requests given up at their deadline that still run.
+     */
     public GateUpdate onLoadReport(LoadReport report) {
-        reportedCapacity = Math.max(1, report.capacity());
+        int unseen = Math.max(0, report.inFlight() - Math.max(peakInFlight, previousPeakInFlight));
+        previousPeakInFlight = peakInFlight;
+        peakInFlight = inFlight.size();
+        reportedCapacity = Math.max(1, report.capacity() - unseen);
         reportExpiryNanos =
                 time.monotonicNanos() + LOAD_REPORT_VALIDITY.minus(report.age()).toNanos();
         return advance();
@@ -191,6 +201,7 @@
     private Permit admit(Ticket ticket) {
         Permit permit = new Permit(ticket.number(), time.monotonicNanos(), ticket.alone());
         inFlight.add(permit);
+        peakInFlight = Math.max(peakInFlight, inFlight.size());
         return permit;
     }
 
--- a/core/src/main/java/io/daisyhoist/core/admission/LatencyBaseline.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/LatencyBaseline.java
@@ -43,6 +43,11 @@
         return isKnown() && median() > SLOW_FACTOR * baselineNanos;
     }
 
+    /** Returns whether one response took more than three times the baseline. */
+    boolean isSlow(Duration latency) {
+        return baselineNanos > 0 && latency.toNanos() > SLOW_FACTOR * baselineNanos;
+    }
+
     /** Returns whether each recent response took more than five times the baseline, as after a cold start. */
     boolean isJump() {
         return isKnown() && Arrays.stream(recentNanos).min().orElse(0) > JUMP_FACTOR * baselineNanos;
--- a/core/src/main/java/io/daisyhoist/core/retry/CrashSuspects.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/CrashSuspects.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import io.daisyhoist.core.time.ElapsedTimer;
@@ -39,9 +40,8 @@
     private record LossId(String backend, long incarnation) {}
 
     private static final class Suspicion {
-        private final Set<LossId> losses = new HashSet<>();
+        private final Map<LossId, BackendLoss> losses = new HashMap<>();
         private final Set<LossId> cleared = new HashSet<>();
-        private boolean lostAlone;
         private ElapsedTimer since;
     }
 
@@ -56,7 +56,9 @@
         if (suspicion == null || suspicion.losses.isEmpty()) {
             return Verdict.RUN;
         }
-        boolean refused = suspicion.lostAlone && suspicion.losses.size() >= LOSSES_TO_REFUSE;
+        boolean lostAlone = suspicion.losses.values().stream()
+                .anyMatch(loss -> loss.inFlight().size() == 1);
+        boolean refused = lostAlone && suspicion.losses.size() >= LOSSES_TO_REFUSE;
         return refused ? Verdict.REFUSE : Verdict.RUN_ALONE;
     }
 
@@ -67,11 +69,9 @@
      */
     public boolean onLoss(BackendLoss loss) {
         dropExpired();
-        LossId id = new LossId(loss.backend(), loss.incarnation());
-        boolean alone = loss.inFlight().size() == 1;
         boolean changed = false;
         for (Fingerprint fingerprint : loss.inFlight()) {
-            changed |= add(fingerprint, id, alone);
+            changed |= add(fingerprint, loss);
         }
         return changed;
     }
@@ -80,18 +80,17 @@
     public void onGoodRun(Fingerprint fingerprint) {
         Suspicion suspicion = suspicions.get(fingerprint);
         if (suspicion != null) {
-            suspicion.cleared.addAll(suspicion.losses);
+            suspicion.cleared.addAll(suspicion.losses.keySet());
             suspicion.losses.clear();
-            suspicion.lostAlone = false;
         }
     }
 
-    private boolean add(Fingerprint fingerprint, LossId id, boolean alone) {
+    private boolean add(Fingerprint fingerprint, BackendLoss loss) {
+        LossId id = new LossId(loss.backend(), loss.incarnation());
         Suspicion suspicion = suspicions.computeIfAbsent(fingerprint, any -> new Suspicion());
-        if (suspicion.cleared.contains(id) || !suspicion.losses.add(id)) {
+        if (suspicion.cleared.contains(id) || suspicion.losses.putIfAbsent(id, loss) != null) {
             return false;
         }
-        suspicion.lostAlone |= alone;
         suspicion.since = ElapsedTimer.start(time);
         // Reinserting keeps the entries in the order of their last loss.
         suspicions.remove(fingerprint);
@@ -110,14 +109,14 @@
         }
     }
 
-    /** Returns the losses that count against a request, for sending them along with a retry. */
+    /**
+     * Returns the losses that count against a request. A daemon sends them along with a retry, so that the receiver
+     * learns of them before it runs the request even if the broadcast is late.
+     */
     public Set<BackendLoss> evidence(Fingerprint fingerprint) {
-        Map<LossId, BackendLoss> result = new HashMap<>();
-        Suspicion suspicion = suspicions.get(fingerprint);
-        if (suspicion != null) {
-            suspicion.losses.forEach(
-                    id -> result.put(id, new BackendLoss(id.backend(), id.incarnation(), Set.of(fingerprint))));
-        }
-        return Set.copyOf(result.values());
+        dropExpired();
+        return Optional.ofNullable(suspicions.get(fingerprint))
+                .map(suspicion -> Set.copyOf(suspicion.losses.values()))
+                .orElse(Set.of());
     }
 }
--- a/core/src/main/java/io/daisyhoist/core/retry/RetryPolicy.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/RetryPolicy.java
@@ -46,8 +46,7 @@
 
     /** Creates the policy of the design: 10% of requests plus one per second; backoff from 10 ms to 1 s. */
     public static RetryPolicy standard(TimeSource time, RandomGenerator random) {
-        return new RetryPolicy(
-                new RetryBudget(time, 0.1, 1, 100), Duration.ofMillis(10), Duration.ofSeconds(1), random);
+        return new RetryPolicy(new RetryBudget(time, 0.1, 1, 20), Duration.ofMillis(10), Duration.ofSeconds(1), random);
     }
 
     /** Counts a new request of a client towards the budget. */
--- a/core/src/main/java/io/daisyhoist/core/routing/PowerOfTwoChoices.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/PowerOfTwoChoices.java
@@ -51,7 +51,9 @@
         double expected = candidates.stream()
                 .mapToDouble(PowerOfTwoChoices::expectedInFlight)
                 .sum();
-        return expected / candidates.stream().mapToInt(BackendCandidate::limit).sum();
+        return expected
+                / Math.max(
+                        1, candidates.stream().mapToInt(BackendCandidate::limit).sum());
     }
 
     /** Returns the expected share of the limit in use. */
