--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/config/FileConflict.java
@@ -0,0 +1,11 @@
+package io.daisyhoist.core.config;
+
+/**
+ * A file that someone else changed since the base of a push. Immutable.
+ *
+ * @param file file name
+ * @param baseRevision revision on which the push was based, 0 for a new file
+ * @param revision revision in force, 0 when the file was removed
+ * @param author operator who made the revision in force or removed the file; empty when that is no longer kept
+ */
+public record FileConflict(String file, long baseRevision, long revision, String author) {}
