--- /dev/null
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadMain.java
@@ -0,0 +1,70 @@
+package io.daisyhoist.testkit.load;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.daisyhoist.testkit.launch.StandIn;
+import io.vertx.core.Vertx;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/** Sends a bounded load to daemons and prints the result as one JSON line. */
+public final class LoadMain {
+    private LoadMain() {}
+
+    /** Runs the load; exits with code 1 if it cannot be run. */
+    public static void main(String[] args) {
+        LoadPlan plan = plan(StandIn.parse(parser(), args));
+        Vertx vertx = StandIn.vertx();
+        LoadClient.run(vertx, plan)
+                .onSuccess(result -> System.out.println(result.encode()))
+                .onFailure(cause -> System.err.println("event=load_failed reason=\"" + cause.getMessage() + "\""))
+                .onComplete(done -> System.exit(done.succeeded() ? 0 : 1));
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("load").build().description("Open-loop load client; loopback only");
+        parser.addArgument("--daemon").action(Arguments.append()).required(true).help("base URL of a daemon's edge");
+        parser.addArgument("--keyed")
+                .action(Arguments.append())
+                .setDefault(List.of())
+                .help("service for keyed requests");
+        parser.addArgument("--keyless")
+                .action(Arguments.append())
+                .setDefault(List.of())
+                .help("service for keyless requests");
+        StandIn.intOption(parser, "--requests", 1_000, "number of requests");
+        StandIn.decimalOption(parser, "--rate", 200, "requests per second");
+        StandIn.intOption(parser, "--keys", 200, "distinct keys for each service");
+        StandIn.decimalOption(parser, "--post-share", 0.2, "share of keyed requests that must run at most once");
+        StandIn.decimalOption(parser, "--keyless-share", 0.2, "share of requests without a key");
+        StandIn.intOption(parser, "--send-timeout-ms", 2_000, "time to wait for the answer to one send");
+        StandIn.intOption(parser, "--request-timeout-ms", 10_000, "time in which a request may be sent again");
+        StandIn.intOption(parser, "--retry-pause-ms", 50, "pause before another send");
+        parser.addArgument("--outcomes").help("file for one JSON line per request");
+        StandIn.intOption(parser, "--seed", 1, "seed of the choices");
+        return parser;
+    }
+
+    private static LoadPlan plan(Namespace options) {
+        return new LoadPlan(
+                options.getList("daemon"),
+                options.getList("keyed"),
+                options.getList("keyless"),
+                options.getInt("requests"),
+                options.getDouble("rate"),
+                options.getInt("keys"),
+                options.getDouble("post_share"),
+                options.getDouble("keyless_share"),
+                Duration.ofMillis(options.getInt("send_timeout_ms")),
+                Duration.ofMillis(options.getInt("request_timeout_ms")),
+                Duration.ofMillis(options.getInt("retry_pause_ms")),
+                Optional.ofNullable(options.getString("outcomes")).map(Path::of),
+                options.getInt("seed"));
+    }
+}
