--- /dev/null
+++ b/testkit/src/main/java/io/daisyhoist/testkit/launch/FreePorts.java
@@ -0,0 +1,46 @@
+package io.daisyhoist.testkit.launch;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Finds free loopback ports below the range from which the kernel takes ports for outgoing connections, so that no
+ * connection takes one between the search and its use. Stateless.
+ */
+public final class FreePorts {
+    private static final int LOWEST = 20_000;
+    private static final int BOUND = 32_000;
+    private static final int MAX_TRIES = 2_000;
+
+    private FreePorts() {}
+
+    /** Returns distinct ports that were free when looked at. */
+    public static List<Integer> find(int count) {
+        List<Integer> found = new ArrayList<>();
+        for (int i = 0; i < MAX_TRIES && found.size() < count; i++) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST, BOUND);
+            if (!found.contains(port) && isFree(port)) {
+                found.add(port);
+            }
+        }
+        if (found.size() < count) {
+            throw new IllegalStateException("too few free ports between " + LOWEST + " and " + BOUND);
+        }
+        return found;
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.setReuseAddress(true);
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
