Test the request path between three daemons

Cause: at most once, "not run" and the lease checks must hold over the whole way of a request. Before: no test. Conclusion: the path can be wired up.

--- /dev/null
+++ b/daemon/src/test/java/io/daisyhoist/daemon/request/RequestPathTest.java
@@ -0,0 +1,297 @@
+package io.daisyhoist.daemon.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.daisyhoist.core.error.RefusalCode;
+import io.daisyhoist.core.error.RunState;
+import io.daisyhoist.daemon.request.TestGroup.BackendHit;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards the way of a request from the edge to the backend server of the owner and back. */
+class RequestPathTest {
+    private final List<BackendHit> hits = new CopyOnWriteArrayList<>();
+    private volatile Handler<BackendHit> backend = this::answer;
+    private final TestGroup group = new TestGroup(hit -> {
+        hits.add(hit);
+        backend.handle(hit);
+    });
+
+    @AfterEach
+    void close() throws Exception {
+        group.close();
+    }
+
+    private void answer(BackendHit hit) {
+        hit.http().response().end("node " + hit.node() + " run " + hits.size());
+    }
+
+    private OutboundResponse send(int node, String method, String path, Optional<String> token) throws Exception {
+        return TestGroup.join(group.send(node, method, path, token));
+    }
+
+    private static void assertRefused(RefusalCode code, RunState run, OutboundResponse answer) {
+        assertEquals(
+                Optional.of(code),
+                answer.refusal().map(refusal -> refusal.code()),
+                answer.body().toString());
+        assertEquals(run, answer.run());
+    }
+
+    @Nested
+    class Routing {
+        @Test
+        void get_atEveryEdge_runsAtTheOwnerWithItsFence() throws Exception {
+            group.move(1);
+            for (int edge = 0; edge < TestGroup.SIZE; edge++) {
+                OutboundResponse answer = send(edge, "GET", "level", Optional.empty());
+                assertEquals(RunState.RAN, answer.run(), answer.body().toString());
+            }
+            assertTrue(hits.stream().allMatch(hit -> hit.node() == 1));
+            assertEquals("pickup/0:2", hits.get(0).http().getHeader("Daisyhoist-Fence"));
+        }
+
+        /** An edge with an old record must find the new owner without running the request twice. */
+        @Test
+        void post_ownerMoved_retriesAtTheNewOwner() throws Exception {
+            String token = group.token(2);
+            group.nodes.get(0).handingOver = true;
+            group.publish();
+            Future<OutboundResponse> waiting = group.send(2, "POST", "confirm", Optional.of(token));
+            TimeUnit.MILLISECONDS.sleep(50);
+            assertEquals(0, hits.size(), "a request ran while its partition was handed over");
+            assertEquals(
+                    PartitionTransfer.Result.DONE,
+                    group.nodes
+                            .get(0)
+                            .path
+                            .transfer()
+                            .handOver(
+                                    group.nodes
+                                            .get(0)
+                                            .snapshot
+                                            .record()
+                                            .grants()
+                                            .get(0),
+                                    group.nodes.get(1).member())
+                            .toCompletableFuture()
+                            .get(5, TimeUnit.SECONDS));
+            group.nodes.get(0).handingOver = false;
+            group.move(1);
+            OutboundResponse answer = TestGroup.join(waiting);
+            assertEquals(RunState.RAN, answer.run(), answer.body().toString());
+            assertEquals(List.of(1), hits.stream().map(BackendHit::node).toList());
+        }
+
+        @Test
+        void get_ownerProcessGone_isNotRunOrAnsweredByTheNextOwner() throws Exception {
+            group.move(1);
+            group.nodes.get(1).server.close();
+            Future<OutboundResponse> waiting = group.send(0, "GET", "level", Optional.empty());
+            group.move(2);
+            OutboundResponse answer = TestGroup.join(waiting);
+            assertEquals(RunState.RAN, answer.run(), answer.body().toString());
+            assertEquals(2, hits.get(hits.size() - 1).node());
+        }
+    }
+
+    @Nested
+    class AtMostOnce {
+        @Test
+        void post_sentTenTimesAtOnce_runsOnceAndAllGetItsResponse() throws Exception {
+            backend = hit -> group.vertx.setTimer(100, fired -> answer(hit));
+            String token = group.token(1);
+            List<Future<OutboundResponse>> sends = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                sends.add(group.send(i % TestGroup.SIZE, "POST", "confirm", Optional.of(token)));
+            }
+            for (Future<OutboundResponse> each : sends) {
+                assertEquals("node 0 run 1", TestGroup.join(each).body().toString());
+            }
+            assertEquals(
+                    "node 0 run 1",
+                    send(1, "POST", "confirm", Optional.of(token)).body().toString());
+            assertEquals(1, hits.size());
+        }
+
+        /** The backend server may have run it: neither "not run" nor a second run is allowed. */
+        @Test
+        void post_connectionLostAfterTheWrite_staysUnknownAndNeverRunsAgain() throws Exception {
+            String token = group.token(1);
+            backend = hit -> hit.http().connection().close();
+            assertRefused(RefusalCode.BACKEND_LOST, RunState.UNKNOWN, send(1, "POST", "confirm", Optional.of(token)));
+            backend = RequestPathTest.this::answer;
+            for (int i = 0; i < 5; i++) {
+                assertRefused(
+                        RefusalCode.ATTEMPT_OUTCOME_UNKNOWN,
+                        RunState.UNKNOWN,
+                        send(i % 3, "POST", "confirm", Optional.of(token)));
+            }
+            assertEquals(1, hits.size());
+        }
+
+        /** "Not run" must be true: the same token may run later. */
+        @Test
+        void post_shedByTheBackendServer_isNotRunAndMayRunLater() throws Exception {
+            String token = group.token(1);
+            backend = hit -> hit.http()
+                    .response()
+                    .setStatusCode(503)
+                    .putHeader("Retry-After", "60")
+                    .end();
+            assertRefused(RefusalCode.OVERLOADED, RunState.NOT_RUN, send(1, "POST", "confirm", Optional.of(token)));
+            backend = RequestPathTest.this::answer;
+            assertEquals(
+                    RunState.RAN, send(1, "POST", "confirm", Optional.of(token)).run());
+        }
+
+        @Test
+        void post_movedAfterItsRun_isReplayedByTheNewOwner() throws Exception {
+            String token = group.token(2);
+            send(2, "POST", "confirm", Optional.of(token));
+            group.nodes.get(0).handingOver = true;
+            group.publish();
+            group.nodes
+                    .get(0)
+                    .path
+                    .transfer()
+                    .handOver(
+                            group.nodes.get(0).snapshot.record().grants().get(0),
+                            group.nodes.get(1).member())
+                    .toCompletableFuture()
+                    .get(5, TimeUnit.SECONDS);
+            group.nodes.get(0).handingOver = false;
+            group.move(1);
+            assertEquals(
+                    "node 0 run 1",
+                    send(2, "POST", "confirm", Optional.of(token)).body().toString());
+            assertEquals(1, hits.size());
+        }
+
+        /** After an unplanned loss the new owner does not know whether the attempt ran. */
+        @Test
+        void post_ownerLostWithoutHandOver_isUnknown() throws Exception {
+            String token = group.token(2);
+            send(2, "POST", "confirm", Optional.of(token));
+            group.move(1);
+            assertRefused(
+                    RefusalCode.ATTEMPT_OUTCOME_UNKNOWN,
+                    RunState.UNKNOWN,
+                    send(2, "POST", "confirm", Optional.of(token)));
+            assertEquals(1, hits.size());
+        }
+
+        /** The client's connection broke; its next send must find the response of the run. */
+        @Test
+        void post_clientGoneDuringTheRun_isRecorded() throws Exception {
+            backend = hit -> group.vertx.setTimer(150, fired -> answer(hit));
+            String token = group.token(1);
+            Promise<Void> gone = Promise.promise();
+            group.nodes
+                    .get(1)
+                    .path
+                    .router()
+                    .handle(group.request("POST", "confirm", Optional.of(token)), gone.future());
+            await().until(() -> hits.size() == 1);
+            gone.complete();
+            assertEquals(
+                    "node 0 run 1",
+                    send(1, "POST", "confirm", Optional.of(token)).body().toString());
+            assertEquals(1, hits.size());
+        }
+    }
+
+    @Nested
+    class Leases {
+        @Test
+        void any_leaseLapsed_isNotRun() throws Exception {
+            group.nodes.get(0).leaseValid = false;
+            group.publish();
+            assertRefused(RefusalCode.LEASE_LAPSED, RunState.NOT_RUN, send(0, "POST", "c", Optional.empty()));
+            assertEquals(0, hits.size());
+        }
+
+        /** Requests that waited at the gate while the lease ended must not be written. */
+        @Test
+        void get_leaseLapsesWhileQueued_isNeverWritten() throws Exception {
+            List<BackendHit> slow = new CopyOnWriteArrayList<>();
+            backend = slow::add;
+            List<Future<OutboundResponse>> running = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                running.add(group.send(0, "POST", "c" + i, Optional.of(group.token(0))));
+            }
+            await().until(() -> slow.size() == 8);
+            group.nodes.get(0).leaseValid = false;
+            group.publish();
+            slow.forEach(RequestPathTest.this::answer);
+            int late = 0;
+            int notRun = 0;
+            for (Future<OutboundResponse> each : running) {
+                OutboundResponse answer = TestGroup.join(each);
+                late += answer.run() == RunState.UNKNOWN ? 1 : 0;
+                notRun += answer.run() == RunState.NOT_RUN ? 1 : 0;
+            }
+            assertEquals(8, hits.size(), "a queued request was written without a lease");
+            assertEquals(8, late, "a run that ended outside its lease was not reported as unknown");
+            assertEquals(4, notRun);
+            assertEquals(
+                    8.0,
+                    group.nodes
+                            .get(0)
+                            .registry
+                            .get("daisyhoist.late_run")
+                            .counter()
+                            .count());
+        }
+
+        @Test
+        void any_zoneOut_isNotRun() throws Exception {
+            group.zoneOut(0);
+            assertRefused(RefusalCode.ZONE_OUT, RunState.NOT_RUN, send(0, "GET", "level", Optional.empty()));
+            assertEquals(0, hits.size());
+        }
+    }
+
+    @Nested
+    class Crashes {
+        private final AtomicInteger crashes = new AtomicInteger();
+
+        /** One request, retried at the edge, must not take down server after server; others must still be served. */
+        @Test
+        void get_crashesItsServer_isRefusedEverywhereAfterTwoLossesAndOthersRun() throws Exception {
+            backend = hit -> {
+                if (!hit.http().path().endsWith("poison")) {
+                    answer(hit);
+                    return;
+                }
+                crashes.incrementAndGet();
+                group.nodes.get(hit.node()).crashBackend(Duration.ofMillis(150));
+            };
+            group.nodes.forEach(TestGroup.Node::announce);
+            assertTrue(send(0, "GET", "poison", Optional.empty()).refusal().isPresent());
+            await().until(() -> send(0, "GET", "poison", Optional.empty())
+                    .refusal()
+                    .filter(refusal -> refusal.code() == RefusalCode.CRASH_SUSPECT)
+                    .isPresent());
+            assertEquals(2, crashes.get());
+            assertEquals(RunState.RAN, send(0, "GET", "level", Optional.empty()).run());
+            group.move(1);
+            assertRefused(RefusalCode.CRASH_SUSPECT, RunState.NOT_RUN, send(2, "GET", "poison", Optional.empty()));
+            assertEquals(2, crashes.get());
+        }
+    }
+}
