--- a/daemon/src/main/java/io/daisyhoist/daemon/process/BackendPresence.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/BackendPresence.java
@@ -1,10 +1,11 @@
 package io.daisyhoist.daemon.process;
 
-import io.daisyhoist.core.time.ElapsedTimer;
-import io.daisyhoist.core.time.TimeSource;
 import java.time.Duration;
 import java.util.Optional;
 
+import io.daisyhoist.core.time.ElapsedTimer;
+import io.daisyhoist.core.time.TimeSource;
+
 /**
  * Whether the backend server beside this daemon is there, judged by its announcements.
  *
