Cache what the controller derives at each tick

Ruled out: fewer ticks; the daemon ticks at the same rate. Conclusion: the daemon's control thread does less as well.

--- a/core/src/main/java/io/daisyhoist/core/lease/SessionLease.java
+++ b/core/src/main/java/io/daisyhoist/core/lease/SessionLease.java
@@ -28,6 +28,8 @@
     private final Map<ProcessId, ElapsedTimer> latestSend = new HashMap<>();
     private List<ProcessId> witnesses = List.of();
     private Optional<List<ProcessId>> proposedWitnesses = Optional.empty();
+    private Set<ProcessId> targets = Set.of();
+    private LeaseSnapshot snapshot = LeaseSnapshot.NONE;
 
     public SessionLease(SessionId session, LeaseSettings settings) {
         this.session = session;
@@ -42,24 +44,23 @@
     /** Sets the witnesses that the record in force lists. */
     public void setWitnesses(List<ProcessId> listed) {
         witnesses = List.copyOf(listed);
-        forgetOthers();
+        update();
     }
 
     /** Requires a majority of these witnesses as well, from before the change is sent until its outcome is known. */
     public void startChange(List<ProcessId> proposed) {
         proposedWitnesses = Optional.of(List.copyOf(proposed));
+        update();
     }
 
     /** Ends the requirement of {@link #startChange}; the caller sets the list in force first. */
     public void finishChange() {
         proposedWitnesses = Optional.empty();
-        forgetOthers();
+        update();
     }
 
     /** Returns the processes to which heartbeats go: the witnesses in force and the proposed ones. */
     public Set<ProcessId> targets() {
-        Set<ProcessId> targets = new HashSet<>(witnesses);
-        proposedWitnesses.ifPresent(targets::addAll);
         return targets;
     }
 
@@ -69,9 +70,10 @@
      * @param sentAt when the acknowledged heartbeat was sent
      */
     public void acknowledge(ProcessId witness, ElapsedTimer sentAt) {
-        if (targets().contains(witness)) {
+        if (targets.contains(witness)) {
             latestSend.merge(
                     witness, sentAt, (known, update) -> update.startNanos() > known.startNanos() ? update : known);
+            snapshot = compute();
         }
     }
 
@@ -82,6 +84,18 @@
 
     /** Returns the deadline as it stands now. */
     public LeaseSnapshot snapshot() {
+        return snapshot;
+    }
+
+    private void update() {
+        Set<ProcessId> wanted = new HashSet<>(witnesses);
+        proposedWitnesses.ifPresent(wanted::addAll);
+        targets = Set.copyOf(wanted);
+        latestSend.keySet().retainAll(targets);
+        snapshot = compute();
+    }
+
+    private LeaseSnapshot compute() {
         Optional<LeaseSnapshot.Deadline> current = deadline(witnesses);
         if (proposedWitnesses.isEmpty()) {
             return new LeaseSnapshot(current);
@@ -120,8 +134,4 @@
                 Math.min(first.monotonicNanos(), second.monotonicNanos()),
                 first.wall().isBefore(second.wall()) ? first.wall() : second.wall());
     }
-
-    private void forgetOthers() {
-        latestSend.keySet().retainAll(targets());
-    }
 }
--- a/core/src/main/java/io/daisyhoist/core/membership/AssignmentProposer.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/AssignmentProposer.java
@@ -18,6 +18,7 @@
     /** Lets the proposer act before another member replaces it. */
     private static final Duration RANK_SPACING = Duration.ofMillis(500);
 
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
     private static final Duration REBALANCE_INTERVAL = Duration.ofSeconds(2);
     /** A changed record is left alone for this long, so that late pushes and loads arrive. */
     private static final Duration REBALANCE_SETTLE = Duration.ofSeconds(3);
@@ -30,11 +31,13 @@
     private final List<Moved> recentMoves = new ArrayList<>();
     private Map<PartitionId, Double> loads = Map.of();
     private long nextPlanNanos;
+    private long nextCheckNanos;
 
     AssignmentProposer(ControlContext context, GroupView view) {
         this.context = context;
         this.view = view;
         nextPlanNanos = context.nanosAfter(REBALANCE_INTERVAL);
+        nextCheckNanos = context.time().monotonicNanos();
     }
 
     private record Moved(SessionId session, long atNanos) {}
@@ -77,6 +80,10 @@
 
     /** Assigns partitions without an owner. */
     Optional<GroupRecord> propose(SessionId own) {
+        if (!context.isDue(nextCheckNanos)) {
+            return Optional.empty();
+        }
+        nextCheckNanos = context.nanosAfter(CHECK_INTERVAL);
         Duration delay = SETTLE.plus(RANK_SPACING.multipliedBy(Math.max(0, rank(own))));
         if (!view.record().hasQuorumSize() || !context.isDue(view.membersSinceNanos() + delay.toNanos())) {
             return Optional.empty();
@@ -99,10 +106,13 @@
     }
 
     private int rank(SessionId own) {
-        return view.record().members().stream()
-                .filter(member -> member.state() == MemberState.ACTIVE)
-                .map(Member::session)
-                .toList()
-                .indexOf(own);
+        int rank = 0;
+        for (Member member : view.record().members()) {
+            if (member.session().equals(own)) {
+                return member.state() == MemberState.ACTIVE ? rank : -1;
+            }
+            rank += member.state() == MemberState.ACTIVE ? 1 : 0;
+        }
+        return -1;
     }
 }
--- a/core/src/main/java/io/daisyhoist/core/membership/Fencing.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/Fencing.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import io.daisyhoist.core.lease.FenceOutcome;
@@ -85,6 +86,13 @@
         }
     }
 
+    /** Finds a listed session that is dead. */
+    Optional<Member> findDead() {
+        return campaigns.isEmpty()
+                ? Optional.empty()
+                : view.record().members().stream().filter(this::isDead).findFirst();
+    }
+
     /** Returns whether a majority of the listed witnesses have fenced a listed session. */
     boolean isDead(Member member) {
         Campaign campaign = campaigns.get(member.session());
--- a/core/src/main/java/io/daisyhoist/core/membership/GroupController.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/GroupController.java
@@ -43,6 +43,7 @@
     private final MembershipProposer membership;
     private final AssignmentProposer assignment;
     private long nextFetchNanos;
+    private GroupSnapshot snapshot = GroupSnapshot.EMPTY;
 
     /** Creates the controller of one process. */
     public GroupController(
@@ -84,16 +85,27 @@
         return context.takeActions();
     }
 
-    /** Returns what traffic threads may know. */
+    /** Returns what traffic threads may know; the same object until something changes. */
     public GroupSnapshot snapshot() {
+        if (isSnapshotCurrent()) {
+            return snapshot;
+        }
         Map<PartitionId, Grant> served = new HashMap<>();
         own.current()
                 .map(session -> view.record().grantsOf(session))
                 .orElse(List.of())
                 .forEach(grant -> served.put(grant.partition(), grant));
         served.keySet().removeAll(handOvers.partitions());
-        return new GroupSnapshot(
+        snapshot = new GroupSnapshot(
                 view.record(), view.revision(), own.current(), served, handOvers.partitions(), own.snapshot());
+        return snapshot;
+    }
+
+    private boolean isSnapshotCurrent() {
+        return snapshot.record() == view.record()
+                && snapshot.lease() == own.snapshot()
+                && snapshot.session().equals(own.current())
+                && snapshot.handingOver().equals(handOvers.partitions());
     }
 
     /**
@@ -320,10 +332,8 @@
     }
 
     private Optional<GroupRecord> proposeFailover() {
-        return view.record().members().stream()
-                .filter(member -> !Optional.of(member.session()).equals(own.current()))
-                .filter(fencing::isDead)
-                .findFirst()
+        return fencing.findDead()
+                .filter(dead -> !Optional.of(dead.session()).equals(own.current()))
                 .map(dead -> GroupTransitions.failover(view.record(), dead.session(), ownersAfter(dead)));
     }
 
--- a/core/src/main/java/io/daisyhoist/core/membership/HandOvers.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/HandOvers.java
@@ -49,7 +49,7 @@
     }
 
     Set<PartitionId> partitions() {
-        return Set.copyOf(entries.keySet());
+        return entries.isEmpty() ? Set.of() : Set.copyOf(entries.keySet());
     }
 
     boolean contains(PartitionId partition) {
@@ -96,6 +96,9 @@
 
     /** Moves all partitions whose hand-over is finished. */
     Optional<GroupRecord> propose(SessionId own) {
+        if (entries.isEmpty()) {
+            return Optional.empty();
+        }
         Map<PartitionId, SessionId> owners = new HashMap<>();
         entries.values().stream()
                 .filter(entry -> entry.ready)
--- a/core/src/main/java/io/daisyhoist/core/membership/WitnessMaintenance.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/WitnessMaintenance.java
@@ -24,6 +24,8 @@
     private static final Duration REPLACE_WITHOUT_LEASE = Duration.ofSeconds(3);
     /** A member sets its own witnesses within this time unless it is gone. */
     private static final Duration SET_FOR_OTHERS = Duration.ofSeconds(3);
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
     /** A replaced witness is not chosen again while this runs. */
     private static final Duration AVOID = Duration.ofSeconds(10);
 
@@ -32,12 +34,14 @@
     private final PlatformReads reads;
     private final OwnSession own;
     private final Map<ProcessId, Long> avoidUntilNanos = new HashMap<>();
+    private long nextCheckNanos;
 
     WitnessMaintenance(ControlContext context, GroupView view, PlatformReads reads, OwnSession own) {
         this.context = context;
         this.view = view;
         this.reads = reads;
         this.own = own;
+        nextCheckNanos = context.time().monotonicNanos();
     }
 
     /** Chooses the witnesses for a session of this process that is about to join. */
@@ -47,6 +51,10 @@
 
     /** Replaces witnesses of the own session where needed. */
     Optional<GroupRecord> propose() {
+        if (!context.isDue(nextCheckNanos)) {
+            return Optional.empty();
+        }
+        nextCheckNanos = context.nanosAfter(CHECK_INTERVAL);
         Optional<Member> member = own.current().flatMap(view.record()::member);
         if (member.isEmpty() || !mayChange(member.get())) {
             return Optional.empty();
