Make histories repeat exactly from their seed

Cause: heartbeats went out in the iteration order of an immutable set, which differs between JVMs, so a seed did not replay. Ruled out: the event queue; it orders by time and sequence.

--- a/core/src/main/java/io/daisyhoist/core/lease/SessionLease.java
+++ b/core/src/main/java/io/daisyhoist/core/lease/SessionLease.java
@@ -2,7 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,7 +28,7 @@
     private final Map<ProcessId, ElapsedTimer> latestSend = new HashMap<>();
     private List<ProcessId> witnesses = List.of();
     private Optional<List<ProcessId>> proposedWitnesses = Optional.empty();
-    private Set<ProcessId> targets = Set.of();
+    private List<ProcessId> targets = List.of();
     private LeaseSnapshot snapshot = LeaseSnapshot.NONE;
 
     public SessionLease(SessionId session, LeaseSettings settings) {
@@ -60,7 +60,7 @@
     }
 
     /** Returns the processes to which heartbeats go: the witnesses in force and the proposed ones. */
-    public Set<ProcessId> targets() {
+    public List<ProcessId> targets() {
         return targets;
     }
 
@@ -88,9 +88,9 @@
     }
 
     private void update() {
-        Set<ProcessId> wanted = new HashSet<>(witnesses);
+        Set<ProcessId> wanted = new LinkedHashSet<>(witnesses);
         proposedWitnesses.ifPresent(wanted::addAll);
-        targets = Set.copyOf(wanted);
+        targets = List.copyOf(wanted);
         latestSend.keySet().retainAll(targets);
         snapshot = compute();
     }
--- a/core/src/main/java/io/daisyhoist/core/membership/OwnSession.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/OwnSession.java
@@ -152,7 +152,7 @@
     }
 
     private void sendHeartbeats(SessionLease held) {
-        Set<ProcessId> targets = held.targets();
+        List<ProcessId> targets = held.targets();
         nextHeartbeatNanos.keySet().retainAll(targets);
         ackedNanos.keySet().retainAll(targets);
         for (ProcessId target : targets) {
--- a/core/src/main/java/io/daisyhoist/core/membership/WitnessMaintenance.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/WitnessMaintenance.java
@@ -25,7 +25,7 @@
     /** A member sets its own witnesses within this time unless it is gone. */
     private static final Duration SET_FOR_OTHERS = Duration.ofSeconds(3);
 
-    private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
     /** A replaced witness is not chosen again while this runs. */
     private static final Duration AVOID = Duration.ofSeconds(10);
 
