--- a/core/src/main/java/io/daisyhoist/core/config/ConfigDocument.java
+++ b/core/src/main/java/io/daisyhoist/core/config/ConfigDocument.java
@@ -29,7 +29,9 @@
 
     /** Sorts the files, copies the lists and drops the oldest changes beyond the limit. */
     public ConfigDocument {
-        files = files.stream().sorted(Comparator.comparing(ConfigFile::name)).toList();
+        files = List.copyOf(files).stream()
+                .sorted(Comparator.comparing(ConfigFile::name))
+                .toList();
         changes = List.copyOf(changes.subList(Math.max(0, changes.size() - MAX_CHANGES), changes.size()));
     }
 
--- a/core/src/main/java/io/daisyhoist/core/config/ConfigFault.java
+++ b/core/src/main/java/io/daisyhoist/core/config/ConfigFault.java
@@ -8,6 +8,19 @@
  * @param reason what is wrong and what is expected
  */
 public record ConfigFault(String file, String key, String reason) {
+    private static final int MAX_KEY_LENGTH = 200;
+    private static final int MAX_REASON_LENGTH = 500;
+
+    /** Shortens keys and reasons that quote long values of the file. */
+    public ConfigFault {
+        key = shortened(key, MAX_KEY_LENGTH);
+        reason = shortened(reason, MAX_REASON_LENGTH);
+    }
+
+    private static String shortened(String text, int length) {
+        return text.length() <= length ? text : text.substring(0, length) + "...";
+    }
+
     @Override
     public String toString() {
         return key.isEmpty() ? file + ": " + reason : file + ": " + key + ": " + reason;
--- a/core/src/main/java/io/daisyhoist/core/config/TomlText.java
+++ b/core/src/main/java/io/daisyhoist/core/config/TomlText.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.core.config;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -12,6 +13,9 @@
 final class TomlText {
     private static final TomlMapper MAPPER = new TomlMapper();
 
+    /** More levels than any setting needs. */
+    private static final int MAX_DEPTH = 16;
+
     private TomlText() {}
 
     /**
@@ -22,12 +26,27 @@
     static ObjectNode parse(String file, String content) {
         try {
             JsonNode node = MAPPER.readTree(content);
+            requireShallow(file, node);
             return node instanceof ObjectNode table ? table : JsonNodeFactory.instance.objectNode();
         } catch (JsonProcessingException e) {
             throw new InvalidConfigException(List.of(new ConfigFault(file, "", describe(e))));
         }
     }
 
+    /** The parser bounds brackets but not dotted keys, and later recursion over thousands of levels ends the stack. */
+    private static void requireShallow(String file, JsonNode root) {
+        List<JsonNode> level = List.of(root);
+        for (int depth = 0; !level.isEmpty(); depth++) {
+            if (depth > MAX_DEPTH) {
+                String reason = "tables and arrays nest deeper than " + MAX_DEPTH + " levels";
+                throw new InvalidConfigException(List.of(new ConfigFault(file, "", reason)));
+            }
+            List<JsonNode> next = new ArrayList<>();
+            level.forEach(node -> node.forEach(next::add));
+            level = next;
+        }
+    }
+
     private static String describe(JsonProcessingException e) {
         String where =
                 e.getLocation() == null ? "" : " at line " + e.getLocation().getLineNr();
