--- a/core/src/main/java/io/daisyhoist/core/config/TomlText.java
+++ b/core/src/main/java/io/daisyhoist/core/config/TomlText.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.core.config;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -12,6 +13,12 @@
 final class TomlText {
     private static final TomlMapper MAPPER = new TomlMapper();
 
+    /** More levels than any setting needs. */
+    private static final int MAX_DEPTH = 16;
+
+    /** A dotted key of 1 MB took the parser 14 s and more than 256 MB; a key cannot continue on the next line. */
+    private static final int MAX_LINE_LENGTH = 8_192;
+
     private TomlText() {}
 
     /**
@@ -20,14 +27,33 @@
      * @throws InvalidConfigException with one fault that names the line, if the text is not TOML
      */
     static ObjectNode parse(String file, String content) {
+        if (content.lines().anyMatch(line -> line.length() > MAX_LINE_LENGTH)) {
+            String reason = "a line is longer than " + MAX_LINE_LENGTH + " characters";
+            throw new InvalidConfigException(List.of(new ConfigFault(file, "", reason)));
+        }
         try {
             JsonNode node = MAPPER.readTree(content);
+            requireShallow(file, node);
             return node instanceof ObjectNode table ? table : JsonNodeFactory.instance.objectNode();
         } catch (JsonProcessingException e) {
             throw new InvalidConfigException(List.of(new ConfigFault(file, "", describe(e))));
         }
     }
 
+    /** The parser bounds brackets but not dotted keys, and later recursion over thousands of levels ends the stack. */
+    private static void requireShallow(String file, JsonNode root) {
+        List<JsonNode> level = List.of(root);
+        for (int depth = 0; !level.isEmpty(); depth++) {
+            if (depth > MAX_DEPTH) {
+                String reason = "tables and arrays nest deeper than " + MAX_DEPTH + " levels";
+                throw new InvalidConfigException(List.of(new ConfigFault(file, "", reason)));
+            }
+            List<JsonNode> next = new ArrayList<>();
+            level.forEach(node -> node.forEach(next::add));
+            level = next;
+        }
+    }
+
     private static String describe(JsonProcessingException e) {
         String where =
                 e.getLocation() == null ? "" : " at line " + e.getLocation().getLineNr();
