--- a/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
@@ -82,6 +82,11 @@
 
     @Override
     public Future<?> start() {
+        announcer = settings.daemonAdmin().map(url -> new Announcer(vertx, url, this::announcement));
+        takeReport();
+        if (settings.port() != 0) {
+            announcer.ifPresent(Announcer::send);
+        }
         return listen(settings.port())
                 .compose(listening -> new BackendAdmin(vertx, this)
                         .listen(settings.host(), settings.adminPort())
@@ -90,7 +95,6 @@
     }
 
     private void beginReports() {
-        announcer = settings.daemonAdmin().map(url -> new Announcer(vertx, url, this::announcement));
         announcer.ifPresent(Announcer::begin);
         vertx.setPeriodic(Math.max(1, settings.reportLag().toMillis()), fired -> freezer.run(this::takeReport));
     }
@@ -100,7 +104,6 @@
         coldStart.begin(System.nanoTime());
         fences.clear();
         sequences.clear();
-        takeReport();
         HttpServerOptions options =
                 new HttpServerOptions().setHost(settings.host()).setPort(listenPort);
         return vertx.createHttpServer(options)
@@ -114,6 +117,7 @@
                     server = listening;
                     port = listening.actualPort();
                     crashed = false;
+                    takeReport();
                 });
     }
 
@@ -229,7 +233,7 @@
         return new JsonObject()
                 .put("service", settings.service())
                 .put("incarnation", incarnation)
-                .put("port", port)
+                .put("port", port == 0 ? settings.port() : port)
                 .put("state", report.state())
                 .put("load", report.load())
                 .put("age_ms", report.ageMillis(System.nanoTime()));
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/LoadClient.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadClient.java
@@ -85,7 +85,7 @@
         List<String> services = keyless ? plan.keylessServices() : plan.keyedServices();
         String service = services.get(random.nextInt(services.size()));
         String key = keyless ? "" : "key-" + random.nextInt(plan.keysPerService());
-        String method = !keyless && random.nextDouble() < plan.postShare() ? "POST" : "GET";
+        String method = random.nextDouble() < plan.postShare() ? "POST" : "GET";
         return new LoadRequest(
                 runId + "-" + number,
                 method,
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/LoadMain.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadMain.java
@@ -41,7 +41,7 @@
         StandIn.intOption(parser, "--requests", 1_000, "number of requests");
         StandIn.decimalOption(parser, "--rate", 200, "requests per second");
         StandIn.intOption(parser, "--keys", 200, "distinct keys for each service");
-        StandIn.decimalOption(parser, "--post-share", 0.2, "share of keyed requests that must run at most once");
+        StandIn.decimalOption(parser, "--post-share", 0.2, "share of requests that must run at most once");
         StandIn.decimalOption(parser, "--keyless-share", 0.2, "share of requests without a key");
         StandIn.intOption(parser, "--send-timeout-ms", 2_000, "time to wait for the answer to one send");
         StandIn.intOption(parser, "--request-timeout-ms", 10_000, "time in which a request may be sent again");
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/LoadPlan.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadPlan.java
@@ -14,7 +14,7 @@
  * @param requests number of requests
  * @param ratePerSecond intended rate, kept whatever the answers (open loop)
  * @param keysPerService number of distinct keys for each service
- * @param postShare share of the keyed requests that must run at most once
+ * @param postShare share of the requests that must run at most once
  * @param keylessShare share of the requests that carry no key
  * @param sendTimeout time to wait for the answer to one send
  * @param requestTimeout time in which a request may be sent again
--- a/testkit/src/main/java/io/daisyhoist/testkit/platform/KeyValueTable.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/platform/KeyValueTable.java
@@ -78,7 +78,10 @@
 
     /** Removes a listener that has not been called yet. */
     public synchronized void removeListener(String key, Runnable listener) {
-        List<Runnable> ofKey = listeners.getOrDefault(key, List.of());
+        List<Runnable> ofKey = listeners.get(key);
+        if (ofKey == null) {
+            return;
+        }
         ofKey.remove(listener);
         if (ofKey.isEmpty()) {
             listeners.remove(key);
--- a/testkit/src/main/java/io/daisyhoist/testkit/platform/PlatformFaults.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/platform/PlatformFaults.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.testkit.platform;
 
+import java.util.Locale;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.json.JsonObject;
@@ -35,7 +36,7 @@
     /** Changes the named settings and keeps the others. */
     public synchronized void apply(JsonObject change) {
         availability = Availability.valueOf(
-                change.getString("availability", availability.name()).toUpperCase(java.util.Locale.ROOT));
+                change.getString("availability", availability.name()).toUpperCase(Locale.ROOT));
         delayMillis = change.getLong("delay_ms", delayMillis);
         writeDelayMillis = change.getLong("write_delay_ms", writeDelayMillis);
         responsesToLose = change.getInteger("lose_next", responsesToLose);
@@ -45,7 +46,7 @@
     /** Returns the settings as JSON. */
     public synchronized JsonObject toJson() {
         return new JsonObject()
-                .put("availability", availability.name().toLowerCase(java.util.Locale.ROOT))
+                .put("availability", availability.name().toLowerCase(Locale.ROOT))
                 .put("delay_ms", delayMillis)
                 .put("write_delay_ms", writeDelayMillis)
                 .put("lose_next", responsesToLose)
--- /dev/null
+++ b/testkit/src/test/java/io/daisyhoist/testkit/backend/BackendServerTest.java
@@ -0,0 +1,161 @@
+package io.daisyhoist.testkit.backend;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.daisyhoist.testkit.Futures;
+import io.daisyhoist.testkit.Http;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class BackendServerTest {
+    private static final BackendSettings DEFAULTS = BackendSettings.forTest("archive");
+
+    private Vertx vertx;
+
+    @BeforeEach
+    void start() {
+        vertx = Vertx.vertx();
+    }
+
+    @AfterEach
+    void stop() {
+        Futures.result(vertx.close());
+    }
+
+    /** Guards against a response from which a client could not tell whose it is. */
+    @Test
+    void request_keyed_echoesItsOrigin() {
+        BackendServer server = server(2, 6, Duration.ZERO, Optional.empty());
+        String body = get(server, "X-Request-Id", "r.0").body();
+        ResponseBody parsed = ResponseBody.parse(body).orElseThrow();
+        assertEquals(List.of("archive", "dish-7", "r.0"), List.of(parsed.service(), parsed.key(), parsed.requestId()));
+        assertEquals(server.incarnation(), parsed.incarnation());
+        assertTrue(ResponseBody.parse(body.replace("r.0", "r.1")).isEmpty(), "a changed body must not pass");
+    }
+
+    /** Guards against a fence check that admits an old epoch, or that counts the refused request as run. */
+    @Test
+    void fence_lowerEpoch_isRefusedAndNotRun() {
+        BackendServer server = server(2, 6, Duration.ZERO, Optional.empty());
+        assertEquals(200, get(server, "Daisyhoist-Fence", "archive/3:9").statusCode());
+        HttpResponse<String> stale = get(server, "Daisyhoist-Fence", "archive/3:8");
+        assertEquals(412, stale.statusCode());
+        assertEquals(Optional.of("true"), stale.headers().firstValue("Daisyhoist-Stale-Fence"));
+        assertEquals(200, get(server, "Daisyhoist-Fence", "archive/4:8").statusCode());
+        assertEquals(
+                List.of(9L, 8L),
+                server.executions().since(0).stream().map(Execution::epoch).toList());
+    }
+
+    /** Guards against a cold start that takes full load, and against shed requests that count as run. */
+    @Test
+    void coldStart_aboveLimit_sheds() {
+        BackendServer server = server(500, 1, Duration.ofSeconds(60), Optional.empty());
+        CompletableFuture<HttpResponse<String>> first = Http.begin("GET", url(server), "");
+        await().until(() -> server.executions().since(0).size() == 1);
+        assertEquals(503, get(server).statusCode());
+        assertEquals(200, first.join().statusCode());
+        assertEquals(1, server.executions().since(0).size());
+    }
+
+    /** Guards against a crash that spares connections or comes back as the same incarnation. */
+    @Test
+    void crash_onMarkedRequest_dropsAllAndReturnsWithNewIncarnation() {
+        BackendServer server = server(5_000, 6, Duration.ZERO, Optional.empty());
+        long before = server.incarnation();
+        CompletableFuture<HttpResponse<String>> other = Http.begin("GET", url(server), "");
+        await().until(() -> server.executions().since(0).size() == 1);
+        CompletableFuture<HttpResponse<String>> marked =
+                Http.begin("GET", url(server), "", BackendSettings.DEFAULT_CRASH_HEADER, "1");
+        await().until(() -> other.isCompletedExceptionally() && marked.isCompletedExceptionally());
+        await().until(() -> server.incarnation() != before);
+        assertEquals(200, Http.send("GET", base(server) + "/health", "").statusCode());
+        server.executions().since(0).forEach(run -> assertEquals(Execution.End.CRASHED, run.end()));
+    }
+
+    /** Guards against a cancelled request that keeps its slot, and against a run that outlives its deadline. */
+    @Test
+    void run_cancelledOrLate_freesItsSlot() {
+        BackendServer server = server(20_000, 1, Duration.ofSeconds(60), Optional.empty());
+        HttpClient client = vertx.createHttpClient();
+        client.request(HttpMethod.GET, server.port(), "127.0.0.1", "/s/archive/k/dish-7")
+                .onSuccess(request -> {
+                    request.send();
+                    vertx.setTimer(100, fired -> request.connection().close());
+                });
+        await().until(() -> ends(server).equals(List.of(Execution.End.CANCELLED)));
+        assertEquals(504, get(server, "Daisyhoist-Deadline-Ms", "50").statusCode());
+        assertEquals(List.of(Execution.End.CANCELLED, Execution.End.DEADLINE), ends(server));
+    }
+
+    /** Guards against a daemon that learns nothing of a start, a drain or a freeze. */
+    @Test
+    void announcement_afterStartAndDrain_showsState() {
+        List<JsonObject> heard = new CopyOnWriteArrayList<>();
+        HttpServer daemon = Futures.result(vertx.createHttpServer()
+                .requestHandler(request -> request.body().onSuccess(body -> {
+                    heard.add(body.toJsonObject());
+                    request.response().end();
+                }))
+                .listen(0, "127.0.0.1"));
+        BackendServer server = server(2, 6, Duration.ZERO, Optional.of("http://127.0.0.1:" + daemon.actualPort()));
+        await().until(() -> !heard.isEmpty());
+        assertEquals("ready", heard.get(0).getString("state"));
+        assertEquals(server.port(), heard.get(0).getInteger("port"));
+        Http.send("POST", "http://127.0.0.1:" + server.adminPort() + "/admin/drain", "");
+        await().until(() -> heard.get(heard.size() - 1).getString("state").equals("leaving"));
+    }
+
+    private BackendServer server(int serviceMillis, int coldLimit, Duration warmUp, Optional<String> daemonAdmin) {
+        BackendSettings settings = new BackendSettings(
+                DEFAULTS.service(),
+                DEFAULTS.host(),
+                0,
+                0,
+                daemonAdmin,
+                6,
+                110,
+                serviceMillis,
+                0,
+                coldLimit,
+                warmUp,
+                Duration.ofMillis(100),
+                true,
+                DEFAULTS.crashHeader(),
+                Duration.ofMillis(100),
+                64,
+                1);
+        return Futures.result(BackendServer.start(vertx, settings));
+    }
+
+    private static List<Execution.End> ends(BackendServer server) {
+        return server.executions().since(0).stream().map(Execution::end).toList();
+    }
+
+    private static HttpResponse<String> get(BackendServer server, String... headers) {
+        return Http.send("GET", url(server), "", headers);
+    }
+
+    private static String url(BackendServer server) {
+        return base(server) + "/s/archive/k/dish-7/history";
+    }
+
+    private static String base(BackendServer server) {
+        return "http://127.0.0.1:" + server.port();
+    }
+}
