--- a/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendSettings.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendSettings.java
@@ -42,8 +42,8 @@
         Duration restartDelay,
         int bodyBytes,
         long seed) {
-    /** Request header that crashes the server unless another is set. */
-    public static final String DEFAULT_CRASH_HEADER = "Daisyhoist-Test-Crash";
+    /** Request header that crashes the server unless another is set; daemons do not pass on Daisyhoist- headers. */
+    public static final String DEFAULT_CRASH_HEADER = "X-Test-Crash";
 
     /** Returns warm settings on free ports for use inside a test. */
     public static BackendSettings forTest(String service) {
--- a/testkit/src/main/java/io/daisyhoist/testkit/check/ExecutionCheck.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/check/ExecutionCheck.java
@@ -21,24 +21,26 @@
         OwnershipCheck ownership = new OwnershipCheck(logs);
         return new Findings(
                 all.size(),
-                doubleRuns(all),
+                doubleRuns(all, outcomes),
                 ownership.doubleOwners(),
                 ownership.overlaps(),
                 falseNotRun(all, outcomes),
                 unfoundedAnswers(all, outcomes));
     }
 
-    private static List<String> doubleRuns(List<Execution> all) {
+    private static List<String> doubleRuns(List<Execution> all, List<Outcome> outcomes) {
         List<String> found = new ArrayList<>();
+        outcomes.stream()
+                .filter(outcome -> outcome.isAnswered()
+                        && !outcome.isRepeatable()
+                        && outcome.token().isEmpty())
+                .forEach(outcome -> found.add("answered without token, request " + outcome.id()));
         Map<String, Long> byToken = new TreeMap<>();
         Map<String, Long> byRequest = new TreeMap<>();
         for (Execution execution : all) {
             if (execution.method().equals("GET")) {
                 continue;
             }
-            if (execution.attemptToken().isEmpty()) {
-                found.add("no token, request " + execution.requestId());
-            }
             byToken.merge(execution.attemptToken(), 1L, Long::sum);
             byRequest.merge(requestOf(execution.requestId()), 1L, Long::sum);
         }
--- a/testkit/src/main/java/io/daisyhoist/testkit/check/Findings.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/check/Findings.java
@@ -9,7 +9,7 @@
  * Violations found in execution logs and outcomes; each list names its cases. Immutable.
  *
  * @param executions number of runs examined
- * @param doubleRuns requests that had to run at most once and were started more than once, or without a token
+ * @param doubleRuns requests that had to run at most once and were started more than once, or that an answer shows to have run without a token
  * @param doubleOwners runs under an old or doubly granted epoch after another backend server began with a higher one
  * @param overlappingRuns runs of two backend servers for one partition at the same time
  * @param falseNotRun sends that ran although the answer said not run
--- a/testkit/src/main/java/io/daisyhoist/testkit/check/Outcome.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/check/Outcome.java
@@ -40,6 +40,11 @@
         sends = List.copyOf(sends);
     }
 
+    /** Returns whether the request may run more than once. */
+    public boolean isRepeatable() {
+        return method.equals("GET");
+    }
+
     /** Returns whether the last send brought the whole response. */
     public boolean isAnswered() {
         return sends.get(sends.size() - 1).kind().equals("ANSWERED");
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/LoadClient.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadClient.java
@@ -15,6 +15,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -124,11 +125,20 @@
             String sendId = request.sendId(number);
             long timeoutMillis = plan.sendTimeout().toMillis();
             client.request(options(sendId, number, timeoutMillis))
-                    .compose(open -> open.send(request.isRepeatable() ? Buffer.buffer() : Buffer.buffer(request.id())))
+                    .compose(open -> exchange(open, sendId))
+                    .otherwise(cause -> noAnswer(sendId, SendResult.NOT_CONNECTED))
+                    .onSuccess(this::received);
+        }
+
+        private Future<SendResult> exchange(HttpClientRequest open, String sendId) {
+            return open.send(request.isRepeatable() ? Buffer.buffer() : Buffer.buffer(request.id()))
                     .compose(response ->
                             response.body().map(body -> ResponseCheck.classify(request, sendId, response, body)))
-                    .otherwise(cause -> new SendResult(sendId, SendResult.Kind.NO_ANSWER, "no-answer", "", ""))
-                    .onSuccess(this::received);
+                    .otherwise(cause -> noAnswer(sendId, SendResult.INTERRUPTED));
+        }
+
+        private static SendResult noAnswer(String sendId, String code) {
+            return new SendResult(sendId, SendResult.Kind.NO_ANSWER, code, "", "");
         }
 
         private RequestOptions options(String sendId, int number, long timeoutMillis) {
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/LoadMain.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadMain.java
@@ -2,7 +2,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
+import java.util.ArrayList;
 import java.util.Optional;
 
 import io.daisyhoist.testkit.launch.StandIn;
@@ -32,11 +32,11 @@
         parser.addArgument("--daemon").action(Arguments.append()).required(true).help("base URL of a daemon's edge");
         parser.addArgument("--keyed")
                 .action(Arguments.append())
-                .setDefault(List.of())
+                .setDefault(new ArrayList<>())
                 .help("service for keyed requests");
         parser.addArgument("--keyless")
                 .action(Arguments.append())
-                .setDefault(List.of())
+                .setDefault(new ArrayList<>())
                 .help("service for keyless requests");
         StandIn.intOption(parser, "--requests", 1_000, "number of requests");
         StandIn.decimalOption(parser, "--rate", 200, "requests per second");
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/SendResult.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/SendResult.java
@@ -10,6 +10,12 @@
  * @param token attempt token that the answer carries, empty without one
  */
 record SendResult(String sendId, Kind kind, String code, String run, String token) {
+    /** Code of a send for which no connection could be had, so that nothing was sent. */
+    static final String NOT_CONNECTED = "not-connected";
+
+    /** Code of a send that was written and brought no response, or only a part of one, in time. */
+    static final String INTERRUPTED = "interrupted";
+
     enum Kind {
         /** The whole response to this request. */
         ANSWERED,
