--- a/core/src/main/java/io/daisyhoist/core/assignment/Assigner.java
+++ b/core/src/main/java/io/daisyhoist/core/assignment/Assigner.java
@@ -24,7 +24,8 @@
  * Places partitions on the least-loaded members of their service and moves few of them.
  *
  * <p>Invariants: placement moves nothing that has an owner; a rebalance does nothing while every member is within 20%
- * of the mean load, and each move lowers the higher load of the two members concerned. Stateless and thread-safe.
+ * of the mean load, takes only from members at least 10% above it, and each move lowers the higher load of the two
+ * members concerned. Stateless and thread-safe.
  */
 public final class Assigner implements Placement {
     /** A move interrupts a partition briefly, so differences of this size, which noise makes too, do not start one. */
--- a/core/src/main/java/io/daisyhoist/core/assignment/ServiceBalance.java
+++ b/core/src/main/java/io/daisyhoist/core/assignment/ServiceBalance.java
@@ -65,7 +65,9 @@
         SessionId highest = movable.get(movable.size() - 1);
         boolean unbalanced =
                 totals.get(highest) > mean * (1 + hysteresis) || totals.get(lowest) < mean * (1 - hysteresis);
-        return unbalanced ? bestMove(highest, lowest) : Optional.empty();
+        // A source near the mean is left alone: moving from it would not lower the maximum of the service.
+        boolean worthwhile = totals.get(highest) > mean * (1 + hysteresis / 2);
+        return unbalanced && worthwhile ? bestMove(highest, lowest) : Optional.empty();
     }
 
     /** Finds the partition whose move brings the two members closest together and lowers the higher load. */
