Test the gate and fix the adaptive limit against its tests

Cause: three faults in the adaptive limit, each seen red first. - The median halved the limit at the third slow response and restarted the window, so a jump of the latency was never counted to five: after a tenfold latency the limit was 4, not the cold limit. Jumps are now counted apart. - The restarted window kept the baseline from following, so a lasting eightfold latency held the limit at 2 for ever. It now follows each response. - Growth up to three times the baseline made the limit oscillate 2, 3, 2 while the backend server warmed up. It now grows on at most twice the baseline.

--- a/core/src/main/java/io/daisyhoist/core/admission/AdaptiveLimit.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/AdaptiveLimit.java
@@ -19,6 +19,9 @@
      */
     static final Duration COLD_STEP = Duration.ofMillis(200);
 
+    /** With exponential service times, five in a row by chance happen about once in 30 million responses. */
+    private static final int JUMPS_OF_COLD_START = 5;
+
     private final TimeSource time;
     private final int coldLimit;
     private final int slots;
@@ -28,7 +31,9 @@
     private int successes;
     private boolean cold = true;
     private long lastDecreaseNanos;
+    private long lastColdStartNanos;
     private long lastChangeNanos;
+    private int jumps;
 
     /**
      * Creates a limit for a backend server that is assumed to be in a cold start.
@@ -45,6 +50,7 @@
         this.slots = slots;
         this.limit = coldLimit;
         this.lastDecreaseNanos = time.monotonicNanos();
+        this.lastColdStartNanos = lastDecreaseNanos;
         this.lastChangeNanos = lastDecreaseNanos;
     }
 
@@ -75,15 +81,20 @@
     }
 
     private void onLatency(long startNanos, Duration latency, Outcome outcome) {
-        if (startNanos - lastDecreaseNanos < 0) {
-            return;
+        // A jump is counted apart from the median, which already halves the limit at the third slow response.
+        jumps = startNanos - lastColdStartNanos >= 0 && baseline.isJump(latency) ? jumps + 1 : 0;
+        if (jumps >= JUMPS_OF_COLD_START) {
+            enterColdStart();
+        } else if (startNanos - lastDecreaseNanos >= 0) {
+            onCurrentLatency(startNanos, latency, outcome);
         }
+    }
+
+    private void onCurrentLatency(long startNanos, Duration latency, Outcome outcome) {
         baseline.add(latency);
-        if (baseline.isJump()) {
-            enterColdStart();
-        } else if (baseline.isSlow() || outcome == Outcome.TIMED_OUT) {
+        if (baseline.isSlow() || outcome == Outcome.TIMED_OUT) {
             halve(startNanos, coldLimit);
-        } else if (!baseline.isSlow(latency)) {
+        } else if (baseline.isFast(latency)) {
             grow();
         }
     }
@@ -105,14 +116,19 @@
         if (startNanos - lastDecreaseNanos < 0) {
             return;
         }
-        limit = Math.min(limit, Math.max(floor, limit / 2));
-        decreased();
+        int lowered = Math.max(floor, limit / 2);
+        if (lowered < limit) {
+            limit = lowered;
+            decreased();
+        }
     }
 
     private void enterColdStart() {
         limit = Math.min(limit, coldLimit);
         cold = true;
+        jumps = 0;
         decreased();
+        lastColdStartNanos = lastDecreaseNanos;
     }
 
     private void decreased() {
--- a/core/src/main/java/io/daisyhoist/core/admission/LatencyBaseline.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/LatencyBaseline.java
@@ -12,6 +12,7 @@
  */
 final class LatencyBaseline {
     static final int WINDOW = 5;
+    private static final double FAST_FACTOR = 2;
     private static final double SLOW_FACTOR = 3;
     private static final double JUMP_FACTOR = 5;
     private static final double DOWN_GAIN = 0.25;
@@ -25,10 +26,11 @@
     void add(Duration latency) {
         recentNanos[count % WINDOW] = Math.max(1, latency.toNanos());
         count++;
-        if (count < WINDOW) {
+        if (count < WINDOW && baselineNanos == 0) {
             return;
         }
-        double median = median();
+        // A window that is restarted again and again must not keep the baseline from following.
+        double median = count < WINDOW ? Math.max(baselineNanos, latency.toNanos()) : median();
         if (baselineNanos == 0) {
             baselineNanos = median;
         } else if (median < baselineNanos) {
@@ -43,14 +45,14 @@
         return isKnown() && median() > SLOW_FACTOR * baselineNanos;
     }
 
-    /** Returns whether one response took more than three times the baseline. */
-    boolean isSlow(Duration latency) {
-        return baselineNanos > 0 && latency.toNanos() > SLOW_FACTOR * baselineNanos;
+    /** Returns whether one response took at most twice the baseline; the gap to three times prevents oscillation. */
+    boolean isFast(Duration latency) {
+        return latency.toNanos() <= FAST_FACTOR * baselineNanos || baselineNanos == 0;
     }
 
-    /** Returns whether each recent response took more than five times the baseline, as after a cold start. */
-    boolean isJump() {
-        return isKnown() && Arrays.stream(recentNanos).min().orElse(0) > JUMP_FACTOR * baselineNanos;
+    /** Returns whether one response took more than five times the baseline. */
+    boolean isJump(Duration latency) {
+        return latency.toNanos() > JUMP_FACTOR * baselineNanos && baselineNanos > 0;
     }
 
     /** Forgets the recent responses but keeps the baseline. */
--- /dev/null
+++ b/core/src/test/java/io/daisyhoist/core/admission/AdmissionGateTest.java
@@ -0,0 +1,219 @@
+package io.daisyhoist.core.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import io.daisyhoist.core.error.Refusal;
+import io.daisyhoist.core.error.RefusalCode;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class AdmissionGateTest {
+    private static final Duration LONG = Duration.ofSeconds(30);
+    private static final Duration LATENCY = Duration.ofMillis(10);
+
+    private final ManualTime time = new ManualTime();
+
+    private AdmissionGate gate(int limit, int queueBound) {
+        return new AdmissionGate(time, new FixedLimit(limit), queueBound);
+    }
+
+    private static Permit admitted(Offer offer) {
+        return ((Offer.Admitted) offer).permit();
+    }
+
+    private static RefusalCode refused(Offer offer) {
+        return ((Offer.Refused) offer).refusal().code();
+    }
+
+    @Nested
+    class Examples {
+        @Test
+        void offer_waitLongerThanDeadline_isRefusedAtOnce() {
+            AdmissionGate gate = gate(1, 10);
+            Permit first = admitted(gate.offer(Rank.NORMAL, LONG));
+            gate.complete(first, Outcome.OK, Duration.ofSeconds(1));
+            gate.offer(Rank.NORMAL, LONG);
+            assertEquals(RefusalCode.OVERLOADED, refused(gate.offer(Rank.NORMAL, Duration.ofMillis(900))));
+            assertTrue(gate.offer(Rank.NORMAL, Duration.ofMillis(1_100)) instanceof Offer.Queued);
+        }
+
+        @Test
+        void complete_samePermitTwice_freesOneSlotOnly() {
+            AdmissionGate gate = gate(2, 10);
+            Permit first = admitted(gate.offer(Rank.NORMAL, LONG));
+            gate.offer(Rank.NORMAL, LONG);
+            gate.complete(first, Outcome.OK, LATENCY);
+            gate.complete(first, Outcome.OK, LATENCY);
+            gate.offer(Rank.NORMAL, LONG);
+            assertTrue(gate.offer(Rank.NORMAL, LONG) instanceof Offer.Queued);
+        }
+
+        @Test
+        void onLoadReport_lowersTheLimitWhileRecentAndNeverRaisesIt() {
+            AdmissionGate gate = gate(6, 10);
+            gate.onLoadReport(new LoadReport(0, 50, Duration.ZERO));
+            assertEquals(6, gate.limit());
+            gate.onLoadReport(new LoadReport(0, 4, Duration.ofSeconds(1)));
+            assertEquals(4, gate.limit());
+            time.advance(Duration.ofSeconds(2));
+            assertEquals(6, gate.limit());
+            gate.onLoadReport(new LoadReport(3, 6, Duration.ZERO));
+            assertEquals(3, gate.limit(), "three requests run that the gate does not see");
+            gate.onLoadReport(new LoadReport(99, 6, Duration.ZERO));
+            assertEquals(1, gate.limit(), "a misleading report must not stop all work");
+        }
+
+        @Test
+        void close_shedsQueuedAndRefusesNewButKeepsInFlight() {
+            AdmissionGate gate = gate(1, 10);
+            Permit running = admitted(gate.offer(Rank.NORMAL, LONG));
+            gate.offer(Rank.INTERNAL, LONG);
+            Refusal zoneOut = Refusal.of(RefusalCode.ZONE_OUT, "zone is out", Duration.ZERO);
+            assertEquals(zoneOut, gate.close(zoneOut).shed().get(0).refusal());
+            assertEquals(RefusalCode.ZONE_OUT, refused(gate.offer(Rank.INTERNAL, LONG)));
+            assertEquals(1, gate.inFlight());
+            gate.complete(running, Outcome.OK, LATENCY);
+            gate.open();
+            admitted(gate.offer(Rank.BROWSE, LONG));
+        }
+
+        @Test
+        void offer_coldAndFull_namesTheColdStart() {
+            AdmissionGate gate = new AdmissionGate(time, new AdaptiveLimit(time, 2, 9), 0);
+            gate.offer(Rank.NORMAL, LONG);
+            gate.offer(Rank.NORMAL, LONG);
+            assertEquals(RefusalCode.COLD_START, refused(gate.offer(Rank.INTERNAL, LONG)));
+        }
+    }
+
+    /** Follows a gate with a fixed limit from its answers alone and checks each of them. */
+    private final class Oracle {
+        private final Random random;
+        private final int limit;
+        private final int bound;
+        private final AdmissionGate gate;
+        private final List<Permit> running = new ArrayList<>();
+        private final List<Ticket> waiting = new ArrayList<>();
+        private long displaced;
+        private long aloneAdmitted;
+
+        Oracle(long seed) {
+            random = new Random(seed);
+            limit = 1 + random.nextInt(9);
+            bound = random.nextInt(2 * limit + 1);
+            gate = gate(limit, bound);
+        }
+
+        void step() {
+            int dice = random.nextInt(100);
+            if (dice < 55) {
+                offer();
+            } else if (dice < 85 && !running.isEmpty()) {
+                Outcome[] outcomes = Outcome.values();
+                Permit ended = running.remove(random.nextInt(running.size()));
+                apply(gate.complete(ended, outcomes[random.nextInt(outcomes.length)], LATENCY));
+            } else if (dice < 90) {
+                time.advance(Duration.ofMillis(random.nextInt(200)));
+                apply(gate.advance());
+            } else if (dice < 93 && !waiting.isEmpty()) {
+                apply(gate.cancel(waiting.remove(random.nextInt(waiting.size()))));
+            }
+            assertEquals(running.size(), gate.inFlight());
+            assertEquals(waiting.size(), gate.queued());
+            assertTrue(waiting.size() <= bound, "queue bound");
+            assertTrue(waiting.isEmpty() || !running.isEmpty(), "requests wait at an idle backend server");
+        }
+
+        private void offer() {
+            Rank rank = Rank.values()[random.nextInt(3)];
+            Duration remaining = Duration.ofMillis(random.nextInt(2_000));
+            boolean full = waiting.size() == bound;
+            Offer offer = gate.offer(rank, remaining, random.nextInt(12) == 0);
+            if (offer instanceof Offer.Admitted admitted) {
+                assertTrue(
+                        waiting.stream().allMatch(ticket -> rank.isAbove(ticket.rank())),
+                        "overtakes a request of no lower rank");
+                admit(admitted.permit());
+            } else if (offer instanceof Offer.Queued queued) {
+                queued.shed().forEach(shed -> checkShed(shed, Optional.of(rank)));
+                waiting.add(queued.ticket());
+            } else if (full && refused(offer) == RefusalCode.OVERLOADED && remaining.compareTo(LATENCY) > 0) {
+                boolean lowerWaits = waiting.stream().anyMatch(ticket -> rank.isAbove(ticket.rank()));
+                assertFalse(lowerWaits && expectedWait(rank).compareTo(remaining) <= 0, "refused before a lower rank");
+            }
+        }
+
+        private Duration expectedWait(Rank rank) {
+            long ahead = waiting.stream()
+                    .filter(ticket -> !rank.isAbove(ticket.rank()))
+                    .count();
+            return LATENCY.multipliedBy(ahead + 1).dividedBy(limit);
+        }
+
+        private void apply(GateUpdate update) {
+            update.shed().forEach(shed -> checkShed(shed, Optional.empty()));
+            for (GateUpdate.Admission admission : update.admitted()) {
+                Ticket first = waiting.stream()
+                        .min(Comparator.comparing(Ticket::rank).thenComparing(Ticket::number))
+                        .orElseThrow();
+                assertEquals(first, admission.ticket(), "highest rank first, then by arrival");
+                assertTrue(first.deadlineNanos() > time.monotonicNanos(), "admitted after its deadline");
+                waiting.remove(first);
+                admit(admission.permit());
+            }
+        }
+
+        private void admit(Permit permit) {
+            assertTrue(running.size() < limit, "limit exceeded");
+            assertTrue(running.stream().noneMatch(Permit::alone), "admitted beside a request that runs alone");
+            assertTrue(running.isEmpty() || !permit.alone(), "not alone");
+            aloneAdmitted += permit.alone() ? 1 : 0;
+            running.add(permit);
+        }
+
+        private void checkShed(GateUpdate.Shed shed, Optional<Rank> newcomer) {
+            assertTrue(waiting.remove(shed.ticket()), "shed a ticket that does not wait");
+            if (shed.refusal().code() == RefusalCode.DEADLINE_EXCEEDED) {
+                assertTrue(shed.ticket().deadlineNanos() <= time.monotonicNanos(), "shed before its deadline");
+                return;
+            }
+            displaced++;
+            assertTrue(newcomer.orElseThrow().isAbove(shed.ticket().rank()), "displaced by no higher rank");
+            assertTrue(
+                    waiting.stream().noneMatch(ticket -> shed.ticket().rank().isAbove(ticket.rank())),
+                    "a lower rank still waits");
+        }
+    }
+
+    @Nested
+    class Property {
+        /** Guards against overload of the backend server and against shedding what operators want served first. */
+        @Test
+        void anyHistory_keepsLimitBoundOrderAndExclusiveness() {
+            long displaced = 0;
+            long aloneAdmitted = 0;
+            for (long seed = 0; seed < 500; seed++) {
+                Oracle oracle = new Oracle(seed);
+                try {
+                    for (int i = 0; i < 500; i++) {
+                        oracle.step();
+                    }
+                } catch (AssertionError e) {
+                    throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+                }
+                displaced += oracle.displaced;
+                aloneAdmitted += oracle.aloneAdmitted;
+            }
+            assertTrue(displaced > 1_000 && aloneAdmitted > 1_000, displaced + " " + aloneAdmitted);
+        }
+    }
+}
