Let a load end early and count shed requests

Runs of the unit tests printed 'Already undeployed': the load client completed its result before it had undeployed itself.

--- a/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
@@ -36,6 +37,7 @@
     private final Set<HttpConnection> connections = new HashSet<>();
     private final Set<BackendRun> runs = new HashSet<>();
     private final Map<String, Long> sequences = new HashMap<>();
+    private final AtomicLong shedCount = new AtomicLong();
     private Optional<Announcer> announcer = Optional.empty();
     private LoadReport report;
     private HttpServer server;
@@ -75,6 +77,11 @@
         return executions;
     }
 
+    /** Returns the number of requests that were refused for lack of a free slot. */
+    public long shedCount() {
+        return shedCount.get();
+    }
+
     /** Stops the server and closes its connections. */
     public Future<Void> close() {
         return vertx.undeploy(deploymentID());
@@ -150,6 +157,7 @@
             return;
         }
         if (runs.size() >= limit()) {
+            shedCount.incrementAndGet();
             request.response().putHeader("Retry-After", "1");
             answer(request, 503, new JsonObject().put("error", "no-free-slot"));
             return;
@@ -226,6 +234,7 @@
                 .put("in_flight", runs.size())
                 .put("limit", limit())
                 .put("connections", connections.size())
+                .put("shed", shedCount())
                 .put("port", port);
     }
 
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/LoadClient.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadClient.java
@@ -40,16 +40,30 @@
     private OutcomeFile outcomes;
     private long startNanos;
     private int started;
+    private boolean allStarted;
+    private boolean ended;
+    private volatile boolean stopped;
 
     private LoadClient(LoadPlan plan) {
         this.plan = plan;
         this.random = new Random(plan.seed());
     }
 
-    /** Sends the load; the result is complete once every request has ended. */
-    public static Future<JsonObject> run(Vertx vertx, LoadPlan plan) {
+    /** Begins to send the load. */
+    public static LoadClient begin(Vertx vertx, LoadPlan plan) {
         LoadClient load = new LoadClient(plan);
-        return vertx.deployVerticle(load).compose(id -> load.result.future().eventually(() -> vertx.undeploy(id)));
+        vertx.deployVerticle(load).onFailure(load.result::tryFail);
+        return load;
+    }
+
+    /** Returns the counts, once every request that was started has ended. May be called on any thread. */
+    public Future<JsonObject> result() {
+        return result.future();
+    }
+
+    /** Starts no further requests; the counts then cover those started. May be called on any thread. */
+    public void endEarly() {
+        stopped = true;
     }
 
     @Override
@@ -66,11 +80,12 @@
 
     private void startDueRequests(long timer) {
         long now = System.nanoTime();
-        while (started < plan.requests() && intendedNanos(started) <= now) {
+        while (!stopped && started < plan.requests() && intendedNanos(started) <= now) {
             new Exchange(next(started), intendedNanos(started)).send(0);
             started++;
         }
-        if (started == plan.requests()) {
+        if (stopped || started == plan.requests()) {
+            allStarted = true;
             vertx.cancelTimer(timer);
             endIfComplete();
         }
@@ -96,9 +111,11 @@
     }
 
     private void endIfComplete() {
-        if (stats.ended() == plan.requests()) {
+        if (!ended && allStarted && stats.ended() == started) {
+            ended = true;
             outcomes.close();
-            result.tryComplete(stats.toJson(plan.requests()));
+            JsonObject counts = stats.toJson(started);
+            vertx.undeploy(deploymentID()).onComplete(done -> result.tryComplete(counts));
         }
     }
 
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/LoadMain.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadMain.java
@@ -20,7 +20,8 @@
     public static void main(String[] args) {
         LoadPlan plan = plan(StandIn.parse(parser(), args));
         Vertx vertx = StandIn.vertx();
-        LoadClient.run(vertx, plan)
+        LoadClient.begin(vertx, plan)
+                .result()
                 .onSuccess(result -> System.out.println(result.encode()))
                 .onFailure(cause -> System.err.println("event=load_failed reason=\"" + cause.getMessage() + "\""))
                 .onComplete(done -> System.exit(done.succeeded() ? 0 : 1));
--- a/testkit/src/test/java/io/daisyhoist/testkit/load/LoadClientTest.java
+++ b/testkit/src/test/java/io/daisyhoist/testkit/load/LoadClientTest.java
@@ -94,7 +94,7 @@
                 plan.retryPause(),
                 plan.outcomeFile(),
                 plan.seed());
-        return Futures.result(LoadClient.run(vertx, atPort));
+        return Futures.result(LoadClient.begin(vertx, atPort).result());
     }
 
     private LoadPlan plan(int requests, double postShare, double rate) {
