--- a/core/src/main/java/io/daisyhoist/core/assignment/Partitions.java
+++ b/core/src/main/java/io/daisyhoist/core/assignment/Partitions.java
@@ -4,7 +4,6 @@
 import java.util.stream.IntStream;
 
 import io.daisyhoist.core.config.EffectiveConfig;
-import io.daisyhoist.core.config.ServiceSettings;
 import io.daisyhoist.core.membership.GroupRecord;
 import io.daisyhoist.core.model.PartitionId;
 
@@ -14,7 +13,6 @@
 
     static List<PartitionId> unassigned(GroupRecord record, EffectiveConfig config) {
         return config.services().values().stream()
-                .filter(ServiceSettings::keyed)
                 .flatMap(service -> IntStream.range(0, service.partitions())
                         .mapToObj(index -> new PartitionId(service.name(), index)))
                 .filter(partition -> record.grant(partition).isEmpty())
--- a/core/src/main/java/io/daisyhoist/core/membership/Placement.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/Placement.java
@@ -11,7 +11,7 @@
 
 /** Decides which members own which partitions. Implementations are stateless. */
 public interface Placement {
-    /** Returns the partitions of keyed services that have no grant, in order. */
+    /** Returns the partitions that have no grant, in order; services without keys have some for their attempt records. */
     List<PartitionId> unassigned(GroupRecord record, EffectiveConfig config);
 
     /**
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/ConfigLoop.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/ConfigLoop.java
@@ -40,17 +40,25 @@
     private final ControlContext context;
     private final ConfigTracker tracker;
     private final Supplier<GroupSnapshot> group;
-    private final Runnable onChange;
+    private Runnable onChange = () -> {};
     private boolean platformCallRunning;
     private boolean fetchRunning;
     private Optional<ElapsedTimer> lastFailure = Optional.empty();
     private Duration retryDelay = RETRY_DELAY;
 
-    ConfigLoop(ControlContext context, ConfigTracker tracker, Supplier<GroupSnapshot> group, Runnable onChange) {
+    ConfigLoop(ControlContext context, ConfigTracker tracker, Supplier<GroupSnapshot> group) {
         this.context = context;
         this.tracker = tracker;
         this.group = group;
-        this.onChange = onChange;
+    }
+
+    /** Sets what is run after each change of the configuration in force. */
+    void onChange(Runnable listener) {
+        onChange = listener;
+    }
+
+    ConfigTracker tracker() {
+        return tracker;
     }
 
     void start() {
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/ControlMessages.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/ControlMessages.java
@@ -30,20 +30,13 @@
     private final PeerVersions versions;
     private final PeerHandler traffic;
 
-    ControlMessages(
-            ProcessId self,
-            ControlThread control,
-            GroupController controller,
-            GroupLoop group,
-            ConfigLoop config,
-            PeerVersions versions,
-            PeerHandler traffic) {
-        this.self = self;
-        this.control = control;
-        this.controller = controller;
+    ControlMessages(Control parts, GroupLoop group, PeerHandler traffic) {
+        this.self = parts.context().self();
+        this.control = parts.context().control();
+        this.controller = parts.controller();
         this.group = group;
-        this.config = config;
-        this.versions = versions;
+        this.config = parts.config();
+        this.versions = parts.versions();
         this.traffic = traffic;
     }
 
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/GroupLoop.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/GroupLoop.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.membership.Grant;
 import io.daisyhoist.core.membership.GroupAction;
 import io.daisyhoist.core.membership.GroupController;
 import io.daisyhoist.core.membership.GroupRecord;
@@ -15,6 +17,7 @@
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.daemon.connection.PeerChannel;
+import io.daisyhoist.daemon.request.PartitionTransfer;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.GroupFetch;
 import io.daisyhoist.wire.proto.Heartbeat;
@@ -27,6 +30,12 @@
  * #start()} must be called on the control thread.
  */
 final class GroupLoop {
+    /** Ends the service of a partition and sends its attempt records to the next owner; thread-safe. */
+    @FunctionalInterface
+    interface HandOver {
+        CompletionStage<PartitionTransfer.Result> run(Grant grant, Member to);
+    }
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK = Duration.ofMillis(50);
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(700);
@@ -35,7 +44,7 @@
     private final String storeKey;
     private final GroupController controller;
     private final PeerVersions versions;
-    private final PartitionHandOver handOver;
+    private final HandOver handOver;
     private final Consumer<GroupSnapshot> publisher;
     private long loggedVersion = -1;
 
@@ -44,7 +53,7 @@
             String storeKey,
             GroupController controller,
             PeerVersions versions,
-            PartitionHandOver handOver,
+            HandOver handOver,
             Consumer<GroupSnapshot> publisher) {
         this.context = context;
         this.storeKey = storeKey;
@@ -182,10 +191,15 @@
     }
 
     private void fetchRecord(GroupAction.FetchRecord action) {
+        fetchRecord(action.peer());
+    }
+
+    /** Fetches the record from a peer that knows a later version. */
+    void fetchRecord(Endpoint peer) {
         Envelope message = Envelope.newBuilder()
                 .setGroupFetch(GroupFetch.getDefaultInstance())
                 .build();
-        call(action.peer(), message, reply -> {
+        call(peer, message, reply -> {
             if (reply.hasGroupUpdate()) {
                 controller.onPeerRecord(
                         PeerMessages.record(reply.getGroupUpdate()),
@@ -204,21 +218,21 @@
     }
 
     private void handOver(GroupAction.HandOver action) {
-        handOver.handOver(action.grant(), action.to())
+        handOver.run(action.grant(), action.to())
                 .whenComplete((result, failure) -> context.control().execute(() -> {
-                    PartitionHandOver.Result ended =
-                            failure == null ? result : PartitionHandOver.Result.FAILED_AFTER_TRANSFER;
+                    PartitionTransfer.Result ended =
+                            failure == null ? result : PartitionTransfer.Result.FAILED_AFTER_TRANSFER;
                     LOGGER.atInfo().log(
                             "event=hand_over partition=%s epoch=%d to=%s result=%s",
                             action.grant().partition(),
                             action.grant().epoch(),
                             action.to().session().daemon(),
                             ended);
-                    if (ended == PartitionHandOver.Result.DONE) {
+                    if (ended == PartitionTransfer.Result.DONE) {
                         controller.onHandedOver(action.grant().partition());
                     } else {
                         controller.onHandOverFailed(
-                                action.grant().partition(), ended == PartitionHandOver.Result.FAILED_AFTER_TRANSFER);
+                                action.grant().partition(), ended == PartitionTransfer.Result.FAILED_AFTER_TRANSFER);
                     }
                     step();
                 }));
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/BackendAnswers.java
@@ -0,0 +1,95 @@
+package io.daisyhoist.daemon.request;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.daisyhoist.core.admission.Outcome;
+import io.daisyhoist.core.error.Refusal;
+import io.daisyhoist.core.error.RefusalCode;
+import io.daisyhoist.core.error.RunState;
+import io.daisyhoist.daemon.connection.BackendResult;
+import io.daisyhoist.daemon.connection.BackendResult.Answered;
+import io.daisyhoist.daemon.connection.BackendResult.NotWritten;
+import io.daisyhoist.daemon.connection.BackendResult.Unknown;
+import io.daisyhoist.daemon.connection.HttpField;
+
+/** Says what the result of a backend call means for the client and for the gate. Stateless. */
+final class BackendAnswers {
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(60);
+
+    private BackendAnswers() {}
+
+    static OutboundResponse toClient(BackendResult result) {
+        if (result instanceof Answered answer) {
+            return shedRetryAfter(answer)
+                    .map(wait -> OutboundResponse.refused(
+                            Refusal.of(RefusalCode.OVERLOADED, "shed by the backend server", wait)))
+                    .orElseGet(() -> OutboundResponse.ran(answer.status(), answer.headers(), answer.body()));
+        }
+        if (result instanceof NotWritten unwritten) {
+            return Refusals.notRun(codeOf(unwritten), unwritten.message());
+        }
+        if (result instanceof Unknown lost) {
+            RefusalCode code = lost.reason() == BackendResult.UnknownReason.DEADLINE
+                    ? RefusalCode.DEADLINE_EXCEEDED
+                    : RefusalCode.BACKEND_LOST;
+            return Refusals.refused(code, RunState.UNKNOWN, lost.message());
+        }
+        return Refusals.notRun(RefusalCode.STALE_FENCE, "the backend server has seen a newer owner");
+    }
+
+    static Outcome toGate(BackendResult result) {
+        if (result instanceof Answered answer) {
+            return shedRetryAfter(answer).isPresent() ? Outcome.SHED : Outcome.OK;
+        }
+        if (result instanceof NotWritten unwritten) {
+            return unwritten.reason() == BackendResult.NotWrittenReason.CONNECTION_REFUSED
+                    ? Outcome.CONNECTION_REFUSED
+                    : Outcome.CANCELLED;
+        }
+        if (result instanceof Unknown lost) {
+            return switch (lost.reason()) {
+                case CONNECTION_LOST -> Outcome.LOST;
+                case DEADLINE -> Outcome.TIMED_OUT;
+                default -> Outcome.CANCELLED;
+            };
+        }
+        return Outcome.CANCELLED;
+    }
+
+    /**
+     * Returns the stated wait of a response with which a backend server sheds load.
+     *
+     * <p>By its contract a backend server does not run a request that it answers with 503 and {@code Retry-After}; a 503
+     * without it is an ordinary answer.
+     */
+    private static Optional<Duration> shedRetryAfter(Answered answer) {
+        if (answer.status() != SERVICE_UNAVAILABLE) {
+            return Optional.empty();
+        }
+        return answer.headers().stream()
+                .filter(field -> field.name().equalsIgnoreCase("Retry-After"))
+                .map(HttpField::value)
+                .findFirst()
+                .map(BackendAnswers::seconds);
+    }
+
+    private static Duration seconds(String text) {
+        if (!text.matches("\\d{1,6}")) {
+            return Duration.ofSeconds(1);
+        }
+        Duration stated = Duration.ofSeconds(Long.parseLong(text));
+        return stated.compareTo(MAX_RETRY_AFTER) < 0 ? stated : MAX_RETRY_AFTER;
+    }
+
+    private static RefusalCode codeOf(NotWritten unwritten) {
+        return switch (unwritten.reason()) {
+            case CONNECTION_REFUSED -> RefusalCode.BACKEND_UNREACHABLE;
+            case POOL_EXHAUSTED -> RefusalCode.OVERLOADED;
+            case LAST_CHECK -> RefusalCode.LEASE_LAPSED;
+            case INVALID_REQUEST -> RefusalCode.BAD_REQUEST;
+            case CANCELLED, DEADLINE -> RefusalCode.DEADLINE_EXCEEDED;
+        };
+    }
+}
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeRoutes.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeRoutes.java
@@ -12,6 +12,7 @@
 import io.daisyhoist.daemon.telemetry.Hop;
 import io.daisyhoist.daemon.telemetry.HopSpan;
 import io.daisyhoist.daemon.telemetry.HopTracer;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -76,6 +77,7 @@
     }
 
     private void forward(HttpServerRequest http, RequestTarget target) {
+        Context home = Vertx.currentContext();
         long startNanos = time.monotonicNanos();
         HopSpan span = tracer.start(Hop.CLIENT_EDGE, Optional.ofNullable(http.getHeader("traceparent")));
         Promise<Void> gone = Promise.promise();
@@ -97,7 +99,7 @@
                     Duration.ofNanos(time.monotonicNanos() - startNanos));
             span.attribute("service", target.service().name());
             span.end(response.status());
-            ResponseWriter.write(http.response(), response);
+            home.runOnContext(back -> ResponseWriter.write(http.response(), response));
         });
     }
 
@@ -106,10 +108,11 @@
     }
 
     private void issueToken(HttpServerRequest http, RequestTarget target) {
+        Context home = Vertx.currentContext();
         Optional<String> key = Optional.ofNullable(http.getParam("key")).map(RequestTarget::key);
         handler.issueToken(target.service(), key, parser.deadline(http, target.service()))
                 .otherwise(failure -> onFailure(http, failure))
-                .onSuccess(response -> ResponseWriter.write(http.response(), response));
+                .onSuccess(response -> home.runOnContext(back -> ResponseWriter.write(http.response(), response)));
     }
 
     private void refuse(HttpServerRequest http, Refusal refusal) {
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeServer.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeServer.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.daemon.request;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 import io.daisyhoist.core.error.Refusal;
 import io.daisyhoist.core.error.RefusalCode;
@@ -46,6 +47,11 @@
         return server.listen(port, host).map(HttpServer::actualPort);
     }
 
+    /** Stops listening, lets requests in flight end within the grace period, and closes the connections. */
+    public Future<Void> shutdown(Duration grace) {
+        return server.shutdown(grace.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     /** Stops listening and closes the connections. */
     public Future<Void> close() {
         return server.close();
--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/ForwardReceiver.java
@@ -0,0 +1,107 @@
+package io.daisyhoist.daemon.request;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.error.RefusalCode;
+import io.daisyhoist.core.model.PartitionId;
+import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.core.retry.BackendLoss;
+import io.daisyhoist.core.retry.Fingerprint;
+import io.daisyhoist.daemon.connection.PeerHandler;
+import io.daisyhoist.daemon.telemetry.Hop;
+import io.daisyhoist.daemon.telemetry.HopSpan;
+import io.daisyhoist.wire.proto.CrashReport;
+import io.daisyhoist.wire.proto.Envelope;
+import io.daisyhoist.wire.proto.ForwardRequest;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+
+/**
+ * Answers the traffic messages of other daemons.
+ *
+ * <p>Every forwarded request is answered once. Called by any thread; its state is confined to the traffic event loop.
+ */
+final class ForwardReceiver implements PeerHandler {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private record Running(ProcessId from, long requestId) {}
+
+    private final TrafficContext traffic;
+    private final OwnerService owner;
+    private final BackendRunner runner;
+    private final PartitionTransfer transfer;
+    private final Map<Running, Promise<Void>> cancels = new HashMap<>();
+
+    ForwardReceiver(TrafficContext traffic, OwnerService owner, BackendRunner runner, PartitionTransfer transfer) {
+        this.traffic = traffic;
+        this.owner = owner;
+        this.runner = runner;
+        this.transfer = transfer;
+    }
+
+    @Override
+    public void handle(ProcessId from, Envelope message, Consumer<Envelope> reply) {
+        switch (message.getBodyCase()) {
+            case FORWARD_REQUEST -> traffic.execute(() -> forward(from, message, reply));
+            case CANCEL_REQUEST ->
+                traffic.execute(() ->
+                        cancel(new Running(from, message.getCancelRequest().getCancelledRequestId())));
+            case TRANSFER_ATTEMPTS -> transfer.receive(from, message.getTransferAttempts(), reply);
+            case CRASH_REPORT -> runner.onReportedLoss(loss(message.getCrashReport()));
+            default ->
+                LOGGER.atWarning().log("event=peer_message_unexpected from=%s body=%s", from, message.getBodyCase());
+        }
+    }
+
+    private void forward(ProcessId from, Envelope message, Consumer<Envelope> reply) {
+        ForwardRequest forwarded = message.getForwardRequest();
+        HopSpan span = traffic.tracer()
+                .start(Hop.PEER_RECEIVE, Optional.of(forwarded.getTraceparent()).filter(text -> !text.isEmpty()));
+        Running running = new Running(from, message.getRequestId());
+        Promise<Void> cancelled = Promise.promise();
+        cancels.put(running, cancelled);
+        serve(forwarded, span, cancelled.future())
+                .otherwise(failure -> Refusals.unknown(RefusalCode.BACKEND_LOST, "internal error: " + failure))
+                .onSuccess(answer -> {
+                    cancels.remove(running);
+                    span.end(answer.status());
+                    reply.accept(ForwardMessages.write(
+                            answer,
+                            traffic.group().get().record().version(),
+                            traffic.self().daemon().name()));
+                });
+    }
+
+    private Future<OutboundResponse> serve(ForwardRequest forwarded, HopSpan span, Future<Void> cancelled) {
+        InboundRequest request;
+        Optional<PartitionId> partition;
+        try {
+            request = ForwardMessages.read(forwarded, span.traceparent(), traffic.time());
+            partition = ForwardMessages.partition(forwarded);
+        } catch (IllegalArgumentException e) {
+            return Future.succeededFuture(Refusals.notRun(RefusalCode.BAD_REQUEST, e.getMessage()));
+        }
+        if (partition.isEmpty()) {
+            return owner.serveKeyless(request, cancelled);
+        }
+        return forwarded.getTokenOnly()
+                ? owner.issueToken(request, partition.get())
+                : owner.serve(request, partition.get(), cancelled);
+    }
+
+    private void cancel(Running running) {
+        Optional.ofNullable(cancels.get(running)).ifPresent(Promise::tryComplete);
+    }
+
+    private static BackendLoss loss(CrashReport report) {
+        return new BackendLoss(
+                report.getBackend(),
+                report.getBackendIncarnation(),
+                report.getFingerprintsList().stream().map(Fingerprint::new).collect(Collectors.toSet()));
+    }
+}
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequest.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequest.java
@@ -437,6 +437,21 @@
     }
   }
 
+  public static final int TOKEN_ONLY_FIELD_NUMBER = 12;
+  private boolean tokenOnly_ = false;
+  /**
+   * <pre>
+   * Asks for a fresh attempt token only; nothing is run.
+   * </pre>
+   *
+   * <code>bool token_only = 12;</code>
+   * @return The tokenOnly.
+   */
+  @java.lang.Override
+  public boolean getTokenOnly() {
+    return tokenOnly_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -484,6 +499,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(traceparent_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 11, traceparent_);
     }
+    if (tokenOnly_ != false) {
+      output.writeBool(12, tokenOnly_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -535,6 +553,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(traceparent_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(11, traceparent_);
     }
+    if (tokenOnly_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, tokenOnly_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -581,6 +603,8 @@
     }
     if (!getTraceparent()
         .equals(other.getTraceparent())) return false;
+    if (getTokenOnly()
+        != other.getTokenOnly()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -622,6 +646,9 @@
     }
     hash = (37 * hash) + TRACEPARENT_FIELD_NUMBER;
     hash = (53 * hash) + getTraceparent().hashCode();
+    hash = (37 * hash) + TOKEN_ONLY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getTokenOnly());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -770,6 +797,7 @@
       rank_ = "";
       attemptToken_ = "";
       traceparent_ = "";
+      tokenOnly_ = false;
       return this;
     }
 
@@ -850,6 +878,9 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.traceparent_ = traceparent_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.tokenOnly_ = tokenOnly_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -935,6 +966,9 @@
         bitField0_ |= 0x00000400;
         onChanged();
       }
+      if (other.getTokenOnly() != false) {
+        setTokenOnly(other.getTokenOnly());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1024,6 +1058,11 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 90
+            case 96: {
+              tokenOnly_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1919,6 +1958,50 @@
       return this;
     }
 
+    private boolean tokenOnly_ ;
+    /**
+     * <pre>
+     * Asks for a fresh attempt token only; nothing is run.
+     * </pre>
+     *
+     * <code>bool token_only = 12;</code>
+     * @return The tokenOnly.
+     */
+    @java.lang.Override
+    public boolean getTokenOnly() {
+      return tokenOnly_;
+    }
+    /**
+     * <pre>
+     * Asks for a fresh attempt token only; nothing is run.
+     * </pre>
+     *
+     * <code>bool token_only = 12;</code>
+     * @param value The tokenOnly to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTokenOnly(boolean value) {
+
+      tokenOnly_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Asks for a fresh attempt token only; nothing is run.
+     * </pre>
+     *
+     * <code>bool token_only = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTokenOnly() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      tokenOnly_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.ForwardRequest)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequestOrBuilder.java
@@ -158,4 +158,14 @@
    */
   com.google.protobuf.ByteString
       getTraceparentBytes();
+
+  /**
+   * <pre>
+   * Asks for a fresh attempt token only; nothing is run.
+   * </pre>
+   *
+   * <code>bool token_only = 12;</code>
+   * @return The tokenOnly.
+   */
+  boolean getTokenOnly();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardResponse.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardResponse.java
@@ -31,6 +31,7 @@
     headers_ = java.util.Collections.emptyList();
     body_ = com.google.protobuf.ByteString.EMPTY;
     backend_ = "";
+    attemptToken_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -203,6 +204,65 @@
     }
   }
 
+  public static final int ATTEMPT_TOKEN_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object attemptToken_ = "";
+  /**
+   * <pre>
+   * Fresh token for the client.
+   * </pre>
+   *
+   * <code>optional string attempt_token = 7;</code>
+   * @return Whether the attemptToken field is set.
+   */
+  @java.lang.Override
+  public boolean hasAttemptToken() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Fresh token for the client.
+   * </pre>
+   *
+   * <code>optional string attempt_token = 7;</code>
+   * @return The attemptToken.
+   */
+  @java.lang.Override
+  public java.lang.String getAttemptToken() {
+    java.lang.Object ref = attemptToken_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      attemptToken_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Fresh token for the client.
+   * </pre>
+   *
+   * <code>optional string attempt_token = 7;</code>
+   * @return The bytes for attemptToken.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAttemptTokenBytes() {
+    java.lang.Object ref = attemptToken_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      attemptToken_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -235,6 +295,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backend_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, backend_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, attemptToken_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -272,6 +335,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backend_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, backend_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, attemptToken_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -302,6 +368,11 @@
         != other.getGroupVersion()) return false;
     if (!getBackend()
         .equals(other.getBackend())) return false;
+    if (hasAttemptToken() != other.hasAttemptToken()) return false;
+    if (hasAttemptToken()) {
+      if (!getAttemptToken()
+          .equals(other.getAttemptToken())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -330,6 +401,10 @@
         getGroupVersion());
     hash = (37 * hash) + BACKEND_FIELD_NUMBER;
     hash = (53 * hash) + getBackend().hashCode();
+    if (hasAttemptToken()) {
+      hash = (37 * hash) + ATTEMPT_TOKEN_FIELD_NUMBER;
+      hash = (53 * hash) + getAttemptToken().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -484,6 +559,7 @@
       }
       groupVersion_ = 0L;
       backend_ = "";
+      attemptToken_ = "";
       return this;
     }
 
@@ -549,6 +625,10 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.backend_ = backend_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.attemptToken_ = attemptToken_;
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -607,6 +687,11 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (other.hasAttemptToken()) {
+        attemptToken_ = other.attemptToken_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -673,6 +758,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 58: {
+              attemptToken_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1255,6 +1345,109 @@
       return this;
     }
 
+    private java.lang.Object attemptToken_ = "";
+    /**
+     * <pre>
+     * Fresh token for the client.
+     * </pre>
+     *
+     * <code>optional string attempt_token = 7;</code>
+     * @return Whether the attemptToken field is set.
+     */
+    public boolean hasAttemptToken() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * Fresh token for the client.
+     * </pre>
+     *
+     * <code>optional string attempt_token = 7;</code>
+     * @return The attemptToken.
+     */
+    public java.lang.String getAttemptToken() {
+      java.lang.Object ref = attemptToken_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        attemptToken_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Fresh token for the client.
+     * </pre>
+     *
+     * <code>optional string attempt_token = 7;</code>
+     * @return The bytes for attemptToken.
+     */
+    public com.google.protobuf.ByteString
+        getAttemptTokenBytes() {
+      java.lang.Object ref = attemptToken_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        attemptToken_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Fresh token for the client.
+     * </pre>
+     *
+     * <code>optional string attempt_token = 7;</code>
+     * @param value The attemptToken to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAttemptToken(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      attemptToken_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Fresh token for the client.
+     * </pre>
+     *
+     * <code>optional string attempt_token = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAttemptToken() {
+      attemptToken_ = getDefaultInstance().getAttemptToken();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Fresh token for the client.
+     * </pre>
+     *
+     * <code>optional string attempt_token = 7;</code>
+     * @param value The bytes for attemptToken to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAttemptTokenBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      attemptToken_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.ForwardResponse)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardResponseOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardResponseOrBuilder.java
@@ -90,4 +90,33 @@
    */
   com.google.protobuf.ByteString
       getBackendBytes();
+
+  /**
+   * <pre>
+   * Fresh token for the client.
+   * </pre>
+   *
+   * <code>optional string attempt_token = 7;</code>
+   * @return Whether the attemptToken field is set.
+   */
+  boolean hasAttemptToken();
+  /**
+   * <pre>
+   * Fresh token for the client.
+   * </pre>
+   *
+   * <code>optional string attempt_token = 7;</code>
+   * @return The attemptToken.
+   */
+  java.lang.String getAttemptToken();
+  /**
+   * <pre>
+   * Fresh token for the client.
+   * </pre>
+   *
+   * <code>optional string attempt_token = 7;</code>
+   * @return The bytes for attemptToken.
+   */
+  com.google.protobuf.ByteString
+      getAttemptTokenBytes();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -111,6 +111,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_daisyhoist_peer_TransferAttempts_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_TransferAttempts_DroppedUpToMsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_TransferAttempts_DroppedUpToMsEntry_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_daisyhoist_peer_TransferAck_descriptor;
   static final 
@@ -216,31 +221,39 @@
       "te\022\016\n\006age_ms\030\003 \001(\r\022\016\n\006status\030\004 \001(\005\022(\n\007he" +
       "aders\030\005 \003(\0132\027.daisyhoist.peer.Header\022\014\n\004" +
       "body\030\006 \001(\014\022\021\n\tbody_kept\030\007 \001(\010\"\"\n\005State\022\013" +
-      "\n\007UNKNOWN\020\000\022\014\n\010FINISHED\020\001\"\212\001\n\020TransferAt" +
+      "\n\007UNKNOWN\020\000\022\014\n\010FINISHED\020\001\"\353\002\n\020TransferAt" +
       "tempts\022-\n\tpartition\030\001 \001(\0132\032.daisyhoist.p" +
-      "eer.Partition\022\026\n\016covered_epochs\030\002 \003(\004\022/\n" +
-      "\007records\030\003 \003(\0132\036.daisyhoist.peer.Attempt" +
-      "Record\"\037\n\013TransferAck\022\020\n\010accepted\030\001 \001(\010\"" +
-      "%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\263" +
-      "\002\n\016ForwardRequest\022\017\n\007service\030\001 \001(\t\022\034\n\017pa" +
-      "rtition_index\030\002 \001(\rH\000\210\001\001\022\020\n\003key\030\003 \001(\tH\001\210" +
-      "\001\001\022\016\n\006method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007head" +
-      "ers\030\006 \003(\0132\027.daisyhoist.peer.Header\022\014\n\004bo" +
-      "dy\030\007 \001(\014\022\035\n\025remaining_deadline_ms\030\010 \001(\r\022" +
-      "\014\n\004rank\030\t \001(\t\022\032\n\rattempt_token\030\n \001(\tH\002\210\001" +
-      "\001\022\023\n\013traceparent\030\013 \001(\tB\022\n\020_partition_ind" +
-      "exB\006\n\004_keyB\020\n\016_attempt_token\"\275\001\n\017Forward" +
-      "Response\022\016\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003(" +
-      "\0132\027.daisyhoist.peer.Header\022\014\n\004body\030\003 \001(\014" +
-      "\022.\n\007refusal\030\004 \001(\0132\030.daisyhoist.peer.Refu" +
-      "salH\000\210\001\001\022\025\n\rgroup_version\030\005 \001(\004\022\017\n\007backe" +
-      "nd\030\006 \001(\tB\n\n\010_refusal\"S\n\007Refusal\022\014\n\004code\030" +
-      "\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030\003 \001(" +
-      "\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n\rCancelReque" +
-      "st\022\034\n\024cancelled_request_id\030\001 \001(\004\"Q\n\013Cras" +
-      "hReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_inca" +
-      "rnation\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\tB\034\n\030i" +
-      "o.daisyhoist.wire.protoP\001b\006proto3"
+      "eer.Partition\022/\n\007records\030\003 \003(\0132\036.daisyho" +
+      "ist.peer.AttemptRecord\022(\n\006sender\030\004 \001(\0132\030" +
+      ".daisyhoist.peer.Session\022\024\n\014source_epoch" +
+      "\030\005 \001(\004\022\024\n\014target_epoch\030\006 \001(\004\022\025\n\rexport_n" +
+      "umber\030\007 \001(\r\022N\n\020dropped_up_to_ms\030\010 \003(\01324." +
+      "daisyhoist.peer.TransferAttempts.Dropped" +
+      "UpToMsEntry\0324\n\022DroppedUpToMsEntry\022\013\n\003key" +
+      "\030\001 \001(\004\022\r\n\005value\030\002 \001(\022:\0028\001J\004\010\002\020\003\"\037\n\013Trans" +
+      "ferAck\022\020\n\010accepted\030\001 \001(\010\"%\n\006Header\022\014\n\004na" +
+      "me\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\307\002\n\016ForwardReque" +
+      "st\022\017\n\007service\030\001 \001(\t\022\034\n\017partition_index\030\002" +
+      " \001(\rH\000\210\001\001\022\020\n\003key\030\003 \001(\tH\001\210\001\001\022\016\n\006method\030\004 " +
+      "\001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 \003(\0132\027.dai" +
+      "syhoist.peer.Header\022\014\n\004body\030\007 \001(\014\022\035\n\025rem" +
+      "aining_deadline_ms\030\010 \001(\r\022\014\n\004rank\030\t \001(\t\022\032" +
+      "\n\rattempt_token\030\n \001(\tH\002\210\001\001\022\023\n\013traceparen" +
+      "t\030\013 \001(\t\022\022\n\ntoken_only\030\014 \001(\010B\022\n\020_partitio" +
+      "n_indexB\006\n\004_keyB\020\n\016_attempt_token\"\353\001\n\017Fo" +
+      "rwardResponse\022\016\n\006status\030\001 \001(\005\022(\n\007headers" +
+      "\030\002 \003(\0132\027.daisyhoist.peer.Header\022\014\n\004body\030" +
+      "\003 \001(\014\022.\n\007refusal\030\004 \001(\0132\030.daisyhoist.peer" +
+      ".RefusalH\000\210\001\001\022\025\n\rgroup_version\030\005 \001(\004\022\017\n\007" +
+      "backend\030\006 \001(\t\022\032\n\rattempt_token\030\007 \001(\tH\001\210\001" +
+      "\001B\n\n\010_refusalB\020\n\016_attempt_token\"S\n\007Refus" +
+      "al\022\014\n\004code\030\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007m" +
+      "essage\030\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n\r" +
+      "CancelRequest\022\034\n\024cancelled_request_id\030\001 " +
+      "\001(\004\"Q\n\013CrashReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023b" +
+      "ackend_incarnation\030\002 \001(\006\022\024\n\014fingerprints" +
+      "\030\003 \003(\tB\034\n\030io.daisyhoist.wire.protoP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -347,7 +360,13 @@
     internal_static_daisyhoist_peer_TransferAttempts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_TransferAttempts_descriptor,
-        new java.lang.String[] { "Partition", "CoveredEpochs", "Records", });
+        new java.lang.String[] { "Partition", "Records", "Sender", "SourceEpoch", "TargetEpoch", "ExportNumber", "DroppedUpToMs", });
+    internal_static_daisyhoist_peer_TransferAttempts_DroppedUpToMsEntry_descriptor =
+      internal_static_daisyhoist_peer_TransferAttempts_descriptor.getNestedType(0);
+    internal_static_daisyhoist_peer_TransferAttempts_DroppedUpToMsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_TransferAttempts_DroppedUpToMsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
     internal_static_daisyhoist_peer_TransferAck_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_daisyhoist_peer_TransferAck_fieldAccessorTable = new
@@ -365,13 +384,13 @@
     internal_static_daisyhoist_peer_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_ForwardRequest_descriptor,
-        new java.lang.String[] { "Service", "PartitionIndex", "Key", "Method", "Path", "Headers", "Body", "RemainingDeadlineMs", "Rank", "AttemptToken", "Traceparent", });
+        new java.lang.String[] { "Service", "PartitionIndex", "Key", "Method", "Path", "Headers", "Body", "RemainingDeadlineMs", "Rank", "AttemptToken", "Traceparent", "TokenOnly", });
     internal_static_daisyhoist_peer_ForwardResponse_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_daisyhoist_peer_ForwardResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_ForwardResponse_descriptor,
-        new java.lang.String[] { "Status", "Headers", "Body", "Refusal", "GroupVersion", "Backend", });
+        new java.lang.String[] { "Status", "Headers", "Body", "Refusal", "GroupVersion", "Backend", "AttemptToken", });
     internal_static_daisyhoist_peer_Refusal_descriptor =
       getDescriptor().getMessageType(21);
     internal_static_daisyhoist_peer_Refusal_fieldAccessorTable = new
--- a/wire/src/main/java/io/daisyhoist/wire/proto/TransferAttempts.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/TransferAttempts.java
@@ -28,7 +28,6 @@
     super(builder);
   }
   private TransferAttempts() {
-    coveredEpochs_ = emptyLongList();
     records_ = java.util.Collections.emptyList();
   }
 
@@ -42,6 +41,18 @@
     return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_TransferAttempts_descriptor;
   }
 
+  @SuppressWarnings({"rawtypes"})
+  @java.lang.Override
+  protected com.google.protobuf.MapFieldReflectionAccessor internalGetMapFieldReflection(
+      int number) {
+    switch (number) {
+      case 8:
+        return internalGetDroppedUpToMs();
+      default:
+        throw new RuntimeException(
+            "Invalid map field number: " + number);
+    }
+  }
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
@@ -77,87 +88,225 @@
     return partition_ == null ? io.daisyhoist.wire.proto.Partition.getDefaultInstance() : partition_;
   }
 
-  public static final int COVERED_EPOCHS_FIELD_NUMBER = 2;
+  public static final int RECORDS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList coveredEpochs_ =
-      emptyLongList();
+  private java.util.List<io.daisyhoist.wire.proto.AttemptRecord> records_;
   /**
    * <pre>
-   * Epochs for which the receiver's records are complete once the records are stored.
+   * In the order in which the attempts began.
    * </pre>
    *
-   * <code>repeated uint64 covered_epochs = 2;</code>
-   * @return A list containing the coveredEpochs.
+   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getCoveredEpochsList() {
-    return coveredEpochs_;
+  public java.util.List<io.daisyhoist.wire.proto.AttemptRecord> getRecordsList() {
+    return records_;
   }
   /**
    * <pre>
-   * Epochs for which the receiver's records are complete once the records are stored.
+   * In the order in which the attempts began.
    * </pre>
    *
-   * <code>repeated uint64 covered_epochs = 2;</code>
-   * @return The count of coveredEpochs.
+   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
-  public int getCoveredEpochsCount() {
-    return coveredEpochs_.size();
+  @java.lang.Override
+  public java.util.List<? extends io.daisyhoist.wire.proto.AttemptRecordOrBuilder> 
+      getRecordsOrBuilderList() {
+    return records_;
   }
   /**
    * <pre>
-   * Epochs for which the receiver's records are complete once the records are stored.
+   * In the order in which the attempts began.
    * </pre>
    *
-   * <code>repeated uint64 covered_epochs = 2;</code>
-   * @param index The index of the element to return.
-   * @return The coveredEpochs at the given index.
+   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
-  public long getCoveredEpochs(int index) {
-    return coveredEpochs_.getLong(index);
+  @java.lang.Override
+  public int getRecordsCount() {
+    return records_.size();
   }
-  private int coveredEpochsMemoizedSerializedSize = -1;
-
-  public static final int RECORDS_FIELD_NUMBER = 3;
-  @SuppressWarnings("serial")
-  private java.util.List<io.daisyhoist.wire.proto.AttemptRecord> records_;
   /**
+   * <pre>
+   * In the order in which the attempts began.
+   * </pre>
+   *
    * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
   @java.lang.Override
-  public java.util.List<io.daisyhoist.wire.proto.AttemptRecord> getRecordsList() {
-    return records_;
+  public io.daisyhoist.wire.proto.AttemptRecord getRecords(int index) {
+    return records_.get(index);
   }
   /**
+   * <pre>
+   * In the order in which the attempts began.
+   * </pre>
+   *
    * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends io.daisyhoist.wire.proto.AttemptRecordOrBuilder> 
-      getRecordsOrBuilderList() {
-    return records_;
+  public io.daisyhoist.wire.proto.AttemptRecordOrBuilder getRecordsOrBuilder(
+      int index) {
+    return records_.get(index);
   }
+
+  public static final int SENDER_FIELD_NUMBER = 4;
+  private io.daisyhoist.wire.proto.Session sender_;
   /**
-   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
+   * <code>.daisyhoist.peer.Session sender = 4;</code>
+   * @return Whether the sender field is set.
    */
   @java.lang.Override
-  public int getRecordsCount() {
-    return records_.size();
+  public boolean hasSender() {
+    return ((bitField0_ & 0x00000002) != 0);
   }
   /**
-   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
+   * <code>.daisyhoist.peer.Session sender = 4;</code>
+   * @return The sender.
    */
   @java.lang.Override
-  public io.daisyhoist.wire.proto.AttemptRecord getRecords(int index) {
-    return records_.get(index);
+  public io.daisyhoist.wire.proto.Session getSender() {
+    return sender_ == null ? io.daisyhoist.wire.proto.Session.getDefaultInstance() : sender_;
   }
   /**
-   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
+   * <code>.daisyhoist.peer.Session sender = 4;</code>
    */
   @java.lang.Override
-  public io.daisyhoist.wire.proto.AttemptRecordOrBuilder getRecordsOrBuilder(
-      int index) {
-    return records_.get(index);
+  public io.daisyhoist.wire.proto.SessionOrBuilder getSenderOrBuilder() {
+    return sender_ == null ? io.daisyhoist.wire.proto.Session.getDefaultInstance() : sender_;
+  }
+
+  public static final int SOURCE_EPOCH_FIELD_NUMBER = 5;
+  private long sourceEpoch_ = 0L;
+  /**
+   * <code>uint64 source_epoch = 5;</code>
+   * @return The sourceEpoch.
+   */
+  @java.lang.Override
+  public long getSourceEpoch() {
+    return sourceEpoch_;
+  }
+
+  public static final int TARGET_EPOCH_FIELD_NUMBER = 6;
+  private long targetEpoch_ = 0L;
+  /**
+   * <pre>
+   * Epoch of the receiver's grant if the move is committed.
+   * </pre>
+   *
+   * <code>uint64 target_epoch = 6;</code>
+   * @return The targetEpoch.
+   */
+  @java.lang.Override
+  public long getTargetEpoch() {
+    return targetEpoch_;
+  }
+
+  public static final int EXPORT_NUMBER_FIELD_NUMBER = 7;
+  private int exportNumber_ = 0;
+  /**
+   * <pre>
+   * Count of exports of the sender's ledger; a later export replaces an earlier one.
+   * </pre>
+   *
+   * <code>uint32 export_number = 7;</code>
+   * @return The exportNumber.
+   */
+  @java.lang.Override
+  public int getExportNumber() {
+    return exportNumber_;
+  }
+
+  public static final int DROPPED_UP_TO_MS_FIELD_NUMBER = 8;
+  private static final class DroppedUpToMsDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Long, java.lang.Long> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Long, java.lang.Long>newDefaultInstance(
+                io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_TransferAttempts_DroppedUpToMsEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.UINT64,
+                0L,
+                com.google.protobuf.WireFormat.FieldType.SINT64,
+                0L);
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Long, java.lang.Long> droppedUpToMs_;
+  private com.google.protobuf.MapField<java.lang.Long, java.lang.Long>
+  internalGetDroppedUpToMs() {
+    if (droppedUpToMs_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          DroppedUpToMsDefaultEntryHolder.defaultEntry);
+    }
+    return droppedUpToMs_;
+  }
+  public int getDroppedUpToMsCount() {
+    return internalGetDroppedUpToMs().getMap().size();
+  }
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  @java.lang.Override
+  public boolean containsDroppedUpToMs(
+      long key) {
+
+    return internalGetDroppedUpToMs().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getDroppedUpToMsMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Long, java.lang.Long> getDroppedUpToMs() {
+    return getDroppedUpToMsMap();
+  }
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Long, java.lang.Long> getDroppedUpToMsMap() {
+    return internalGetDroppedUpToMs().getMap();
+  }
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  @java.lang.Override
+  public long getDroppedUpToMsOrDefault(
+      long key,
+      long defaultValue) {
+
+    java.util.Map<java.lang.Long, java.lang.Long> map =
+        internalGetDroppedUpToMs().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  @java.lang.Override
+  public long getDroppedUpToMsOrThrow(
+      long key) {
+
+    java.util.Map<java.lang.Long, java.lang.Long> map =
+        internalGetDroppedUpToMs().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -174,20 +323,30 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    getSerializedSize();
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getPartition());
     }
-    if (getCoveredEpochsList().size() > 0) {
-      output.writeUInt32NoTag(18);
-      output.writeUInt32NoTag(coveredEpochsMemoizedSerializedSize);
-    }
-    for (int i = 0; i < coveredEpochs_.size(); i++) {
-      output.writeUInt64NoTag(coveredEpochs_.getLong(i));
-    }
     for (int i = 0; i < records_.size(); i++) {
       output.writeMessage(3, records_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(4, getSender());
+    }
+    if (sourceEpoch_ != 0L) {
+      output.writeUInt64(5, sourceEpoch_);
+    }
+    if (targetEpoch_ != 0L) {
+      output.writeUInt64(6, targetEpoch_);
+    }
+    if (exportNumber_ != 0) {
+      output.writeUInt32(7, exportNumber_);
+    }
+    com.google.protobuf.GeneratedMessage
+      .serializeLongMapTo(
+        output,
+        internalGetDroppedUpToMs(),
+        DroppedUpToMsDefaultEntryHolder.defaultEntry,
+        8);
     getUnknownFields().writeTo(output);
   }
 
@@ -201,20 +360,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(1, getPartition());
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < coveredEpochs_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt64SizeNoTag(coveredEpochs_.getLong(i));
-      }
-      size += dataSize;
-      if (!getCoveredEpochsList().isEmpty()) {
-        size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
-      }
-      coveredEpochsMemoizedSerializedSize = dataSize;
-    }
 
         {
           final int count = records_.size();
@@ -224,6 +369,32 @@
           }
           size += 1 * count;
         }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, getSender());
+    }
+    if (sourceEpoch_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, sourceEpoch_);
+    }
+    if (targetEpoch_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, targetEpoch_);
+    }
+    if (exportNumber_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(7, exportNumber_);
+    }
+    for (java.util.Map.Entry<java.lang.Long, java.lang.Long> entry
+         : internalGetDroppedUpToMs().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Long, java.lang.Long>
+      droppedUpToMs__ = DroppedUpToMsDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, droppedUpToMs__);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -244,10 +415,21 @@
       if (!getPartition()
           .equals(other.getPartition())) return false;
     }
-    if (!getCoveredEpochsList()
-        .equals(other.getCoveredEpochsList())) return false;
     if (!getRecordsList()
         .equals(other.getRecordsList())) return false;
+    if (hasSender() != other.hasSender()) return false;
+    if (hasSender()) {
+      if (!getSender()
+          .equals(other.getSender())) return false;
+    }
+    if (getSourceEpoch()
+        != other.getSourceEpoch()) return false;
+    if (getTargetEpoch()
+        != other.getTargetEpoch()) return false;
+    if (getExportNumber()
+        != other.getExportNumber()) return false;
+    if (!internalGetDroppedUpToMs().equals(
+        other.internalGetDroppedUpToMs())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -263,14 +445,26 @@
       hash = (37 * hash) + PARTITION_FIELD_NUMBER;
       hash = (53 * hash) + getPartition().hashCode();
     }
-    if (getCoveredEpochsCount() > 0) {
-      hash = (37 * hash) + COVERED_EPOCHS_FIELD_NUMBER;
-      hash = (53 * hash) + getCoveredEpochsList().hashCode();
-    }
     if (getRecordsCount() > 0) {
       hash = (37 * hash) + RECORDS_FIELD_NUMBER;
       hash = (53 * hash) + getRecordsList().hashCode();
     }
+    if (hasSender()) {
+      hash = (37 * hash) + SENDER_FIELD_NUMBER;
+      hash = (53 * hash) + getSender().hashCode();
+    }
+    hash = (37 * hash) + SOURCE_EPOCH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSourceEpoch());
+    hash = (37 * hash) + TARGET_EPOCH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTargetEpoch());
+    hash = (37 * hash) + EXPORT_NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + getExportNumber();
+    if (!internalGetDroppedUpToMs().getMap().isEmpty()) {
+      hash = (37 * hash) + DROPPED_UP_TO_MS_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetDroppedUpToMs().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -380,6 +574,28 @@
       return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_TransferAttempts_descriptor;
     }
 
+    @SuppressWarnings({"rawtypes"})
+    protected com.google.protobuf.MapFieldReflectionAccessor internalGetMapFieldReflection(
+        int number) {
+      switch (number) {
+        case 8:
+          return internalGetDroppedUpToMs();
+        default:
+          throw new RuntimeException(
+              "Invalid map field number: " + number);
+      }
+    }
+    @SuppressWarnings({"rawtypes"})
+    protected com.google.protobuf.MapFieldReflectionAccessor internalGetMutableMapFieldReflection(
+        int number) {
+      switch (number) {
+        case 8:
+          return internalGetMutableDroppedUpToMs();
+        default:
+          throw new RuntimeException(
+              "Invalid map field number: " + number);
+      }
+    }
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
@@ -403,6 +619,7 @@
               .alwaysUseFieldBuilders) {
         internalGetPartitionFieldBuilder();
         internalGetRecordsFieldBuilder();
+        internalGetSenderFieldBuilder();
       }
     }
     @java.lang.Override
@@ -414,14 +631,22 @@
         partitionBuilder_.dispose();
         partitionBuilder_ = null;
       }
-      coveredEpochs_ = emptyLongList();
       if (recordsBuilder_ == null) {
         records_ = java.util.Collections.emptyList();
       } else {
         records_ = null;
         recordsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
+      sender_ = null;
+      if (senderBuilder_ != null) {
+        senderBuilder_.dispose();
+        senderBuilder_ = null;
+      }
+      sourceEpoch_ = 0L;
+      targetEpoch_ = 0L;
+      exportNumber_ = 0;
+      internalGetMutableDroppedUpToMs().clear();
       return this;
     }
 
@@ -456,9 +681,9 @@
 
     private void buildPartialRepeatedFields(io.daisyhoist.wire.proto.TransferAttempts result) {
       if (recordsBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
+        if (((bitField0_ & 0x00000002) != 0)) {
           records_ = java.util.Collections.unmodifiableList(records_);
-          bitField0_ = (bitField0_ & ~0x00000004);
+          bitField0_ = (bitField0_ & ~0x00000002);
         }
         result.records_ = records_;
       } else {
@@ -475,9 +700,24 @@
             : partitionBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        coveredEpochs_.makeImmutable();
-        result.coveredEpochs_ = coveredEpochs_;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.sender_ = senderBuilder_ == null
+            ? sender_
+            : senderBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.sourceEpoch_ = sourceEpoch_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.targetEpoch_ = targetEpoch_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.exportNumber_ = exportNumber_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.droppedUpToMs_ = internalGetDroppedUpToMs();
+        result.droppedUpToMs_.makeImmutable();
       }
       result.bitField0_ |= to_bitField0_;
     }
@@ -497,22 +737,11 @@
       if (other.hasPartition()) {
         mergePartition(other.getPartition());
       }
-      if (!other.coveredEpochs_.isEmpty()) {
-        if (coveredEpochs_.isEmpty()) {
-          coveredEpochs_ = other.coveredEpochs_;
-          coveredEpochs_.makeImmutable();
-          bitField0_ |= 0x00000002;
-        } else {
-          ensureCoveredEpochsIsMutable();
-          coveredEpochs_.addAll(other.coveredEpochs_);
-        }
-        onChanged();
-      }
       if (recordsBuilder_ == null) {
         if (!other.records_.isEmpty()) {
           if (records_.isEmpty()) {
             records_ = other.records_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000002);
           } else {
             ensureRecordsIsMutable();
             records_.addAll(other.records_);
@@ -525,7 +754,7 @@
             recordsBuilder_.dispose();
             recordsBuilder_ = null;
             records_ = other.records_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000002);
             recordsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetRecordsFieldBuilder() : null;
@@ -534,6 +763,21 @@
           }
         }
       }
+      if (other.hasSender()) {
+        mergeSender(other.getSender());
+      }
+      if (other.getSourceEpoch() != 0L) {
+        setSourceEpoch(other.getSourceEpoch());
+      }
+      if (other.getTargetEpoch() != 0L) {
+        setTargetEpoch(other.getTargetEpoch());
+      }
+      if (other.getExportNumber() != 0) {
+        setExportNumber(other.getExportNumber());
+      }
+      internalGetMutableDroppedUpToMs().mergeFrom(
+          other.internalGetDroppedUpToMs());
+      bitField0_ |= 0x00000040;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -567,22 +811,6 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 16: {
-              long v = input.readUInt64();
-              ensureCoveredEpochsIsMutable();
-              coveredEpochs_.addLong(v);
-              break;
-            } // case 16
-            case 18: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureCoveredEpochsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                coveredEpochs_.addLong(input.readUInt64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 18
             case 26: {
               io.daisyhoist.wire.proto.AttemptRecord m =
                   input.readMessage(
@@ -596,6 +824,37 @@
               }
               break;
             } // case 26
+            case 34: {
+              input.readMessage(
+                  internalGetSenderFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 34
+            case 40: {
+              sourceEpoch_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 40
+            case 48: {
+              targetEpoch_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 48
+            case 56: {
+              exportNumber_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 56
+            case 66: {
+              com.google.protobuf.MapEntry<java.lang.Long, java.lang.Long>
+              droppedUpToMs__ = input.readMessage(
+                  DroppedUpToMsDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableDroppedUpToMs().getMutableMap().put(
+                  droppedUpToMs__.getKey(), droppedUpToMs__.getValue());
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -734,124 +993,12 @@
       return partitionBuilder_;
     }
 
-    private com.google.protobuf.Internal.LongList coveredEpochs_ = emptyLongList();
-    private void ensureCoveredEpochsIsMutable() {
-      if (!coveredEpochs_.isModifiable()) {
-        coveredEpochs_ = makeMutableCopy(coveredEpochs_);
-      }
-      bitField0_ |= 0x00000002;
-    }
-    /**
-     * <pre>
-     * Epochs for which the receiver's records are complete once the records are stored.
-     * </pre>
-     *
-     * <code>repeated uint64 covered_epochs = 2;</code>
-     * @return A list containing the coveredEpochs.
-     */
-    public java.util.List<java.lang.Long>
-        getCoveredEpochsList() {
-      coveredEpochs_.makeImmutable();
-      return coveredEpochs_;
-    }
-    /**
-     * <pre>
-     * Epochs for which the receiver's records are complete once the records are stored.
-     * </pre>
-     *
-     * <code>repeated uint64 covered_epochs = 2;</code>
-     * @return The count of coveredEpochs.
-     */
-    public int getCoveredEpochsCount() {
-      return coveredEpochs_.size();
-    }
-    /**
-     * <pre>
-     * Epochs for which the receiver's records are complete once the records are stored.
-     * </pre>
-     *
-     * <code>repeated uint64 covered_epochs = 2;</code>
-     * @param index The index of the element to return.
-     * @return The coveredEpochs at the given index.
-     */
-    public long getCoveredEpochs(int index) {
-      return coveredEpochs_.getLong(index);
-    }
-    /**
-     * <pre>
-     * Epochs for which the receiver's records are complete once the records are stored.
-     * </pre>
-     *
-     * <code>repeated uint64 covered_epochs = 2;</code>
-     * @param index The index to set the value at.
-     * @param value The coveredEpochs to set.
-     * @return This builder for chaining.
-     */
-    public Builder setCoveredEpochs(
-        int index, long value) {
-
-      ensureCoveredEpochsIsMutable();
-      coveredEpochs_.setLong(index, value);
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Epochs for which the receiver's records are complete once the records are stored.
-     * </pre>
-     *
-     * <code>repeated uint64 covered_epochs = 2;</code>
-     * @param value The coveredEpochs to add.
-     * @return This builder for chaining.
-     */
-    public Builder addCoveredEpochs(long value) {
-
-      ensureCoveredEpochsIsMutable();
-      coveredEpochs_.addLong(value);
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Epochs for which the receiver's records are complete once the records are stored.
-     * </pre>
-     *
-     * <code>repeated uint64 covered_epochs = 2;</code>
-     * @param values The coveredEpochs to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllCoveredEpochs(
-        java.lang.Iterable<? extends java.lang.Long> values) {
-      ensureCoveredEpochsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, coveredEpochs_);
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Epochs for which the receiver's records are complete once the records are stored.
-     * </pre>
-     *
-     * <code>repeated uint64 covered_epochs = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearCoveredEpochs() {
-      coveredEpochs_ = emptyLongList();
-      bitField0_ = (bitField0_ & ~0x00000002);
-      onChanged();
-      return this;
-    }
-
     private java.util.List<io.daisyhoist.wire.proto.AttemptRecord> records_ =
       java.util.Collections.emptyList();
     private void ensureRecordsIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
+      if (!((bitField0_ & 0x00000002) != 0)) {
         records_ = new java.util.ArrayList<io.daisyhoist.wire.proto.AttemptRecord>(records_);
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000002;
        }
     }
 
@@ -859,6 +1006,10 @@
         io.daisyhoist.wire.proto.AttemptRecord, io.daisyhoist.wire.proto.AttemptRecord.Builder, io.daisyhoist.wire.proto.AttemptRecordOrBuilder> recordsBuilder_;
 
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public java.util.List<io.daisyhoist.wire.proto.AttemptRecord> getRecordsList() {
@@ -869,6 +1020,10 @@
       }
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public int getRecordsCount() {
@@ -879,6 +1034,10 @@
       }
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public io.daisyhoist.wire.proto.AttemptRecord getRecords(int index) {
@@ -889,6 +1048,10 @@
       }
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder setRecords(
@@ -906,6 +1069,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder setRecords(
@@ -920,6 +1087,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder addRecords(io.daisyhoist.wire.proto.AttemptRecord value) {
@@ -936,6 +1107,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder addRecords(
@@ -953,6 +1128,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder addRecords(
@@ -967,6 +1146,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder addRecords(
@@ -981,6 +1164,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder addAllRecords(
@@ -996,12 +1183,16 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder clearRecords() {
       if (recordsBuilder_ == null) {
         records_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
       } else {
         recordsBuilder_.clear();
@@ -1009,6 +1200,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public Builder removeRecords(int index) {
@@ -1022,6 +1217,10 @@
       return this;
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public io.daisyhoist.wire.proto.AttemptRecord.Builder getRecordsBuilder(
@@ -1029,6 +1228,10 @@
       return internalGetRecordsFieldBuilder().getBuilder(index);
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public io.daisyhoist.wire.proto.AttemptRecordOrBuilder getRecordsOrBuilder(
@@ -1039,6 +1242,10 @@
       }
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public java.util.List<? extends io.daisyhoist.wire.proto.AttemptRecordOrBuilder> 
@@ -1050,6 +1257,10 @@
       }
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public io.daisyhoist.wire.proto.AttemptRecord.Builder addRecordsBuilder() {
@@ -1057,6 +1268,10 @@
           io.daisyhoist.wire.proto.AttemptRecord.getDefaultInstance());
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public io.daisyhoist.wire.proto.AttemptRecord.Builder addRecordsBuilder(
@@ -1065,6 +1280,10 @@
           index, io.daisyhoist.wire.proto.AttemptRecord.getDefaultInstance());
     }
     /**
+     * <pre>
+     * In the order in which the attempts began.
+     * </pre>
+     *
      * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
      */
     public java.util.List<io.daisyhoist.wire.proto.AttemptRecord.Builder> 
@@ -1078,7 +1297,7 @@
         recordsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             io.daisyhoist.wire.proto.AttemptRecord, io.daisyhoist.wire.proto.AttemptRecord.Builder, io.daisyhoist.wire.proto.AttemptRecordOrBuilder>(
                 records_,
-                ((bitField0_ & 0x00000004) != 0),
+                ((bitField0_ & 0x00000002) != 0),
                 getParentForChildren(),
                 isClean());
         records_ = null;
@@ -1086,6 +1305,400 @@
       return recordsBuilder_;
     }
 
+    private io.daisyhoist.wire.proto.Session sender_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.Session, io.daisyhoist.wire.proto.Session.Builder, io.daisyhoist.wire.proto.SessionOrBuilder> senderBuilder_;
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     * @return Whether the sender field is set.
+     */
+    public boolean hasSender() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     * @return The sender.
+     */
+    public io.daisyhoist.wire.proto.Session getSender() {
+      if (senderBuilder_ == null) {
+        return sender_ == null ? io.daisyhoist.wire.proto.Session.getDefaultInstance() : sender_;
+      } else {
+        return senderBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     */
+    public Builder setSender(io.daisyhoist.wire.proto.Session value) {
+      if (senderBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        sender_ = value;
+      } else {
+        senderBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     */
+    public Builder setSender(
+        io.daisyhoist.wire.proto.Session.Builder builderForValue) {
+      if (senderBuilder_ == null) {
+        sender_ = builderForValue.build();
+      } else {
+        senderBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     */
+    public Builder mergeSender(io.daisyhoist.wire.proto.Session value) {
+      if (senderBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0) &&
+          sender_ != null &&
+          sender_ != io.daisyhoist.wire.proto.Session.getDefaultInstance()) {
+          getSenderBuilder().mergeFrom(value);
+        } else {
+          sender_ = value;
+        }
+      } else {
+        senderBuilder_.mergeFrom(value);
+      }
+      if (sender_ != null) {
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     */
+    public Builder clearSender() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      sender_ = null;
+      if (senderBuilder_ != null) {
+        senderBuilder_.dispose();
+        senderBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     */
+    public io.daisyhoist.wire.proto.Session.Builder getSenderBuilder() {
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return internalGetSenderFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     */
+    public io.daisyhoist.wire.proto.SessionOrBuilder getSenderOrBuilder() {
+      if (senderBuilder_ != null) {
+        return senderBuilder_.getMessageOrBuilder();
+      } else {
+        return sender_ == null ?
+            io.daisyhoist.wire.proto.Session.getDefaultInstance() : sender_;
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.Session sender = 4;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.Session, io.daisyhoist.wire.proto.Session.Builder, io.daisyhoist.wire.proto.SessionOrBuilder> 
+        internalGetSenderFieldBuilder() {
+      if (senderBuilder_ == null) {
+        senderBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.daisyhoist.wire.proto.Session, io.daisyhoist.wire.proto.Session.Builder, io.daisyhoist.wire.proto.SessionOrBuilder>(
+                getSender(),
+                getParentForChildren(),
+                isClean());
+        sender_ = null;
+      }
+      return senderBuilder_;
+    }
+
+    private long sourceEpoch_ ;
+    /**
+     * <code>uint64 source_epoch = 5;</code>
+     * @return The sourceEpoch.
+     */
+    @java.lang.Override
+    public long getSourceEpoch() {
+      return sourceEpoch_;
+    }
+    /**
+     * <code>uint64 source_epoch = 5;</code>
+     * @param value The sourceEpoch to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSourceEpoch(long value) {
+
+      sourceEpoch_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 source_epoch = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSourceEpoch() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      sourceEpoch_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long targetEpoch_ ;
+    /**
+     * <pre>
+     * Epoch of the receiver's grant if the move is committed.
+     * </pre>
+     *
+     * <code>uint64 target_epoch = 6;</code>
+     * @return The targetEpoch.
+     */
+    @java.lang.Override
+    public long getTargetEpoch() {
+      return targetEpoch_;
+    }
+    /**
+     * <pre>
+     * Epoch of the receiver's grant if the move is committed.
+     * </pre>
+     *
+     * <code>uint64 target_epoch = 6;</code>
+     * @param value The targetEpoch to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTargetEpoch(long value) {
+
+      targetEpoch_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Epoch of the receiver's grant if the move is committed.
+     * </pre>
+     *
+     * <code>uint64 target_epoch = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTargetEpoch() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      targetEpoch_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int exportNumber_ ;
+    /**
+     * <pre>
+     * Count of exports of the sender's ledger; a later export replaces an earlier one.
+     * </pre>
+     *
+     * <code>uint32 export_number = 7;</code>
+     * @return The exportNumber.
+     */
+    @java.lang.Override
+    public int getExportNumber() {
+      return exportNumber_;
+    }
+    /**
+     * <pre>
+     * Count of exports of the sender's ledger; a later export replaces an earlier one.
+     * </pre>
+     *
+     * <code>uint32 export_number = 7;</code>
+     * @param value The exportNumber to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExportNumber(int value) {
+
+      exportNumber_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Count of exports of the sender's ledger; a later export replaces an earlier one.
+     * </pre>
+     *
+     * <code>uint32 export_number = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExportNumber() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      exportNumber_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.MapField<
+        java.lang.Long, java.lang.Long> droppedUpToMs_;
+    private com.google.protobuf.MapField<java.lang.Long, java.lang.Long>
+        internalGetDroppedUpToMs() {
+      if (droppedUpToMs_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            DroppedUpToMsDefaultEntryHolder.defaultEntry);
+      }
+      return droppedUpToMs_;
+    }
+    private com.google.protobuf.MapField<java.lang.Long, java.lang.Long>
+        internalGetMutableDroppedUpToMs() {
+      if (droppedUpToMs_ == null) {
+        droppedUpToMs_ = com.google.protobuf.MapField.newMapField(
+            DroppedUpToMsDefaultEntryHolder.defaultEntry);
+      }
+      if (!droppedUpToMs_.isMutable()) {
+        droppedUpToMs_ = droppedUpToMs_.copy();
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return droppedUpToMs_;
+    }
+    public int getDroppedUpToMsCount() {
+      return internalGetDroppedUpToMs().getMap().size();
+    }
+    /**
+     * <pre>
+     * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+     * </pre>
+     *
+     * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+     */
+    @java.lang.Override
+    public boolean containsDroppedUpToMs(
+        long key) {
+
+      return internalGetDroppedUpToMs().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getDroppedUpToMsMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Long, java.lang.Long> getDroppedUpToMs() {
+      return getDroppedUpToMsMap();
+    }
+    /**
+     * <pre>
+     * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+     * </pre>
+     *
+     * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Long, java.lang.Long> getDroppedUpToMsMap() {
+      return internalGetDroppedUpToMs().getMap();
+    }
+    /**
+     * <pre>
+     * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+     * </pre>
+     *
+     * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+     */
+    @java.lang.Override
+    public long getDroppedUpToMsOrDefault(
+        long key,
+        long defaultValue) {
+
+      java.util.Map<java.lang.Long, java.lang.Long> map =
+          internalGetDroppedUpToMs().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <pre>
+     * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+     * </pre>
+     *
+     * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+     */
+    @java.lang.Override
+    public long getDroppedUpToMsOrThrow(
+        long key) {
+
+      java.util.Map<java.lang.Long, java.lang.Long> map =
+          internalGetDroppedUpToMs().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+    public Builder clearDroppedUpToMs() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      internalGetMutableDroppedUpToMs().getMutableMap()
+          .clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+     * </pre>
+     *
+     * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+     */
+    public Builder removeDroppedUpToMs(
+        long key) {
+
+      internalGetMutableDroppedUpToMs().getMutableMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Long, java.lang.Long>
+        getMutableDroppedUpToMs() {
+      bitField0_ |= 0x00000040;
+      return internalGetMutableDroppedUpToMs().getMutableMap();
+    }
+    /**
+     * <pre>
+     * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+     * </pre>
+     *
+     * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+     */
+    public Builder putDroppedUpToMs(
+        long key,
+        long value) {
+
+
+      internalGetMutableDroppedUpToMs().getMutableMap()
+          .put(key, value);
+      bitField0_ |= 0x00000040;
+      return this;
+    }
+    /**
+     * <pre>
+     * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+     * </pre>
+     *
+     * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+     */
+    public Builder putAllDroppedUpToMs(
+        java.util.Map<java.lang.Long, java.lang.Long> values) {
+      internalGetMutableDroppedUpToMs().getMutableMap()
+          .putAll(values);
+      bitField0_ |= 0x00000040;
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.TransferAttempts)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/TransferAttemptsOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/TransferAttemptsOrBuilder.java
@@ -27,54 +27,138 @@
 
   /**
    * <pre>
-   * Epochs for which the receiver's records are complete once the records are stored.
+   * In the order in which the attempts began.
    * </pre>
    *
-   * <code>repeated uint64 covered_epochs = 2;</code>
-   * @return A list containing the coveredEpochs.
+   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
-  java.util.List<java.lang.Long> getCoveredEpochsList();
+  java.util.List<io.daisyhoist.wire.proto.AttemptRecord> 
+      getRecordsList();
   /**
    * <pre>
-   * Epochs for which the receiver's records are complete once the records are stored.
+   * In the order in which the attempts began.
    * </pre>
    *
-   * <code>repeated uint64 covered_epochs = 2;</code>
-   * @return The count of coveredEpochs.
+   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
-  int getCoveredEpochsCount();
+  io.daisyhoist.wire.proto.AttemptRecord getRecords(int index);
   /**
    * <pre>
-   * Epochs for which the receiver's records are complete once the records are stored.
+   * In the order in which the attempts began.
    * </pre>
    *
-   * <code>repeated uint64 covered_epochs = 2;</code>
-   * @param index The index of the element to return.
-   * @return The coveredEpochs at the given index.
-   */
-  long getCoveredEpochs(int index);
-
-  /**
-   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
-   */
-  java.util.List<io.daisyhoist.wire.proto.AttemptRecord> 
-      getRecordsList();
-  /**
-   * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
-   */
-  io.daisyhoist.wire.proto.AttemptRecord getRecords(int index);
-  /**
    * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
   int getRecordsCount();
   /**
+   * <pre>
+   * In the order in which the attempts began.
+   * </pre>
+   *
    * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
   java.util.List<? extends io.daisyhoist.wire.proto.AttemptRecordOrBuilder> 
       getRecordsOrBuilderList();
   /**
+   * <pre>
+   * In the order in which the attempts began.
+   * </pre>
+   *
    * <code>repeated .daisyhoist.peer.AttemptRecord records = 3;</code>
    */
   io.daisyhoist.wire.proto.AttemptRecordOrBuilder getRecordsOrBuilder(
       int index);
+
+  /**
+   * <code>.daisyhoist.peer.Session sender = 4;</code>
+   * @return Whether the sender field is set.
+   */
+  boolean hasSender();
+  /**
+   * <code>.daisyhoist.peer.Session sender = 4;</code>
+   * @return The sender.
+   */
+  io.daisyhoist.wire.proto.Session getSender();
+  /**
+   * <code>.daisyhoist.peer.Session sender = 4;</code>
+   */
+  io.daisyhoist.wire.proto.SessionOrBuilder getSenderOrBuilder();
+
+  /**
+   * <code>uint64 source_epoch = 5;</code>
+   * @return The sourceEpoch.
+   */
+  long getSourceEpoch();
+
+  /**
+   * <pre>
+   * Epoch of the receiver's grant if the move is committed.
+   * </pre>
+   *
+   * <code>uint64 target_epoch = 6;</code>
+   * @return The targetEpoch.
+   */
+  long getTargetEpoch();
+
+  /**
+   * <pre>
+   * Count of exports of the sender's ledger; a later export replaces an earlier one.
+   * </pre>
+   *
+   * <code>uint32 export_number = 7;</code>
+   * @return The exportNumber.
+   */
+  int getExportNumber();
+
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  int getDroppedUpToMsCount();
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  boolean containsDroppedUpToMs(
+      long key);
+  /**
+   * Use {@link #getDroppedUpToMsMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Long, java.lang.Long>
+  getDroppedUpToMs();
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  java.util.Map<java.lang.Long, java.lang.Long>
+  getDroppedUpToMsMap();
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  long getDroppedUpToMsOrDefault(
+      long key,
+      long defaultValue);
+  /**
+   * <pre>
+   * For each covered epoch, the latest issue time of a record that was dropped, or -1.
+   * </pre>
+   *
+   * <code>map&lt;uint64, sint64&gt; dropped_up_to_ms = 8;</code>
+   */
+  long getDroppedUpToMsOrThrow(
+      long key);
 }
