Count the payload between daemons and add a measurement of idle control

Cause: the budget of 2 KB/s and 2% of a core per daemon had no measurement. Ruled out: Netty's traffic shaping handler, which queues writes to count them. Before: not measurable. Conclusion: instrumentation only.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
@@ -28,6 +28,7 @@
     private final RandomGenerator random;
     private final AtomicLong requestIds = new AtomicLong();
     private final Map<Target, PeerConnection> connections = new ConcurrentHashMap<>();
+    private final PeerTraffic traffic = new PeerTraffic();
     private volatile boolean closed;
 
     /**
@@ -59,6 +60,11 @@
         return call.result();
     }
 
+    /** Returns the byte counts of all opened connections. */
+    public PeerTraffic traffic() {
+        return traffic;
+    }
+
     /** Sends a message that has no reply; it is dropped when the peer cannot be reached or is congested. */
     public void send(Endpoint endpoint, PeerChannel channel, Envelope message) {
         submit(endpoint, channel, PeerCall.oneWay(message, limits.connectTimeout()));
@@ -76,7 +82,7 @@
         connections
                 .computeIfAbsent(
                         new Target(endpoint, channel),
-                        target -> new PeerConnection(eventLoops.next(), endpoint, identity, limits, random))
+                        target -> new PeerConnection(eventLoops.next(), endpoint, identity, limits, random, traffic))
                 .submit(call);
     }
 
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerConnection.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerConnection.java
@@ -43,6 +43,7 @@
     private final PeerIdentity identity;
     private final PeerLimits limits;
     private final RandomGenerator random;
+    private final PeerTraffic traffic;
     private final AtomicInteger unfinishedCalls = new AtomicInteger();
     private final List<PeerCall> waiting = new ArrayList<>();
     private Optional<PeerClientHandler> handler = Optional.empty();
@@ -51,12 +52,18 @@
     private long lastUsedNanos;
 
     PeerConnection(
-            EventLoop eventLoop, Endpoint endpoint, PeerIdentity identity, PeerLimits limits, RandomGenerator random) {
+            EventLoop eventLoop,
+            Endpoint endpoint,
+            PeerIdentity identity,
+            PeerLimits limits,
+            RandomGenerator random,
+            PeerTraffic traffic) {
         this.eventLoop = eventLoop;
         this.endpoint = endpoint;
         this.identity = identity;
         this.limits = limits;
         this.random = random;
+        this.traffic = traffic;
     }
 
     void submit(PeerCall call) {
@@ -127,6 +134,7 @@
                         PeerPipeline.install(
                                 channel,
                                 limits,
+                                traffic,
                                 new IdleStateHandler(silenceMillis, 0, 0, TimeUnit.MILLISECONDS),
                                 attempt);
                     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerPipeline.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerPipeline.java
@@ -12,8 +12,9 @@
 final class PeerPipeline {
     private PeerPipeline() {}
 
-    static void install(SocketChannel channel, PeerLimits limits, ChannelHandler... handlers) {
+    static void install(SocketChannel channel, PeerLimits limits, PeerTraffic traffic, ChannelHandler... handlers) {
         ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addLast(traffic);
         pipeline.addLast(new BoundedFrameDecoder(limits.maxFrameBytes()));
         pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
         pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServer.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServer.java
@@ -33,6 +33,7 @@
     private final PeerIdentity identity;
     private final PeerLimits limits;
     private final PeerHandler handler;
+    private final PeerTraffic traffic = new PeerTraffic();
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
     /** Creates a server that does not listen yet. */
@@ -72,6 +73,11 @@
         });
     }
 
+    /** Returns the byte counts of all accepted connections. */
+    public PeerTraffic traffic() {
+        return traffic;
+    }
+
     /** Returns the number of open connections. */
     public int connectionCount() {
         return (int) channels.stream().filter(SocketChannel.class::isInstance).count();
@@ -83,6 +89,7 @@
         PeerPipeline.install(
                 channel,
                 limits,
+                traffic,
                 new IdleStateHandler(idle.toMillis(), 0, 0, TimeUnit.MILLISECONDS),
                 new PeerServerConnection(identity, limits, handler));
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/Serving.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/Serving.java
@@ -19,6 +19,7 @@
 import io.daisyhoist.daemon.connection.BackendClient;
 import io.daisyhoist.daemon.connection.PeerLimits;
 import io.daisyhoist.daemon.connection.PeerServer;
+import io.daisyhoist.daemon.connection.PeerTraffic;
 import io.daisyhoist.daemon.process.settings.DaemonSettings;
 import io.daisyhoist.daemon.request.Announcement;
 import io.daisyhoist.daemon.request.EdgeLimits;
@@ -115,6 +116,16 @@
         edgeServer = new EdgeServer(vertx, routes.router(vertx), edgeLimits(settings));
         metrics.gauge("daisyhoist.backend.in.flight", "Requests in flight or queued", path.runner()::inFlight);
         metrics.gauge("daisyhoist.backend.limit", "Admission limit", path.runner()::limit);
+        PeerTraffic opened = control.context().peers().traffic();
+        PeerTraffic accepted = peerServer.traffic();
+        metrics.gauge(
+                "daisyhoist.peer.sent.bytes",
+                "Payload sent to other daemons",
+                () -> opened.sentBytes() + accepted.sentBytes());
+        metrics.gauge(
+                "daisyhoist.peer.received.bytes",
+                "Payload received from other daemons",
+                () -> opened.receivedBytes() + accepted.receivedBytes());
         metrics.gauge(
                 "daisyhoist.partitions.served",
                 "Partitions served",
