--- /dev/null
+++ b/cli/src/main/java/io/daisyhoist/cli/ToolParser.java
@@ -0,0 +1,173 @@
+package io.daisyhoist.cli;
+
+import java.util.Map;
+
+import io.daisyhoist.cli.command.CheckCommand;
+import io.daisyhoist.cli.command.Command;
+import io.daisyhoist.cli.command.DrainCommand;
+import io.daisyhoist.cli.command.HistoryCommand;
+import io.daisyhoist.cli.command.OwnerCommand;
+import io.daisyhoist.cli.command.PushCommand;
+import io.daisyhoist.cli.command.ShowCommand;
+import io.daisyhoist.cli.command.StatusCommand;
+import io.daisyhoist.cli.command.ZoneCommand;
+import io.daisyhoist.core.config.PushLimits;
+import io.daisyhoist.core.config.ZoneState;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Argument;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** Builds the parser of the command line. Stateless apart from the environment; not thread-safe. */
+final class ToolParser {
+    private static final String EXIT_CODES = """
+            exit codes:
+              0 ok                     4 conflict
+              1 internal error         5 platform or daemon unreachable
+              2 usage                  6 outcome unknown
+              3 invalid configuration  7 not found""";
+
+    private final Map<String, String> environment;
+
+    ToolParser(Map<String, String> environment) {
+        this.environment = environment;
+    }
+
+    ArgumentParser build() {
+        ArgumentParser parser = ArgumentParsers.newFor("daisyhoist")
+                .addHelp(false)
+                .defaultFormatWidth(100)
+                .terminalWidthDetection(false)
+                .build()
+                .description("Changes and shows the configuration of Daisyhoist, and the state of its daemons.")
+                .epilog(EXIT_CODES);
+        addHelp(parser);
+        Subparsers commands = parser.addSubparsers().metavar("COMMAND").title("commands");
+        addConfig(commands);
+        addZone(commands);
+        Subparser owner = command(commands, "owner", new OwnerCommand(), "show the owner of a key", """
+                daisyhoist owner fault-archive dish-4711
+                daisyhoist owner fault-archive dish-4711 --json --admin http://127.0.0.1:8081""");
+        owner.addArgument("service").metavar("SERVICE").help("service of the key");
+        owner.addArgument("key").metavar("KEY").help("the key");
+        addAdminUrl(owner);
+        Subparser status = command(commands, "status", new StatusCommand(), "show a daemon and its group", """
+                daisyhoist status
+                daisyhoist status --grants --admin http://127.0.0.1:8081""");
+        status.addArgument("--grants").action(Arguments.storeTrue()).help("list every partition with its owner");
+        addAdminUrl(status);
+        addAdminUrl(command(commands, "drain", new DrainCommand(), "ask a daemon for a graceful shutdown", """
+                daisyhoist drain --admin http://127.0.0.1:8081"""));
+        return parser;
+    }
+
+    private void addConfig(Subparsers commands) {
+        Subparsers config = group(commands, "config", "check, push and show configuration files");
+        Subparser check = command(config, "check", new CheckCommand(), "validate files without pushing them", """
+                daisyhoist config check examples/hvalsnes""");
+        check.addArgument("paths").nargs("+").metavar("PATH").help("folder of .toml files, or files");
+        Subparser push = command(config, "push", new PushCommand(), "push changed files to the platform", """
+                daisyhoist config push examples/hvalsnes --author anna
+                daisyhoist config push 10-services.toml --author anna --base 10-services.toml=7
+                daisyhoist config push --remove 95-trial.toml --base 95-trial.toml=9 --author anna""");
+        push.addArgument("paths").nargs("*").metavar("PATH").help("folder of .toml files, or files");
+        push.addArgument("--remove").action(Arguments.append()).metavar("NAME").help("remove this file");
+        push.addArgument("--base")
+                .action(Arguments.append())
+                .metavar("NAME=REVISION")
+                .help("revision on which your change is based,\nif not the one of your last push from this folder");
+        addAuthor(push);
+        addPushOptions(push);
+        Subparser show = command(config, "show", new ShowCommand(), "show the configuration in force", """
+                daisyhoist config show
+                daisyhoist config show --file 10-services.toml
+                daisyhoist config show --save my-folder""");
+        show.addArgument("--file").metavar("NAME").help("print the text of one file");
+        show.addArgument("--save").metavar("DIR").help("save all files, as the base of later pushes from DIR");
+        addPlatformUrl(show);
+        addPlatformUrl(command(config, "history", new HistoryCommand(), "list the latest changes", """
+                daisyhoist config history"""));
+    }
+
+    private void addZone(Subparsers commands) {
+        Subparsers zone = group(commands, "zone", "take an availability zone out and bring it back");
+        for (ZoneState state : new ZoneState[] {ZoneState.OUT, ZoneState.IN}) {
+            boolean out = state == ZoneState.OUT;
+            String name = out ? "out" : "in";
+            String help = out ? "send no new work to a zone" : "send work to a zone again";
+            Subparser parser = command(
+                    zone, name, new ZoneCommand(state), help, "daisyhoist zone " + name + " heimaey --author anna");
+            parser.addArgument("zone").metavar("NAME").help("availability zone");
+            addAuthor(parser);
+            addPushOptions(parser);
+        }
+    }
+
+    private static Subparsers group(Subparsers parent, String name, String help) {
+        Subparser parser = parent.addParser(name, false).help(help).description(help);
+        addHelp(parser);
+        return parser.addSubparsers().metavar("COMMAND").title("commands");
+    }
+
+    private static Subparser command(Subparsers parent, String name, Command command, String help, String examples) {
+        Subparser parser = parent.addParser(name, false)
+                .help(help)
+                .description(help)
+                .epilog("examples:\n  " + examples.replace("\n", "\n  ") + "\n\n" + EXIT_CODES);
+        parser.setDefault("command", command);
+        addHelp(parser);
+        parser.addArgument("--json").action(Arguments.storeTrue()).help("print one JSON object, also for failures");
+        parser.addArgument("--timeout-ms")
+                .type(Integer.class)
+                .choices(Arguments.range(10, 60_000))
+                .setDefault(2_000)
+                .metavar("MS")
+                .help("time to wait for one response (default: 2000)");
+        return parser;
+    }
+
+    private static void addHelp(ArgumentParser parser) {
+        parser.addArgument("-h", "--help").action(new HelpAction()).help("show this help");
+    }
+
+    private void addAuthor(Subparser parser) {
+        Argument author = parser.addArgument("--author").metavar("NAME");
+        author.help("your name in the history (default: DAISYHOIST_AUTHOR)");
+        withDefault(author, "DAISYHOIST_AUTHOR");
+    }
+
+    private void addPushOptions(Subparser parser) {
+        parser.addArgument("--max-unanswered")
+                .type(Integer.class)
+                .choices(Arguments.range(0, 1_000))
+                .setDefault(PushLimits.DEFAULT.maxUnansweredCalls())
+                .metavar("N")
+                .help("calls to the platform that may go unanswered (default: "
+                        + PushLimits.DEFAULT.maxUnansweredCalls() + ")");
+        addPlatformUrl(parser);
+    }
+
+    private void addPlatformUrl(Subparser parser) {
+        parser.addArgument("--platform")
+                .metavar("URL[,URL]")
+                .setDefault(environment.getOrDefault("DAISYHOIST_PLATFORM", "http://127.0.0.1:7000"))
+                .help("the platform's store\n(default: DAISYHOIST_PLATFORM, or http://127.0.0.1:7000)");
+    }
+
+    private void addAdminUrl(Subparser parser) {
+        parser.addArgument("--admin")
+                .metavar("URL")
+                .setDefault(environment.getOrDefault("DAISYHOIST_ADMIN", "http://127.0.0.1:8081"))
+                .help("admin port of the daemon\n(default: DAISYHOIST_ADMIN, or http://127.0.0.1:8081)");
+    }
+
+    private void withDefault(Argument argument, String variable) {
+        if (environment.containsKey(variable)) {
+            argument.setDefault(environment.get(variable));
+        } else {
+            argument.required(true);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/io/daisyhoist/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** One class for each command of the tool. */
+package io.daisyhoist.cli.command;
--- /dev/null
+++ b/cli/src/main/java/io/daisyhoist/cli/folder/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration files on the operator's disk. */
+package io.daisyhoist.cli.folder;
--- /dev/null
+++ b/cli/src/main/java/io/daisyhoist/cli/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables and JSON for operators and scripts. */
+package io.daisyhoist.cli.output;
