--- a/cli/src/main/java/io/daisyhoist/cli/ToolParser.java
+++ b/cli/src/main/java/io/daisyhoist/cli/ToolParser.java
@@ -66,8 +66,13 @@
     private void addConfig(Subparsers commands) {
         Subparsers config = group(commands, "config", "check, push and show configuration files");
         Subparser check = command(config, "check", new CheckCommand(), "validate files without pushing them", """
-                daisyhoist config check examples/hvalsnes""");
+                daisyhoist config check examples/hvalsnes
+                daisyhoist config check 40-my-rules.toml --merged""");
         check.addArgument("paths").nargs("+").metavar("PATH").help("folder of .toml files, or files");
+        check.addArgument("--merged")
+                .action(Arguments.storeTrue())
+                .help("merge the files with those of the platform, as a push would");
+        addPlatformUrl(check);
         Subparser push = command(config, "push", new PushCommand(), "push changed files to the platform", """
                 daisyhoist config push examples/hvalsnes --author anna
                 daisyhoist config push 10-services.toml --author anna --base 10-services.toml=7
--- a/cli/src/main/java/io/daisyhoist/cli/command/CommandContext.java
+++ b/cli/src/main/java/io/daisyhoist/cli/command/CommandContext.java
@@ -3,6 +3,7 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +13,8 @@
 import io.daisyhoist.cli.client.PlatformClient;
 import io.daisyhoist.cli.client.UnansweredCallException;
 import io.daisyhoist.core.config.ConfigDocument;
+import io.daisyhoist.core.config.FileEdit;
+import io.daisyhoist.core.config.PushRequest;
 import io.daisyhoist.core.config.StoredDocument;
 import io.daisyhoist.core.time.TimeSource;
 
@@ -66,8 +69,12 @@
         }
     }
 
-    /** Draws the id of a push. */
-    public String newPushId() {
+    /** Builds a push with an id of its own. */
+    public PushRequest newPush(String author, List<FileEdit> edits) {
+        return new PushRequest(newPushId(), author, time.wallTime().truncatedTo(ChronoUnit.MILLIS), edits);
+    }
+
+    private String newPushId() {
         byte[] bytes = new byte[16];
         random.nextBytes(bytes);
         return HexFormat.of().formatHex(bytes);
--- a/cli/src/main/java/io/daisyhoist/cli/command/PushCommand.java
+++ b/cli/src/main/java/io/daisyhoist/cli/command/PushCommand.java
@@ -47,8 +47,7 @@
             return CommandResult.ok(
                     Json.result("unchanged"), "Nothing to push: no file was changed here since the last push.\n");
         }
-        PushRequest request = new PushRequest(
-                context.newPushId(), options.getString("author"), context.time().wallTime(), edits);
+        PushRequest request = context.newPush(options.getString("author"), edits);
         PushOutcome outcome = new PushRunner(context, request).run();
         documentInForce(outcome).ifPresent(document -> saveBases(files, removals, bases, document, context));
         return PushReport.describe(outcome, request, context);
--- a/cli/src/main/java/io/daisyhoist/cli/command/ZoneCommand.java
+++ b/cli/src/main/java/io/daisyhoist/cli/command/ZoneCommand.java
@@ -49,8 +49,7 @@
             if (isInForce(document, zone(name, document))) {
                 return withState(PushReport.unchanged(document), name);
             }
-            PushRequest request = new PushRequest(
-                    context.newPushId(), author, context.time().wallTime(), edits(name, author, document));
+            PushRequest request = context.newPush(author, edits(name, author, document));
             PushOutcome outcome = new PushRunner(context, request).run();
             boolean overridden = outcome instanceof PushOutcome.Accepted accepted
                     && !isInForce(accepted.document(), new AvailabilityZone(name));
--- a/core/src/main/java/io/daisyhoist/core/config/PushLimits.java
+++ b/core/src/main/java/io/daisyhoist/core/config/PushLimits.java
@@ -11,6 +11,6 @@
  * @param maxBackoff upper bound of that wait
  */
 public record PushLimits(int maxUnansweredCalls, int maxLostRaces, Duration minBackoff, Duration maxBackoff) {
-    /** About half a minute of an unreachable platform, and more lost races than a busy day sees in an hour. */
+    /** Twenty waits of up to 2 s bridge a restart of the platform; 100 lost races are more than any hour sees. */
     public static final PushLimits DEFAULT = new PushLimits(20, 100, Duration.ofMillis(50), Duration.ofSeconds(2));
 }
