Accept damaged base revisions and answers without an unchecked failure

Cause: a base-revision file or a daemon's answer holding null ended in NullPointerException (found by reading the code). Both are reported now.

--- a/cli/src/main/java/io/daisyhoist/cli/client/AdminClient.java
+++ b/cli/src/main/java/io/daisyhoist/cli/client/AdminClient.java
@@ -71,7 +71,9 @@
     /** Parses the body of a response into a typed report. */
     public static <T> T parse(String body, Class<T> type) {
         try {
-            return Json.MAPPER.readValue(body, type);
+            return Optional.ofNullable(Json.MAPPER.readValue(body, type))
+                    .orElseThrow(() -> new DaisyhoistException(
+                            ErrorCode.INTERNAL, "the daemon's answer is not understood: it is null"));
         } catch (JsonProcessingException e) {
             throw new DaisyhoistException(
                     ErrorCode.INTERNAL, "the daemon's answer is not understood: " + e.getOriginalMessage(), e);
--- a/cli/src/main/java/io/daisyhoist/cli/command/PushCommand.java
+++ b/cli/src/main/java/io/daisyhoist/cli/command/PushCommand.java
@@ -64,7 +64,7 @@
     private static boolean isChanged(LocalFile file, Map<Path, BaseRevisions> bases) {
         return bases.get(file.folder())
                 .base(file.name())
-                .filter(base -> base.sha256().equals(file.sha256()))
+                .filter(base -> file.sha256().equals(base.sha256()))
                 .isEmpty();
     }
 
--- a/cli/src/main/java/io/daisyhoist/cli/command/SaveFiles.java
+++ b/cli/src/main/java/io/daisyhoist/cli/command/SaveFiles.java
@@ -65,7 +65,7 @@
     private static boolean isOwnChange(LocalFile local, ConfigFile stored, BaseRevisions bases) {
         boolean equal = local.content().equals(stored.content());
         boolean unchanged = bases.base(local.name())
-                .filter(base -> base.sha256().equals(local.sha256()))
+                .filter(base -> local.sha256().equals(base.sha256()))
                 .isPresent();
         return !equal && !unchanged;
     }
--- a/cli/src/main/java/io/daisyhoist/cli/folder/BaseRevisions.java
+++ b/cli/src/main/java/io/daisyhoist/cli/folder/BaseRevisions.java
@@ -59,10 +59,10 @@
     public static BaseRevisions load(Path folder, URI platform) {
         Path file = folder.resolve(FILE_NAME);
         try {
-            Content content = Files.exists(file)
-                    ? Json.MAPPER.readValue(Files.readString(file), Content.class)
-                    : new Content(Map.of());
-            return new BaseRevisions(folder, platform.toString(), content);
+            Optional<Content> content = Files.exists(file)
+                    ? Optional.ofNullable(Json.MAPPER.readValue(Files.readString(file), Content.class))
+                    : Optional.empty();
+            return new BaseRevisions(folder, platform.toString(), content.orElseGet(() -> new Content(Map.of())));
         } catch (IOException e) {
             throw new DaisyhoistException(ErrorCode.USAGE, "cannot read " + file + "; remove it if it is damaged", e);
         }
--- a/daemon/src/test/java/io/daisyhoist/daemon/process/settings/DaemonSettingsTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/process/settings/DaemonSettingsTest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 
 import io.daisyhoist.core.config.InvalidConfigException;
 import io.daisyhoist.core.error.DaisyhoistException;
@@ -13,6 +14,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class DaemonSettingsTest {
     private static final String REQUIRED = """
@@ -23,6 +25,36 @@
             backend_url = "http://127.0.0.1:9000"
             """;
 
+    private static final int MUTATIONS = 20_000;
+    private static final List<String> PIECES = List.of(
+            "",
+            "x",
+            "\"",
+            "=",
+            "[",
+            "]",
+            ".",
+            "\\u0000",
+            "\0",
+            ":",
+            "/",
+            "%",
+            " ",
+            "\n",
+            "0",
+            "-1",
+            "99999999999999999999",
+            "[lease]",
+            "true",
+            "http://",
+            "@",
+            "é",
+            "::1",
+            "{",
+            "}",
+            "#",
+            "nan");
+
     @Nested
     class Parse {
         /** Guards against defaults that drift from the documented ones. */
@@ -97,6 +129,36 @@
                     () -> DaemonSettings.parse("d.toml", REQUIRED + "trace_file = \"a\\u0000b\"\n"));
             assertEquals("trace_file", e.faults().get(0).key());
         }
+
+        /** Guards against an exception without file and reason for a damaged settings file. */
+        @Test
+        void parse_mutatedSettings_givesSettingsOrBoundedFaults() {
+            int valid = 0;
+            for (int seed = 0; seed < MUTATIONS; seed++) {
+                Random random = new Random(seed);
+                StringBuilder toml = new StringBuilder(REQUIRED + "trace_file = \"t\"\n[lease]\nwitnesses = 5\n");
+                for (int i = random.nextInt(3); i >= 0; i--) {
+                    int from = random.nextInt(toml.length());
+                    int to = Math.min(toml.length(), from + random.nextInt(6));
+                    toml.replace(from, to, PIECES.get(random.nextInt(PIECES.size())));
+                }
+                valid += isValid(toml.toString(), seed) ? 1 : 0;
+            }
+            assertTrue(valid > 0 && valid < MUTATIONS, "both results must have been exercised: " + valid);
+        }
+
+        private boolean isValid(String toml, int seed) {
+            try {
+                DaemonSettings.parse("d.toml", toml);
+                return true;
+            } catch (InvalidConfigException e) {
+                assertTrue(e.faults().size() <= InvalidConfigException.MAX_FAULTS + 1, "seed " + seed);
+                e.faults().forEach(fault -> assertEquals("d.toml", fault.file(), "seed " + seed));
+                return false;
+            } catch (RuntimeException e) {
+                throw new AssertionError("seed " + seed + ": " + toml, e);
+            }
+        }
     }
 
     @Nested
