Ask the platform only when there is a change to write

Cause: every member with a valid lease asked whether the platform responds at each tick, and the question reads the platform once a second. Ruled out: the configuration reads; they were 0 while heartbeats confirm the version. Before: IdleGroupTest red, 209 and 207 reads in 2 min of one daemon.

--- a/core/src/main/java/io/daisyhoist/core/membership/GroupController.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/GroupController.java
@@ -349,10 +349,14 @@
     }
 
     private Optional<GroupRecord> proposeAssignment() {
-        if (own.current().isEmpty() || !own.hasValidLease() || !reads.isResponsive()) {
+        if (own.current().isEmpty() || !own.hasValidLease()) {
             return Optional.empty();
         }
-        return assignment.propose(own.current().get()).or(this::proposeWitnessesForOthers);
+        // Asked only when there is something to write, because the question may cost a read of the platform.
+        return assignment
+                .propose(own.current().get())
+                .or(this::proposeWitnessesForOthers)
+                .filter(change -> reads.isResponsive());
     }
 
     private Optional<GroupRecord> proposeWitnessesForOthers() {
--- /dev/null
+++ b/core/src/test/java/io/daisyhoist/core/membership/IdleGroupTest.java
@@ -0,0 +1,108 @@
+package io.daisyhoist.core.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import io.daisyhoist.core.assignment.Assigner;
+import io.daisyhoist.core.lease.HeartbeatOutcome;
+import io.daisyhoist.core.lease.LeaseSettings;
+import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.model.SessionId;
+import io.daisyhoist.core.time.TimeSource;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards the platform's read rate: 2,000 reads/s must serve 6,300 daemons in 525 groups, with room for configuration,
+ * watches and recovery.
+ */
+class IdleGroupTest {
+    private static final Duration RUN = Duration.ofMinutes(2);
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration HEARTBEAT = Duration.ofMillis(700);
+
+    /** One read per 15 s for each member: 420 reads/s at 6,300 daemons. */
+    private static final int MEMBER_READS = 8;
+
+    /** One read per 2 s for one member of a group: 262 reads/s at 525 groups. */
+    private static final int PROPOSER_READS = 60;
+
+    private static final class ManualTime implements TimeSource {
+        private long nanos;
+
+        @Override
+        public long monotonicNanos() {
+            return nanos;
+        }
+
+        @Override
+        public Instant wallTime() {
+            return Instant.EPOCH.plusNanos(nanos);
+        }
+    }
+
+    @Test
+    void member_readsThePlatformAtMostEvery15Seconds() {
+        assertTrue(readsOfIdle("d9") <= MEMBER_READS, () -> "reads in " + RUN + ": " + readsOfIdle("d9"));
+    }
+
+    @Test
+    void proposer_readsThePlatformAtMostEvery2Seconds() {
+        assertTrue(readsOfIdle("d0") <= PROPOSER_READS, () -> "reads in " + RUN + ": " + readsOfIdle("d0"));
+    }
+
+    private static int readsOfIdle(String daemon) {
+        ManualTime time = new ManualTime();
+        MemberProfile own = profile(daemon);
+        GroupController controller =
+                new GroupController(own, LeaseSettings.DEFAULT, new Assigner(), time, new SplittableRandom(1));
+        controller.onBackendAvailable(true);
+        List<Member> others = IntStream.range(1, 4)
+                .mapToObj(index -> profile("d" + index))
+                .map(profile -> profile.member(new SessionId(profile.process().daemon(), 1, 1)))
+                .toList();
+        GroupRecord record = new GroupRecord(4, others, List.of());
+        int reads = 0;
+        long revision = 4;
+        for (long at = 0; at < RUN.toNanos(); at += TICK.toNanos()) {
+            time.nanos = at;
+            if (at % HEARTBEAT.toNanos() == 0) {
+                others.forEach(member -> controller.onHeartbeat(member.session()));
+            }
+            for (GroupAction action : controller.onTick()) {
+                if (action instanceof GroupAction.ReadRecord) {
+                    reads++;
+                    controller.onRecord(record, revision);
+                } else if (action instanceof GroupAction.Swap swap) {
+                    record = swap.newRecord();
+                    revision++;
+                    controller.onSwapResult(swap.swapId(), SwapResult.APPLIED, revision);
+                } else if (action instanceof GroupAction.SendHeartbeat heartbeat) {
+                    controller.onHeartbeatAck(
+                            heartbeat.session(), heartbeat.to(), heartbeat.sentAt(), HeartbeatOutcome.ACKNOWLEDGED);
+                }
+            }
+        }
+        assertTrue(controller.snapshot().lease().isValid(time), "the daemon has joined and holds its lease");
+        return reads;
+    }
+
+    private static MemberProfile profile(String daemon) {
+        Endpoint endpoint = new Endpoint("127.0.0.1", 1000 + daemon.charAt(1));
+        return new MemberProfile(
+                new ProcessId(new DaemonId(daemon), 1),
+                endpoint,
+                endpoint,
+                "region",
+                new AvailabilityZone("zone" + daemon.charAt(1) % 3),
+                new ServiceName("archive"));
+    }
+}
