--- a/core/src/main/java/io/daisyhoist/core/membership/GroupController.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/GroupController.java
@@ -68,7 +68,8 @@
 
     /**
      * Advances timers and returns what to do now, in order. Called every 50 ms; calling it right after other methods as
-     * well shortens failover and moves by up to 50 ms a step.
+     * well shortens failover and moves by up to 50 ms a step. The caller publishes {@link #snapshot()} before it carries
+     * out the actions, so that nothing is served any more that an action gives away.
      */
     public List<GroupAction> onTick() {
         reads.onTick(assignment.isProposer(own.current()));
@@ -352,7 +353,7 @@
         if (own.current().isEmpty() || !own.hasValidLease()) {
             return Optional.empty();
         }
-        // Asked only when there is something to write, because the question may cost a read of the platform.
+        // Asked last, because asking makes a quiet daemon read the platform.
         return assignment
                 .propose(own.current().get())
                 .or(this::proposeWitnessesForOthers)
