--- a/core/src/main/java/io/daisyhoist/core/admission/AdmissionGate.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/AdmissionGate.java
@@ -88,6 +88,7 @@
         if (closed.isPresent()) {
             return new Offer.Refused(closed.get());
         }
+        concurrencyLimit.onInFlight(inFlight);
         if (remaining.isZero() || remaining.isNegative()) {
             return new Offer.Refused(expired());
         }
@@ -141,6 +142,7 @@
 
     /** Sheds queued requests whose deadline has passed and admits what fits; to be called by a timer. */
     public GateUpdate advance() {
+        concurrencyLimit.onInFlight(inFlight);
         List<GateUpdate.Shed> shed = shedExpired();
         List<GateUpdate.Admission> admitted = new ArrayList<>();
         for (Optional<Ticket> head = queue.peek(); head.filter(this::fits).isPresent(); head = queue.peek()) {
@@ -194,7 +196,8 @@
         if (inFlight.isEmpty()) {
             return true;
         }
-        boolean busyAlone = inFlight.stream().anyMatch(Permit::alone);
+        // A request that runs alone is the only one in flight.
+        boolean busyAlone = inFlight.size() == 1 && inFlight.iterator().next().alone();
         return !ticket.alone() && !busyAlone && inFlight.size() < limit();
     }
 
--- a/core/src/main/java/io/daisyhoist/core/admission/ConcurrencyLimit.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/ConcurrencyLimit.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.core.admission;
 
 import java.time.Duration;
+import java.util.Collection;
 
 /** Number of requests that a backend server may run at once. Implementations are confined to one thread. */
 public interface ConcurrencyLimit {
@@ -19,6 +20,12 @@
      */
     void onCompletion(long startNanos, Duration latency, Outcome outcome);
 
+    /**
+     * Learns which requests have not ended yet; called often, so that a silent backend server is noticed before the first
+     * late response.
+     */
+    void onInFlight(Collection<Permit> running);
+
     /** Learns that the backend server was started anew. */
     void onRestart();
 }
--- a/core/src/main/java/io/daisyhoist/core/admission/FixedLimit.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/FixedLimit.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.core.admission;
 
 import java.time.Duration;
+import java.util.Collection;
 
 /**
  * A limit that never changes; the baseline against which the adaptive limit is measured. Immutable.
@@ -18,6 +19,11 @@
         // The limit does not depend on outcomes.
     }
 
+    @Override
+    public void onInFlight(Collection<Permit> running) {
+        // The limit does not depend on requests in flight.
+    }
+
     @Override
     public void onRestart() {
         // The limit does not depend on restarts.
--- a/core/src/main/java/io/daisyhoist/core/admission/LatencyBaseline.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/LatencyBaseline.java
@@ -11,21 +11,36 @@
  * workload the limit would otherwise stay at its minimum for ever.
  */
 final class LatencyBaseline {
-    static final int WINDOW = 5;
-    private static final double FAST_FACTOR = 2;
+    static final int WINDOW = 9;
+    private static final double FAST_FACTOR = 1.5;
     private static final double SLOW_FACTOR = 3;
     private static final double JUMP_FACTOR = 5;
+    // Estimates the 95th percentile by small multiplicative steps, without storing latencies.
+    private static final double HIGH_PERCENTILE = 0.95;
+    private static final double HIGH_STEP = 0.1;
+    private static final double HIGH_FACTOR = 1.5;
+    // A clearly lower median, as while a server warms up, is followed at once; within the noise the baseline settles
+    // below the usual median, near its 30th percentile.
+    private static final double CLEARLY_LOWER = 0.7;
     private static final double DOWN_GAIN = 0.25;
-    // A lasting threefold latency is accepted as usual after about 110 responses.
-    private static final double UP_GROWTH = 1.01;
+    private static final double DOWN_STEP = 0.995;
+    // A lasting threefold latency is accepted as usual after about 370 responses, some 10 s at the cold limit.
+    private static final double UP_STEP = 1.003;
 
     private final double[] recentNanos = new double[WINDOW];
     private int count;
     private double baselineNanos;
+    private double highNanos;
+
+    /** Creates a baseline from the usual latency; zero when it is not known. */
+    LatencyBaseline(Duration usual) {
+        baselineNanos = usual.toNanos();
+    }
 
     void add(Duration latency) {
         recentNanos[count % WINDOW] = Math.max(1, latency.toNanos());
         count++;
+        followHigh(latency.toNanos());
         if (count < WINDOW && baselineNanos == 0) {
             return;
         }
@@ -33,10 +48,20 @@
         double median = count < WINDOW ? Math.max(baselineNanos, latency.toNanos()) : median();
         if (baselineNanos == 0) {
             baselineNanos = median;
-        } else if (median < baselineNanos) {
+        } else if (median < CLEARLY_LOWER * baselineNanos) {
             baselineNanos += DOWN_GAIN * (median - baselineNanos);
         } else {
-            baselineNanos = Math.min(median, baselineNanos * UP_GROWTH);
+            baselineNanos = median < baselineNanos
+                    ? Math.max(median, baselineNanos * DOWN_STEP)
+                    : Math.min(median, baselineNanos * UP_STEP);
+        }
+    }
+
+    private void followHigh(double nanos) {
+        if (highNanos == 0) {
+            highNanos = nanos;
+        } else {
+            highNanos *= nanos > highNanos ? 1 + HIGH_STEP * HIGH_PERCENTILE : 1 - HIGH_STEP * (1 - HIGH_PERCENTILE);
         }
     }
 
@@ -45,14 +70,20 @@
         return isKnown() && median() > SLOW_FACTOR * baselineNanos;
     }
 
-    /** Returns whether one response took at most twice the baseline; the gap to three times prevents oscillation. */
-    boolean isFast(Duration latency) {
-        return latency.toNanos() <= FAST_FACTOR * baselineNanos || baselineNanos == 0;
+    /**
+     * Returns whether recent responses took at most 1.5 times the baseline. The gap to three times prevents oscillation;
+     * the narrow bound notices that a further request at once only makes the others slower.
+     */
+    boolean isFast() {
+        return isKnown() && median() <= FAST_FACTOR * baselineNanos;
     }
 
-    /** Returns whether one response took more than five times the baseline. */
+    /**
+     * Returns whether one response took more than five times the baseline and is beyond what long requests usually take;
+     * otherwise a workload with one request in ten that takes ten times as long would look like cold starts.
+     */
     boolean isJump(Duration latency) {
-        return latency.toNanos() > JUMP_FACTOR * baselineNanos && baselineNanos > 0;
+        return baselineNanos > 0 && latency.toNanos() > Math.max(JUMP_FACTOR * baselineNanos, HIGH_FACTOR * highNanos);
     }
 
     /** Forgets the recent responses but keeps the baseline. */
--- a/core/src/main/java/io/daisyhoist/core/admission/TicketQueue.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/TicketQueue.java
@@ -40,10 +40,12 @@
     }
 
     Optional<Ticket> peek() {
-        return byRank.values().stream()
-                .filter(tickets -> !tickets.isEmpty())
-                .findFirst()
-                .map(ArrayDeque::peekFirst);
+        for (ArrayDeque<Ticket> tickets : byRank.values()) {
+            if (!tickets.isEmpty()) {
+                return Optional.of(tickets.peekFirst());
+            }
+        }
+        return Optional.empty();
     }
 
     Ticket poll() {
@@ -57,10 +59,11 @@
     }
 
     int countNotBelow(Rank rank) {
-        return byRank.entrySet().stream()
-                .filter(entry -> !rank.isAbove(entry.getKey()))
-                .mapToInt(entry -> entry.getValue().size())
-                .sum();
+        int tickets = 0;
+        for (Rank other : Rank.values()) {
+            tickets += rank.isAbove(other) ? 0 : byRank.get(other).size();
+        }
+        return tickets;
     }
 
     /** Removes the latest ticket of the lowest rank, if that rank is below the given one. */
@@ -77,6 +80,9 @@
     }
 
     List<Ticket> removeExpired(long nowNanos) {
+        if (size == 0) {
+            return List.of();
+        }
         List<Ticket> expired = new ArrayList<>();
         for (ArrayDeque<Ticket> tickets : byRank.values()) {
             tickets.stream()
--- a/core/src/main/java/io/daisyhoist/core/routing/PowerOfTwoChoices.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/PowerOfTwoChoices.java
@@ -13,8 +13,9 @@
  */
 public final class PowerOfTwoChoices implements BackendSelector {
     private static final double SPILL_OVER_LOAD = 0.8;
-    // About one heartbeat interval: a report of that age is worth half of a fresh one.
-    private static final Duration REPORT_HALF_LIFE = Duration.ofMillis(700);
+    // A report of this age is worth half of a fresh one. Requests last some milliseconds, so an old report says little,
+    // and all daemons see the same one: with 700 ms they crowd the server that was idle, worse than round robin.
+    private static final Duration REPORT_HALF_LIFE = Duration.ofMillis(100);
 
     private final AvailabilityZone localZone;
     private final RandomGenerator random;
