--- a/cli/src/main/java/io/daisyhoist/cli/command/SaveFiles.java
+++ b/cli/src/main/java/io/daisyhoist/cli/command/SaveFiles.java
@@ -35,12 +35,13 @@
     private static CommandResult saveAll(ConfigDocument document, Path folder, String target, CommandContext context)
             throws IOException {
         BaseRevisions bases = BaseRevisions.load(folder.toAbsolutePath(), context.platformUrl());
-        List<String> kept = new ArrayList<>();
         List<String> saved = new ArrayList<>();
+        List<String> kept = new ArrayList<>();
+        List<String> conflicts = new ArrayList<>();
         for (ConfigFile file : document.files()) {
             Path path = folder.resolve(Path.of(file.name()).getFileName());
             if (Files.exists(path) && isOwnChange(LocalFile.read(path), file, bases)) {
-                kept.add(file.name());
+                (isBasedOn(file, bases) ? kept : conflicts).add(file.name());
                 continue;
             }
             Files.writeString(path, file.content());
@@ -48,18 +49,21 @@
             saved.add(file.name());
         }
         bases.save();
-        ObjectNode json = Json.result(kept.isEmpty() ? "ok" : "conflict").put("version", document.version());
+        ObjectNode json = Json.result(conflicts.isEmpty() ? "ok" : "conflict").put("version", document.version());
         saved.forEach(json.putArray("saved")::add);
         kept.forEach(json.putArray("kept")::add);
+        conflicts.forEach(json.putArray("conflicts")::add);
         String text =
-                "Saved " + Table.files(saved.size()) + " of version " + document.version() + " to " + target + ".\n";
-        if (kept.isEmpty()) {
-            return CommandResult.ok(json, text);
-        }
-        return CommandResult.failed(
-                ErrorCode.CONFLICT,
-                json,
-                text + "Kept, because they were changed here: " + String.join(", ", kept) + "\n");
+                "Saved " + Table.files(saved.size()) + " of version " + document.version() + " to " + target + ".\n"
+                        + list("Kept with your changes: ", kept)
+                        + list("Kept, but someone else changed them too: ", conflicts);
+        return conflicts.isEmpty()
+                ? CommandResult.ok(json, text)
+                : CommandResult.failed(ErrorCode.CONFLICT, json, text);
+    }
+
+    private static String list(String label, List<String> names) {
+        return names.isEmpty() ? "" : label + String.join(", ", names) + "\n";
     }
 
     private static boolean isOwnChange(LocalFile local, ConfigFile stored, BaseRevisions bases) {
@@ -69,4 +73,10 @@
                 .isPresent();
         return !equal && !unchanged;
     }
+
+    private static boolean isBasedOn(ConfigFile stored, BaseRevisions bases) {
+        return bases.base(stored.name())
+                .filter(base -> base.revision() == stored.revision())
+                .isPresent();
+    }
 }
