--- a/core/src/main/java/io/daisyhoist/core/membership/GroupController.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/GroupController.java
@@ -43,6 +43,7 @@
     private final MembershipProposer membership;
     private final AssignmentProposer assignment;
     private long nextFetchNanos;
+    private GroupSnapshot snapshot = GroupSnapshot.EMPTY;
 
     /** Creates the controller of one process. */
     public GroupController(
@@ -67,7 +68,8 @@
 
     /**
      * Advances timers and returns what to do now, in order. Called every 50 ms; calling it right after other methods as
-     * well shortens failover and moves by up to 50 ms a step.
+     * well shortens failover and moves by up to 50 ms a step. The caller publishes {@link #snapshot()} before it carries
+     * out the actions, so that nothing is served any more that an action gives away.
      */
     public List<GroupAction> onTick() {
         reads.onTick(assignment.isProposer(own.current()));
@@ -84,16 +86,27 @@
         return context.takeActions();
     }
 
-    /** Returns what traffic threads may know. */
+    /** Returns what traffic threads may know; the same object until something changes. */
     public GroupSnapshot snapshot() {
+        if (isSnapshotCurrent()) {
+            return snapshot;
+        }
         Map<PartitionId, Grant> served = new HashMap<>();
         own.current()
                 .map(session -> view.record().grantsOf(session))
                 .orElse(List.of())
                 .forEach(grant -> served.put(grant.partition(), grant));
         served.keySet().removeAll(handOvers.partitions());
-        return new GroupSnapshot(
+        snapshot = new GroupSnapshot(
                 view.record(), view.revision(), own.current(), served, handOvers.partitions(), own.snapshot());
+        return snapshot;
+    }
+
+    private boolean isSnapshotCurrent() {
+        return snapshot.record() == view.record()
+                && snapshot.lease() == own.snapshot()
+                && snapshot.session().equals(own.current())
+                && snapshot.handingOver().equals(handOvers.partitions());
     }
 
     /**
@@ -213,8 +226,7 @@
         if (target.isEmpty() || grant.isEmpty() || grant.get().owner().equals(to) || !mayStartMoves()) {
             return;
         }
-        if (assignment.budget(grant.get().owner()) > 0) {
-            assignment.noteMove(grant.get().owner());
+        if (assignment.budget(grant.get().owner()) > handOvers.partitions().size()) {
             handOvers.start(grant.get(), target.get());
         }
     }
@@ -320,10 +332,8 @@
     }
 
     private Optional<GroupRecord> proposeFailover() {
-        return view.record().members().stream()
-                .filter(member -> !Optional.of(member.session()).equals(own.current()))
-                .filter(fencing::isDead)
-                .findFirst()
+        return fencing.findDead()
+                .filter(dead -> !Optional.of(dead.session()).equals(own.current()))
                 .map(dead -> GroupTransitions.failover(view.record(), dead.session(), ownersAfter(dead)));
     }
 
@@ -340,10 +350,14 @@
     }
 
     private Optional<GroupRecord> proposeAssignment() {
-        if (own.current().isEmpty() || !own.hasValidLease() || !reads.isResponsive()) {
+        if (own.current().isEmpty() || !own.hasValidLease()) {
             return Optional.empty();
         }
-        return assignment.propose(own.current().get()).or(this::proposeWitnessesForOthers);
+        // Asked last, because asking makes a quiet daemon read the platform.
+        return assignment
+                .propose(own.current().get())
+                .or(this::proposeWitnessesForOthers)
+                .filter(change -> reads.isResponsive());
     }
 
     private Optional<GroupRecord> proposeWitnessesForOthers() {
--- a/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
@@ -36,6 +37,7 @@
     private final Set<HttpConnection> connections = new HashSet<>();
     private final Set<BackendRun> runs = new HashSet<>();
     private final Map<String, Long> sequences = new HashMap<>();
+    private final AtomicLong shedCount = new AtomicLong();
     private Optional<Announcer> announcer = Optional.empty();
     private LoadReport report;
     private HttpServer server;
@@ -75,6 +77,11 @@
         return executions;
     }
 
+    /** Returns the number of requests that were refused for lack of a free slot. */
+    public long shedCount() {
+        return shedCount.get();
+    }
+
     /** Stops the server and closes its connections. */
     public Future<Void> close() {
         return vertx.undeploy(deploymentID());
@@ -82,6 +89,11 @@
 
     @Override
     public Future<?> start() {
+        announcer = settings.daemonAdmin().map(url -> new Announcer(vertx, url, this::announcement));
+        takeReport();
+        if (settings.port() != 0) {
+            announcer.ifPresent(Announcer::send);
+        }
         return listen(settings.port())
                 .compose(listening -> new BackendAdmin(vertx, this)
                         .listen(settings.host(), settings.adminPort())
@@ -90,7 +102,6 @@
     }
 
     private void beginReports() {
-        announcer = settings.daemonAdmin().map(url -> new Announcer(vertx, url, this::announcement));
         announcer.ifPresent(Announcer::begin);
         vertx.setPeriodic(Math.max(1, settings.reportLag().toMillis()), fired -> freezer.run(this::takeReport));
     }
@@ -100,7 +111,6 @@
         coldStart.begin(System.nanoTime());
         fences.clear();
         sequences.clear();
-        takeReport();
         HttpServerOptions options =
                 new HttpServerOptions().setHost(settings.host()).setPort(listenPort);
         return vertx.createHttpServer(options)
@@ -114,6 +124,7 @@
                     server = listening;
                     port = listening.actualPort();
                     crashed = false;
+                    takeReport();
                 });
     }
 
@@ -146,6 +157,7 @@
             return;
         }
         if (runs.size() >= limit()) {
+            shedCount.incrementAndGet();
             request.response().putHeader("Retry-After", "1");
             answer(request, 503, new JsonObject().put("error", "no-free-slot"));
             return;
@@ -222,6 +234,7 @@
                 .put("in_flight", runs.size())
                 .put("limit", limit())
                 .put("connections", connections.size())
+                .put("shed", shedCount())
                 .put("port", port);
     }
 
@@ -229,7 +242,7 @@
         return new JsonObject()
                 .put("service", settings.service())
                 .put("incarnation", incarnation)
-                .put("port", port)
+                .put("port", port == 0 ? settings.port() : port)
                 .put("state", report.state())
                 .put("load", report.load())
                 .put("age_ms", report.ageMillis(System.nanoTime()));
