Test a planned move whose record version changes before the commit

Cause: attempt records name the epoch of the move, which changes with each other change of the group record. Before: not covered. Conclusion: the records are sent again, and the new owner replays the response.

--- a/daemon/src/test/java/io/daisyhoist/daemon/request/RequestPathTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/request/RequestPathTest.java
@@ -182,6 +182,31 @@
             assertEquals(1, hits.size());
         }
 
+        /** Another change of the record before the move is committed changes the epoch that the records must name. */
+        @Test
+        void post_recordChangesBeforeTheMove_isStillReplayed() throws Exception {
+            String token = group.token(2);
+            send(2, "POST", "confirm", Optional.of(token));
+            TestGroup.Node from = group.nodes.get(0);
+            from.handingOver = true;
+            group.publish();
+            from.path
+                    .transfer()
+                    .handOver(
+                            from.snapshot.record().grants().get(0),
+                            group.nodes.get(1).member())
+                    .toCompletableFuture()
+                    .get(5, TimeUnit.SECONDS);
+            group.changeRecordOnly();
+            TimeUnit.MILLISECONDS.sleep(300);
+            from.handingOver = false;
+            group.move(1);
+            assertEquals(
+                    "node 0 run 1",
+                    send(2, "POST", "confirm", Optional.of(token)).body().toString());
+            assertEquals(1, hits.size());
+        }
+
         /** After an unplanned loss the new owner does not know whether the attempt ran. */
         @Test
         void post_ownerLostWithoutHandOver_isUnknown() throws Exception {
--- a/daemon/src/test/java/io/daisyhoist/daemon/request/TestGroup.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/request/TestGroup.java
@@ -67,6 +67,7 @@
     final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     final List<Node> nodes = new ArrayList<>();
     volatile long version = 1;
+    volatile long epoch = 1;
     volatile int owner;
     volatile EffectiveConfig config = config(Map.of());
 
@@ -93,6 +94,13 @@
     /** Makes another daemon the owner in a new record version. */
     void move(int newOwner) {
         owner = newOwner;
+        version++;
+        epoch = version;
+        publish();
+    }
+
+    /** Raises the record version without changing the grant. */
+    void changeRecordOnly() {
         version++;
         publish();
     }
@@ -104,7 +112,7 @@
 
     void publish() {
         List<Member> members = nodes.stream().map(Node::member).toList();
-        Grant grant = new Grant(PARTITION, nodes.get(owner).session, version);
+        Grant grant = new Grant(PARTITION, nodes.get(owner).session, epoch);
         GroupRecord record = new GroupRecord(version, members, List.of(grant));
         nodes.forEach(node -> node.publish(record));
     }
