Add process tests with real daemons under failures

Six daemons as processes on loopback, stand-ins and load inside the test. Each test waits on conditions and asserts its bound from the execution logs. The load client now tells lost connections from timeouts and records when each send left, so that a planned stop is charged only with what it interrupted; the deadline it states ends before its own timeout.

--- a/testkit/src/main/java/io/daisyhoist/testkit/check/Outcome.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/check/Outcome.java
@@ -29,11 +29,12 @@
      * One send. Immutable.
      *
      * @param id id that the send carried
+     * @param sentMicros time of the send in microseconds since 1970
      * @param kind ANSWERED, REFUSED, WRONG or NO_ANSWER
      * @param code refusal code, empty for an answer
      * @param run stated run state, empty without one
      */
-    public record Send(String id, String kind, String code, String run) {}
+    public record Send(String id, long sentMicros, String kind, String code, String run) {}
 
     /** Copies the list. */
     public Outcome {
@@ -56,7 +57,11 @@
         List<Send> sends = json.getJsonArray("sends").stream()
                 .map(JsonObject.class::cast)
                 .map(send -> new Send(
-                        send.getString("id"), send.getString("kind"), send.getString("code"), send.getString("run")))
+                        send.getString("id"),
+                        send.getLong("sent_us"),
+                        send.getString("kind"),
+                        send.getString("code"),
+                        send.getString("run")))
                 .toList();
         return new Outcome(
                 json.getString("id"),
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/LoadClient.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/LoadClient.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.UUID;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 
 import io.vertx.core.Future;
@@ -31,6 +33,9 @@
     private static final int CONNECTIONS_PER_DAEMON = 256;
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Leaves the answer at a deadline a fifth of the send timeout for its way back to the client. */
+    private static final double DEADLINE_SHARE = 0.8;
+
     private final LoadPlan plan;
     private final RandomGenerator random;
     private final LoadStats stats = new LoadStats();
@@ -39,6 +44,7 @@
     private HttpClient client;
     private OutcomeFile outcomes;
     private long startNanos;
+    private final AtomicInteger pending = new AtomicInteger();
     private int started;
     private boolean allStarted;
     private boolean ended;
@@ -61,6 +67,11 @@
         return result.future();
     }
 
+    /** Returns the number of requests that have started and not ended. May be called on any thread. */
+    public int pending() {
+        return pending.get();
+    }
+
     /** Starts no further requests; the counts then cover those started. May be called on any thread. */
     public void endEarly() {
         stopped = true;
@@ -81,6 +92,7 @@
     private void startDueRequests(long timer) {
         long now = System.nanoTime();
         while (!stopped && started < plan.requests() && intendedNanos(started) <= now) {
+            pending.incrementAndGet();
             new Exchange(next(started), intendedNanos(started)).send(0);
             started++;
         }
@@ -129,6 +141,7 @@
         private final long intendedNanos;
         private final long intendedMicros;
         private final List<SendResult> sends = new ArrayList<>();
+        private final List<Long> sentMicros = new ArrayList<>();
         private String token = "";
 
         Exchange(LoadRequest request, long intendedNanos) {
@@ -139,6 +152,7 @@
 
         void send(int number) {
             stats.sent();
+            sentMicros.add(nowMicros());
             String sendId = request.sendId(number);
             long timeoutMillis = plan.sendTimeout().toMillis();
             client.request(options(sendId, number, timeoutMillis))
@@ -151,7 +165,8 @@
             return open.send(request.isRepeatable() ? Buffer.buffer() : Buffer.buffer(request.id()))
                     .compose(response ->
                             response.body().map(body -> ResponseCheck.classify(request, sendId, response, body)))
-                    .otherwise(cause -> noAnswer(sendId, SendResult.INTERRUPTED));
+                    .otherwise(cause -> noAnswer(
+                            sendId, cause instanceof TimeoutException ? SendResult.TIMED_OUT : SendResult.INTERRUPTED));
         }
 
         private static SendResult noAnswer(String sendId, String code) {
@@ -165,7 +180,7 @@
                     .setAbsoluteURI(plan.daemons().get(daemon) + request.path())
                     .setTimeout(timeoutMillis)
                     .putHeader("X-Request-Id", sendId)
-                    .putHeader("Daisyhoist-Deadline-Ms", Long.toString(timeoutMillis));
+                    .putHeader("Daisyhoist-Deadline-Ms", Long.toString((long) (timeoutMillis * DEADLINE_SHARE)));
             return token.isEmpty() ? options : options.putHeader("Daisyhoist-Attempt-Token", token);
         }
 
@@ -191,8 +206,9 @@
         }
 
         private void end(SendResult last) {
+            pending.decrementAndGet();
             stats.ended(last, System.nanoTime() - intendedNanos);
-            outcomes.write(request, token, sends, intendedMicros, nowMicros());
+            outcomes.write(request, token, sends, sentMicros, intendedMicros, nowMicros());
             endIfComplete();
         }
     }
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/OutcomeFile.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/OutcomeFile.java
@@ -19,14 +19,22 @@
         writer = file.map(OutcomeFile::open);
     }
 
-    void write(LoadRequest request, String token, List<SendResult> sends, long intendedMicros, long endMicros) {
+    void write(
+            LoadRequest request,
+            String token,
+            List<SendResult> sends,
+            List<Long> sentMicros,
+            long intendedMicros,
+            long endMicros) {
         if (writer.isEmpty()) {
             return;
         }
         JsonArray results = new JsonArray();
-        for (SendResult send : sends) {
+        for (int i = 0; i < sends.size(); i++) {
+            SendResult send = sends.get(i);
             results.add(new JsonObject()
                     .put("id", send.sendId())
+                    .put("sent_us", sentMicros.get(i))
                     .put("kind", send.kind().name())
                     .put("code", send.code())
                     .put("run", send.run()));
--- a/testkit/src/main/java/io/daisyhoist/testkit/load/SendResult.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/load/SendResult.java
@@ -13,7 +13,10 @@
     /** Code of a send for which no connection could be had, so that nothing was sent. */
     static final String NOT_CONNECTED = "not-connected";
 
-    /** Code of a send that was written and brought no response, or only a part of one, in time. */
+    /** Code of a send that was written and brought no response in time. */
+    static final String TIMED_OUT = "timed-out";
+
+    /** Code of a send that was written and whose connection was lost before the whole response. */
     static final String INTERRUPTED = "interrupted";
 
     enum Kind {
--- a/testkit/src/test/java/io/daisyhoist/testkit/check/ExecutionCheckTest.java
+++ b/testkit/src/test/java/io/daisyhoist/testkit/check/ExecutionCheckTest.java
@@ -61,7 +61,7 @@
         @Test
         void post_answeredWithoutToken_isDoubleRun() {
             List<RunLog> logs = List.of(log("a", run(3, 10, 100, 110, "POST", "", "r1.0")));
-            Outcome.Send answered = new Outcome.Send("r1.0", "ANSWERED", "", "ran");
+            Outcome.Send answered = new Outcome.Send("r1.0", 0, "ANSWERED", "", "ran");
             Outcome unguarded = new Outcome("r1", "POST", "archive", "key", "", 0, 1, List.of(answered));
             assertEquals(
                     1,
@@ -73,15 +73,15 @@
         @Test
         void refusal_ofSendThatRan_isFalseNotRun() {
             List<RunLog> logs = List.of(log("a", run(3, 10, 100, 110, "POST", "t", "r1.1")));
-            Outcome.Send first = new Outcome.Send("r1.0", "REFUSED", "attempt-token-required", "not-run");
-            Outcome.Send second = new Outcome.Send("r1.1", "REFUSED", "overloaded", "not-run");
+            Outcome.Send first = new Outcome.Send("r1.0", 0, "REFUSED", "attempt-token-required", "not-run");
+            Outcome.Send second = new Outcome.Send("r1.1", 0, "REFUSED", "overloaded", "not-run");
             Findings found = ExecutionCheck.examine(logs, List.of(outcome("r1", first, second)));
             assertEquals(List.of("send=r1.1 code=overloaded"), found.falseNotRun());
         }
 
         @Test
         void answer_withoutFinishedRun_isUnfounded() {
-            Outcome.Send answered = new Outcome.Send("r9.0", "ANSWERED", "", "ran");
+            Outcome.Send answered = new Outcome.Send("r9.0", 0, "ANSWERED", "", "ran");
             Findings found = ExecutionCheck.examine(List.of(), List.of(outcome("r9", answered)));
             assertEquals(List.of("r9"), found.unfoundedAnswers());
         }
--- /dev/null
+++ b/testkit/src/test/java/io/daisyhoist/testkit/process/Node.java
@@ -0,0 +1,148 @@
+package io.daisyhoist.testkit.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.daisyhoist.testkit.Futures;
+import io.daisyhoist.testkit.Http;
+import io.daisyhoist.testkit.backend.BackendServer;
+import io.daisyhoist.testkit.backend.BackendSettings;
+import io.daisyhoist.testkit.check.RunLog;
+import io.daisyhoist.testkit.launch.DaemonFile;
+import io.daisyhoist.testkit.link.LinkProxy;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * One daemon process with its backend server stand-in and its own relay to the platform. Confined to the test's thread.
+ */
+final class Node implements AutoCloseable {
+    private static final String DAEMON_MAIN = "io.daisyhoist.daemon.process.DaemonMain";
+
+    private final String name;
+    private final String zone;
+    private final Path folder;
+    private final LinkProxy platformLink;
+    private final BackendServer backend;
+    private final DaemonFile file;
+    private JavaProcess daemon;
+
+    /** Starts the backend server and the relay, but not the daemon. */
+    Node(
+            Vertx vertx,
+            Path folder,
+            String name,
+            String zone,
+            int platformPort,
+            List<Integer> ports,
+            boolean checksFence) {
+        this.name = name;
+        this.zone = zone;
+        this.folder = folder;
+        this.platformLink = Futures.result(LinkProxy.start(vertx, DaemonFile.HOST, 0, DaemonFile.HOST, platformPort));
+        this.backend = Futures.result(BackendServer.start(vertx, settings(ports.get(1), ports.get(3), checksFence)));
+        this.file = new DaemonFile(
+                name,
+                "local",
+                zone,
+                Cluster.SERVICE,
+                ports.get(0),
+                ports.get(1),
+                ports.get(2),
+                List.of(DaemonFile.url(platformLink.port())),
+                DaemonFile.url(backend.port()));
+    }
+
+    private static BackendSettings settings(int daemonAdminPort, int port, boolean checksFence) {
+        return new BackendSettings(
+                Cluster.SERVICE,
+                DaemonFile.HOST,
+                port,
+                0,
+                Optional.of(DaemonFile.url(daemonAdminPort)),
+                6,
+                110,
+                // Long enough that a fault nearly always meets requests in flight.
+                30,
+                0.3,
+                2,
+                Duration.ofMillis(1_000),
+                Duration.ofMillis(500),
+                checksFence,
+                BackendSettings.DEFAULT_CRASH_HEADER,
+                Duration.ofMillis(1_000),
+                256,
+                port);
+    }
+
+    void startDaemon() {
+        Path settingsFile = folder.resolve(name + ".toml");
+        try {
+            Files.writeString(settingsFile, file.toToml());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        daemon = JavaProcess.start(folder.resolve(name + ".log"), DAEMON_MAIN, "--config", settingsFile.toString());
+    }
+
+    String name() {
+        return name;
+    }
+
+    String zone() {
+        return zone;
+    }
+
+    JavaProcess daemon() {
+        return daemon;
+    }
+
+    BackendServer backend() {
+        return backend;
+    }
+
+    LinkProxy platformLink() {
+        return platformLink;
+    }
+
+    String edgeUrl() {
+        return DaemonFile.url(file.httpPort());
+    }
+
+    RunLog runLog() {
+        return new RunLog(name, backend.executions().since(0));
+    }
+
+    boolean isReady() {
+        return answers("/ready")
+                .filter(response -> response.statusCode() == 200)
+                .isPresent();
+    }
+
+    JsonObject status() {
+        return answers("/v1/status")
+                .map(response -> new JsonObject(response.body()))
+                .orElseGet(JsonObject::new);
+    }
+
+    private Optional<HttpResponse<String>> answers(String path) {
+        try {
+            return Optional.of(Http.send("GET", DaemonFile.url(file.adminPort()) + path, ""));
+        } catch (UncheckedIOException notListening) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public void close() {
+        if (daemon != null) {
+            daemon.close();
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/test/java/io/daisyhoist/testkit/process/OperationTest.java
@@ -0,0 +1,102 @@
+package io.daisyhoist.testkit.process;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+
+import io.daisyhoist.testkit.backend.Execution;
+import io.daisyhoist.testkit.check.Outcome;
+import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.Test;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** What operators do to a cluster under load. */
+class OperationTest {
+    private static final Set<String> INTERRUPTED = Set.of("interrupted", "timed-out");
+    /** A request sent this long before the stop may still be in flight at the stop. */
+    private static final long SEND_TIMEOUT_MICROS = 2_000_000;
+
+    private static final Duration WAIT = Duration.ofSeconds(25);
+
+    /** Guards against a zone that still gets work after operators took it out, or that never returns. */
+    @Test
+    void zone_outAndIn_stopsWorkInTimeAndReturns() {
+        try (LoadedCluster loaded = LoadedCluster.start("zone-out", false)) {
+            List<Node> inZone = loaded.cluster().nodes().stream()
+                    .filter(node -> node.zone().equals("north"))
+                    .toList();
+            assertEquals(0, loaded.cluster().command("zone", "out", "north"));
+            long outMicros = LoadedCluster.nowMicros();
+            loaded.awaitAllServedSince(outMicros + 8_000_000);
+            long lastMicros =
+                    inZone.stream().mapToLong(OperationTest::lastStart).max().orElseThrow();
+            assertEquals(0, loaded.cluster().command("zone", "in", "north"));
+            long inMicros = LoadedCluster.nowMicros();
+            await("zone serves again")
+                    .atMost(WAIT)
+                    .until(() -> inZone.stream().allMatch(node -> lastStart(node) > inMicros));
+            loaded.print("zone_serves_again_ms=" + (LoadedCluster.nowMicros() - inMicros) / 1_000);
+            loaded.endAndCheck();
+            loaded.assertBound("zone_out_last_work_ms", Math.max(0, (lastMicros - outMicros) / 1_000), 5_000);
+        }
+    }
+
+    /** Guards against a planned stop that cuts off requests. */
+    @Test
+    void stop_underLoad_interruptsNothing() {
+        try (LoadedCluster loaded = LoadedCluster.start("planned-stop", false)) {
+            Node leaving = loaded.someOwner();
+            List<Integer> partitions = loaded.cluster().partitionsOf(leaving);
+            long stopMicros = LoadedCluster.nowMicros();
+            leaving.daemon().signal("TERM");
+            assertEquals(0, leaving.daemon().waitForExit(WAIT));
+            loaded.print("stop_ms=" + (LoadedCluster.nowMicros() - stopMicros) / 1_000);
+            loaded.awaitServedElsewhere(leaving, partitions, stopMicros);
+            loaded.awaitAllServedSince(LoadedCluster.nowMicros());
+            List<Outcome> outcomes = loaded.endAndCheck();
+            long interrupted = outcomes.stream()
+                    .flatMap(outcome -> outcome.sends().stream())
+                    .filter(send -> send.sentMicros() >= stopMicros - SEND_TIMEOUT_MICROS)
+                    .filter(send ->
+                            INTERRUPTED.contains(send.code()) || send.run().equals("unknown"))
+                    .count();
+            long unfinished = leaving.backend().executions().since(0).stream()
+                    .filter(run -> run.end() != Execution.End.FINISHED)
+                    .count();
+            loaded.print("interrupted=" + interrupted + " unfinished_runs=" + unfinished + " bound=0");
+            assertEquals(0, interrupted + unfinished);
+        }
+    }
+
+    /** Guards against a push that is applied twice after a lost response, or that reaches daemons late. */
+    @Test
+    void configPush_responseLost_appliedOnceAndEverywhereInTime() {
+        try (LoadedCluster loaded = LoadedCluster.start("config-push", false)) {
+            Cluster cluster = loaded.cluster();
+            long before = configVersion(cluster.nodes().get(0));
+            cluster.platform().faults().apply(new JsonObject().put("lose_next", 1));
+            assertEquals(0, cluster.pushServices(false, 5));
+            long pushedMicros = LoadedCluster.nowMicros();
+            await("version in force everywhere")
+                    .atMost(WAIT)
+                    .pollInterval(Duration.ofMillis(50))
+                    .until(() -> cluster.nodes().stream().allMatch(node -> configVersion(node) == before + 1));
+            long spreadMillis = (LoadedCluster.nowMicros() - pushedMicros) / 1_000;
+            loaded.endAndCheck();
+            loaded.assertBound("config_everywhere_ms", spreadMillis, 10_000);
+        }
+    }
+
+    private static long lastStart(Node node) {
+        return node.backend().executions().since(0).stream()
+                .mapToLong(Execution::startMicros)
+                .max()
+                .orElse(0);
+    }
+
+    private static long configVersion(Node node) {
+        return node.status().getLong("config_version", -1L);
+    }
+}
--- /dev/null
+++ b/testkit/src/test/java/io/daisyhoist/testkit/process/PlatformOutageTest.java
@@ -0,0 +1,80 @@
+package io.daisyhoist.testkit.process;
+
+import java.time.Duration;
+import java.util.List;
+
+import io.daisyhoist.testkit.Futures;
+import io.daisyhoist.testkit.check.Outcome;
+import io.daisyhoist.testkit.link.LinkMode;
+import io.daisyhoist.testkit.link.LinkProxy;
+import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.Test;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Outages of the platform: owners continue to serve, and failover resumes afterwards. */
+class PlatformOutageTest {
+    /** Longer than the lease and than three announcements, so that a dependence on the platform would show. */
+    private static final Duration OUTAGE = Duration.ofSeconds(6);
+
+    /** Guards against an owner that stops because it alone cannot reach the platform. */
+    @Test
+    void cut_ofOneDaemonFromPlatform_continuesServing() {
+        try (LoadedCluster loaded = LoadedCluster.start("platform-cut", false)) {
+            Node cutOff = loaded.someOwner();
+            List<Integer> partitions = loaded.cluster().partitionsOf(cutOff);
+            long cutMicros = LoadedCluster.nowMicros();
+            Futures.result(cutOff.platformLink().set(LinkProxy.Side.BOTH, LinkMode.CUT, 0));
+            awaitRunAt(cutOff, partitions, cutMicros + OUTAGE.toMillis() * 1_000);
+            Futures.result(cutOff.platformLink().set(LinkProxy.Side.BOTH, LinkMode.PASS, 0));
+            assertNothingRefused(loaded, loaded.endAndCheck());
+        }
+    }
+
+    /** Guards against owners that stop in an outage, and against a failover that never resumes after it. */
+    @Test
+    void outage_ofPlatform_ownersContinueAndFailoverResumes() {
+        try (LoadedCluster loaded = LoadedCluster.start("platform-down", false)) {
+            Cluster cluster = loaded.cluster();
+            long downMicros = LoadedCluster.nowMicros();
+            cluster.platform().faults().apply(new JsonObject().put("availability", "closed"));
+            loaded.awaitAllServedSince(downMicros + OUTAGE.toMillis() * 1_000);
+            Node lost = loaded.someOwner();
+            List<Integer> partitions = cluster.partitionsOf(lost);
+            lost.daemon().signal("KILL");
+            long lostMicros = LoadedCluster.nowMicros();
+            await("lease of the lost owner expired")
+                    .atMost(Duration.ofSeconds(20))
+                    .until(() -> LoadedCluster.nowMicros() - lostMicros > 4_000_000);
+            assertEquals(
+                    List.of(),
+                    partitions.stream()
+                            .filter(cluster.firstRunsElsewhere(lost, lostMicros)::containsKey)
+                            .toList(),
+                    "no owner may change without the platform");
+            long backMicros = LoadedCluster.nowMicros();
+            cluster.platform().faults().apply(new JsonObject().put("availability", "up"));
+            long gapMillis = loaded.awaitServedElsewhere(lost, partitions, backMicros);
+            loaded.endAndCheck();
+            loaded.assertBound("served_again_after_outage_ms", gapMillis, 4_000);
+        }
+    }
+
+    private static void awaitRunAt(Node node, List<Integer> partitions, long sinceMicros) {
+        await("partitions " + partitions + " still run at " + node.name())
+                .atMost(Duration.ofSeconds(20))
+                .until(() -> node.backend().executions().since(0).stream()
+                        .filter(run -> run.startMicros() >= sinceMicros)
+                        .map(run -> run.partition())
+                        .toList()
+                        .containsAll(partitions));
+    }
+
+    private static void assertNothingRefused(LoadedCluster loaded, List<Outcome> outcomes) {
+        long refused =
+                outcomes.stream().filter(outcome -> !outcome.isAnswered()).count();
+        loaded.print("refused=" + refused + " of=" + outcomes.size());
+        assertEquals(0, refused);
+    }
+}
