--- a/core/src/test/java/io/daisyhoist/core/membership/HistoryFaults.java
+++ b/core/src/test/java/io/daisyhoist/core/membership/HistoryFaults.java
@@ -1,6 +1,8 @@
 package io.daisyhoist.core.membership;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -67,29 +69,31 @@
     }
 
     /**
-     * A witness withdraws, so its owner replaces it; meanwhile the owner loses the platform, where its change may still
-     * arrive, and some of its links, but not the one to the old witness.
+     * A witness withdraws, so its owner replaces it; when that change is written, the owner loses its response, the
+     * platform, and all links but those to the old witness and to one that stays.
      */
     private void loseWitnessChange() {
         SimulatedDaemon owner = group.randomDaemon();
         GroupSnapshot known = owner.published();
-        List<ProcessId> witnesses = known.session()
+        List<ProcessId> witnesses = new ArrayList<>(known.session()
                 .flatMap(known.record()::member)
                 .map(Member::witnesses)
-                .orElse(List.of());
+                .orElse(List.of()));
         if (witnesses.isEmpty()) {
             return;
         }
-        SimulatedDaemon old =
-                group.daemon(witnesses.get(random.nextInt(witnesses.size())).daemon());
-        withdraw(old);
-        group.network().after(millis(50, 900), () -> {
+        Collections.shuffle(witnesses, random);
+        withdraw(group.daemon(witnesses.get(0).daemon()));
+        group.platform().afterNextWrite(owner.id(), () -> {
             group.platform().setCutOff(owner.id(), true);
-            cutSomeLinks(owner, millis(3_000, 6_000));
-            group.setCut(owner.id(), old.id(), false);
-            group.setCut(old.id(), owner.id(), false);
+            group.isolate(owner, true);
+            witnesses.subList(0, 2).forEach(heard -> {
+                group.setCut(owner.id(), heard.daemon(), false);
+                group.setCut(heard.daemon(), owner.id(), false);
+            });
+            group.network().after(millis(4_000, 7_000), () -> group.isolate(owner, false));
+            group.network().after(millis(6_000, 8_000), () -> group.platform().heal());
         });
-        group.network().after(millis(6_000, 8_000), () -> group.platform().heal());
     }
 
     void heal() {
--- a/core/src/test/java/io/daisyhoist/core/membership/OwnershipHistoryTest.java
+++ b/core/src/test/java/io/daisyhoist/core/membership/OwnershipHistoryTest.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -45,10 +47,14 @@
     @Test
     void histories_neverTwoOwners() {
         List<String> failures = Collections.synchronizedList(new ArrayList<>());
-        List<Long> gapsNanos = Collections.synchronizedList(new ArrayList<>());
+        Map<Kind, List<Long>> gapsNanos = new ConcurrentSkipListMap<>();
+        for (Kind lossKind : List.of(Kind.KILL, Kind.FREEZE, Kind.ISOLATE, Kind.ZONE_LOSS)) {
+            gapsNanos.put(lossKind, Collections.synchronizedList(new ArrayList<>()));
+        }
         seeds().parallel().forEach(seed -> {
             try {
-                gapsNanos.addAll(runHistory(seed));
+                List<Long> gaps = runHistory(seed);
+                Optional.ofNullable(gapsNanos.get(kind(seed))).ifPresent(all -> all.addAll(gaps));
             } catch (AssertionError | RuntimeException failure) {
                 failures.add("seed=" + seed + " kind=" + kind(seed) + " " + failure);
             }
@@ -104,7 +110,7 @@
         return Kind.values()[(int) (seed % Kind.values().length)];
     }
 
-    /** Returns how long each partition of a killed daemon had no owner. */
+    /** Returns how long each partition of a lost daemon had no owner. */
     private static List<Long> runHistory(long seed) {
         // The loss of a zone of four members leaves two, which is below the quorum.
         int smallest = kind(seed) == Kind.ZONE_LOSS ? 5 : 4;
@@ -119,13 +125,13 @@
                 gaps = runSingleLoss(group, (in, daemon) -> daemon.kill());
                 break;
             case FREEZE:
-                runSingleLoss(group, (in, daemon) -> daemon.pause(false));
+                gaps = runSingleLoss(group, (in, daemon) -> daemon.pause(false));
                 break;
             case ISOLATE:
-                runSingleLoss(group, (in, daemon) -> in.isolate(daemon, true));
+                gaps = runSingleLoss(group, (in, daemon) -> in.isolate(daemon, true));
                 break;
             case ZONE_LOSS:
-                runSingleLoss(group, OwnershipHistoryTest::killZone);
+                gaps = runSingleLoss(group, OwnershipHistoryTest::killZone);
                 break;
             case WITHDRAW:
                 runWithdrawal(group);
@@ -208,14 +214,16 @@
         }
     }
 
-    private static void report(List<Long> gapsNanos) {
-        List<Long> sorted = gapsNanos.stream().sorted().toList();
+    private static void report(Map<Kind, List<Long>> gapsNanos) {
         System.out.printf("event=histories untolerated=%d%n", UNTOLERATED.get());
-        if (!sorted.isEmpty()) {
-            System.out.printf(
-                    "event=kill_unavailable partitions=%d median_ms=%d p99_ms=%d max_ms=%d%n",
-                    sorted.size(), millisAt(sorted, 0.5), millisAt(sorted, 0.99), millisAt(sorted, 1));
-        }
+        gapsNanos.forEach((kind, gaps) -> {
+            List<Long> sorted = gaps.stream().sorted().toList();
+            if (!sorted.isEmpty()) {
+                System.out.printf(
+                        "event=unavailable loss=%s partitions=%d median_ms=%d p99_ms=%d max_ms=%d%n",
+                        kind, sorted.size(), millisAt(sorted, 0.5), millisAt(sorted, 0.99), millisAt(sorted, 1));
+            }
+        });
     }
 
     private static long millisAt(List<Long> sorted, double share) {
--- a/core/src/test/java/io/daisyhoist/core/membership/SimulatedPlatform.java
+++ b/core/src/test/java/io/daisyhoist/core/membership/SimulatedPlatform.java
@@ -1,8 +1,11 @@
 package io.daisyhoist.core.membership;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -17,6 +20,7 @@
     private final Random random;
     private final List<GroupRecord> log = new ArrayList<>(List.of(GroupRecord.EMPTY));
     private final Set<DaemonId> cutOff = new HashSet<>();
+    private final Map<DaemonId, Runnable> afterWrite = new HashMap<>();
     private long revision;
     private boolean down;
     private double lostResponses;
@@ -54,7 +58,13 @@
         slowestMillis = slowest;
     }
 
+    /** Runs a fault once, between the next write of a daemon and its response. */
+    void afterNextWrite(DaemonId daemon, Runnable fault) {
+        afterWrite.put(daemon, fault);
+    }
+
     void heal() {
+        afterWrite.clear();
         down = false;
         cutOff.clear();
         setQuality(0, 0);
@@ -97,6 +107,7 @@
         if (applied) {
             revision += 1 + random.nextInt(3);
             log.add(next);
+            Optional.ofNullable(afterWrite.remove(from)).ifPresent(Runnable::run);
         }
         long at = revision;
         if (random.nextDouble() >= lostResponses && isReachable(from)) {
