Test that a leaving member is removed

Cause: finishLeaving and hasLeft were called in histories but not checked. Ruled out: nothing was found wrong. Before: untested. Conclusion: a planned stop can wait for hasLeft.

--- a/core/src/test/java/io/daisyhoist/core/membership/OwnershipHistoryTest.java
+++ b/core/src/test/java/io/daisyhoist/core/membership/OwnershipHistoryTest.java
@@ -176,6 +176,11 @@
         OwnershipChecker.require(
                 chosen.published().served().isEmpty(), () -> chosen.id() + " still owns partitions after 5 s");
         requireGapsWithin(group, Duration.ofSeconds(1));
+        chosen.control(GroupController::finishLeaving);
+        group.run(Duration.ofSeconds(5));
+        chosen.control(controller ->
+                OwnershipChecker.require(controller.hasLeft(), () -> chosen.id() + " is still a member after 5 s"));
+        requireGapsWithin(group, Duration.ofSeconds(1));
     }
 
     private static void requireGapsWithin(SimulatedGroup group, Duration bound) {
