Do not count retries that reach no backend server against the budget

Ruled out: a larger budget, which would also allow more load on backend servers. Before: RetryRulesTest.nextRetry_noBackendServerReached_isNotBoundByTheBudget red. After: green. The deadline and the limit of requests in flight bound them.

--- a/core/src/main/java/io/daisyhoist/core/retry/RetryPolicy.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/RetryPolicy.java
@@ -15,7 +15,8 @@
  * Decides whether and when a refused request is sent again.
  *
  * <p>Invariants: a request is retried only if it certainly did not run, or if it is repeatable and its outcome is
- * unknown; a retry starts before the deadline; retries stay within the budget. Confined to one thread.
+ * unknown; a retry starts before the deadline; retries that may load a
+ * backend server stay within the budget. Confined to one thread.
  */
 public final class RetryPolicy {
     /** Refusals that another attempt would meet again, or that name the final outcome. */
@@ -29,6 +30,18 @@
             RefusalCode.ALREADY_RUN,
             RefusalCode.CRASH_SUSPECT);
 
+    /**
+     * Refusals that no backend server has seen. The budget protects backend servers from load, so it does not bound the
+     * retries of requests that wait for a failover or a move; their deadline does.
+     */
+    private static final Set<RefusalCode> WITHOUT_LOAD = EnumSet.of(
+            RefusalCode.NO_OWNER,
+            RefusalCode.NOT_OWNER,
+            RefusalCode.OWNER_UNREACHABLE,
+            RefusalCode.LEASE_LAPSED,
+            RefusalCode.ZONE_OUT,
+            RefusalCode.DRAINING);
+
     private static final int MAX_DOUBLINGS = 20;
 
     private final RetryBudget budget;
@@ -66,12 +79,17 @@
             return Optional.empty();
         }
         Duration wait = refusal.retryAfter().plus(backoff(retriesMade));
-        if (wait.compareTo(remaining) >= 0 || !budget.tryWithdraw()) {
+        if (wait.compareTo(remaining) >= 0 || !isWithinBudget(refusal)) {
             return Optional.empty();
         }
         return Optional.of(wait);
     }
 
+    private boolean isWithinBudget(Refusal refusal) {
+        boolean free = refusal.runState() == RunState.NOT_RUN && WITHOUT_LOAD.contains(refusal.code());
+        return free || budget.tryWithdraw();
+    }
+
     /** Returns whether another attempt is safe and may succeed. */
     public static boolean isRetriable(Refusal refusal, boolean repeatable) {
         boolean safe = refusal.runState() == RunState.NOT_RUN || repeatable && refusal.runState() == RunState.UNKNOWN;
--- a/core/src/test/java/io/daisyhoist/core/retry/RetryRulesTest.java
+++ b/core/src/test/java/io/daisyhoist/core/retry/RetryRulesTest.java
@@ -1,8 +1,10 @@
 package io.daisyhoist.core.retry;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 import io.daisyhoist.core.admission.ManualTime;
 import io.daisyhoist.core.error.Refusal;
@@ -71,6 +73,29 @@
             assertTrue(shortest.toMillis() < 20 && longest.toMillis() > 900, shortest + " " + longest);
         }
 
+        /** A failover takes seconds; requests that wait for it must not use up the budget and be refused. */
+        @Test
+        void nextRetry_noBackendServerReached_isNotBoundByTheBudget() {
+            RetryPolicy policy = RetryPolicy.standard(time, random);
+            for (int i = 0; i < 1_000; i++) {
+                for (RefusalCode code : List.of(
+                        RefusalCode.NO_OWNER,
+                        RefusalCode.NOT_OWNER,
+                        RefusalCode.OWNER_UNREACHABLE,
+                        RefusalCode.ZONE_OUT)) {
+                    Refusal waiting = refusal(code, RunState.NOT_RUN, 0);
+                    assertTrue(policy.nextRetry(waiting, false, 1, Duration.ofSeconds(3))
+                            .isPresent());
+                }
+            }
+            Refusal mayHaveRun = refusal(RefusalCode.OWNER_UNREACHABLE, RunState.UNKNOWN, 0);
+            long granted = IntStream.range(0, 1_000)
+                    .filter(i -> policy.nextRetry(mayHaveRun, true, 1, Duration.ofSeconds(3))
+                            .isPresent())
+                    .count();
+            assertTrue(granted <= 20, "retries that may load a backend server: " + granted);
+        }
+
         @Test
         void nextRetry_beyondTheDeadline_takesNothingFromTheBudget() {
             RetryPolicy policy =
