Report "not run" only if no earlier copy of the request may have run

Cause: after retries or hedges the client got the state of the last copy alone. A first copy that was lost after its write and a last one that was never sent ended in "not run". Found by the process tests: OwnerLossTest.kill with a slow platform and PlatformOutageTest each saw one false "not run" of a GET. Ruled out: the execution check; its logs showed the run of the first copy.

--- a/core/src/main/java/io/daisyhoist/core/error/RunState.java
+++ b/core/src/main/java/io/daisyhoist/core/error/RunState.java
@@ -15,6 +15,15 @@
         this.label = label;
     }
 
+    /**
+     * Returns what is known about a request of which several copies were sent, this being the state of the last one.
+     *
+     * @param earlier state over all earlier copies
+     */
+    public RunState afterEarlierCopies(RunState earlier) {
+        return this == NOT_RUN ? earlier : this;
+    }
+
     /** Returns the value of the {@code Daisyhoist-Run} header. */
     public String label() {
         return label;
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/Hedging.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/Hedging.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 
+import io.daisyhoist.core.error.RunState;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.retry.HedgePolicy;
 import io.vertx.core.Future;
@@ -59,6 +60,7 @@
         private final Promise<Void> over = Promise.promise();
         private final Function<Future<Void>, Future<OutboundResponse>> send;
         private int running;
+        private RunState earlier = RunState.NOT_RUN;
 
         Race(Future<Void> cancelled, Function<Future<Void>, Future<OutboundResponse>> send) {
             this.send = send;
@@ -77,9 +79,10 @@
         private void finished(OutboundResponse response) {
             running--;
             if (response.refusal().isEmpty() || running == 0) {
-                answer.tryComplete(response);
+                answer.tryComplete(response.afterEarlierCopies(earlier));
                 over.tryComplete();
             }
+            earlier = response.run().afterEarlierCopies(earlier);
         }
     }
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/OutboundResponse.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/OutboundResponse.java
@@ -59,6 +59,21 @@
                 attemptToken);
     }
 
+    /**
+     * Returns this answer as the last one to a request of which other copies were sent before. A refusal must not say
+     * "not run" when an earlier copy may have run.
+     *
+     * @param earlier run state over all earlier copies
+     */
+    OutboundResponse afterEarlierCopies(RunState earlier) {
+        RunState combined = run.afterEarlierCopies(earlier);
+        if (refusal.isEmpty() || combined == run) {
+            return this;
+        }
+        Refusal last = refusal.get();
+        return refused(new Refusal(last.code(), combined, last.message(), last.retryAfter()), attemptToken);
+    }
+
     /** Returns the answer to the request for a token. */
     public static OutboundResponse token(String attemptToken) {
         return new OutboundResponse(
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/RequestRouter.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/RequestRouter.java
@@ -12,6 +12,7 @@
 import io.daisyhoist.core.config.ServiceSettings;
 import io.daisyhoist.core.error.Refusal;
 import io.daisyhoist.core.error.RefusalCode;
+import io.daisyhoist.core.error.RunState;
 import io.daisyhoist.core.membership.Member;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.PartitionId;
@@ -196,6 +197,7 @@
         private final Send send;
         private final RetryPolicy policy;
         private final Promise<OutboundResponse> answer = Promise.promise();
+        private RunState earlier = RunState.NOT_RUN;
 
         Attempts(InboundRequest request, boolean repeatable, Future<Void> cancelled, Send send, RetryPolicy policy) {
             this.request = request;
@@ -209,9 +211,10 @@
             send.run().onSuccess(response -> {
                 Optional<Duration> wait = response.refusal().flatMap(refusal -> waitBefore(refusal, retriesMade));
                 if (wait.isEmpty()) {
-                    answer.complete(response);
+                    answer.complete(response.afterEarlierCopies(earlier));
                     return;
                 }
+                earlier = response.run().afterEarlierCopies(earlier);
                 traffic.metrics()
                         .onRetry(request.service(), response.refusal().get().code());
                 traffic.after(wait.get().toMillis(), () -> next(retriesMade + 1));
