Keep a majority of a member's witnesses outside its zone

Cause: a witness list was improved only when it gained a zone. A member of zone 0 with two witnesses in zone 0 and one in zone 1 gained none by a better list, so the loss of its zone also took a majority of its witnesses. Ruled out: the failover itself; the record before the loss showed the lists.

--- a/core/src/main/java/io/daisyhoist/core/membership/WitnessMaintenance.java
+++ b/core/src/main/java/io/daisyhoist/core/membership/WitnessMaintenance.java
@@ -130,7 +130,16 @@
         if (!bad.isEmpty()) {
             return selected.stream().filter(avoided(bad)::contains).count() < bad.size();
         }
-        return zones(selected) > zones(listed);
+        long gained = outsideOwnZone(selected) - outsideOwnZone(listed);
+        return gained > 0 || gained == 0 && zones(selected) > zones(listed);
+    }
+
+    /** Counts the witnesses that remain when the own zone is lost; a majority of them must. */
+    private long outsideOwnZone(List<ProcessId> witnesses) {
+        return witnesses.stream()
+                .flatMap(witness -> view.memberOf(witness).stream())
+                .filter(member -> !member.zone().equals(context.profile().zone()))
+                .count();
     }
 
     /** Replaces so few witnesses at once that the others are a majority of both lists. */
