Notify the request path only when the record or a hand-over has changed

Cause: the request path was notified after every step of the control thread, about 40 times a second, although it only needs changes. Ruled out: heartbeats; their number is fixed by the lease.

--- a/daemon/src/main/java/io/daisyhoist/daemon/process/Control.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/Control.java
@@ -75,15 +75,23 @@
         versions = new PeerVersions(time, controller, config.tracker(), () -> ownLoad.get(), config::fetch);
     }
 
-    /** Returns the loop of the group; started when the daemon can serve. */
-    GroupLoop groupLoop(String groupName, GroupLoop.HandOver handOver, Runnable onPublished) {
+    /**
+     * Returns the loop of the group; started when the daemon can serve.
+     *
+     * @param onChanged run after the record or the partitions that are being handed over have changed
+     */
+    GroupLoop groupLoop(String groupName, GroupLoop.HandOver handOver, Runnable onChanged) {
         return new GroupLoop(context, GROUP_KEY_PREFIX + groupName, controller, versions, handOver, snapshot -> {
-            boolean changed = snapshot.record().version() != group.record().version();
+            GroupSnapshot previous = group;
             group = snapshot;
-            if (changed) {
+            boolean recordChanged =
+                    snapshot.record().version() != previous.record().version();
+            if (recordChanged) {
                 onRecordChanged(snapshot);
             }
-            onPublished.run();
+            if (recordChanged || !snapshot.handingOver().equals(previous.handingOver())) {
+                onChanged.run();
+            }
         });
     }
 
