--- a/core/src/test/java/io/daisyhoist/core/membership/IdleGroupTest.java
+++ b/core/src/test/java/io/daisyhoist/core/membership/IdleGroupTest.java
@@ -1,11 +1,11 @@
 package io.daisyhoist.core.membership;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
+import io.daisyhoist.core.admission.ManualTime;
 import io.daisyhoist.core.assignment.Assigner;
 import io.daisyhoist.core.lease.HeartbeatOutcome;
 import io.daisyhoist.core.lease.LeaseSettings;
@@ -15,7 +15,6 @@
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.model.SessionId;
-import io.daisyhoist.core.time.TimeSource;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -35,20 +34,6 @@
     /** One read per 2 s for one member of a group: 262 reads/s at 525 groups. */
     private static final int PROPOSER_READS = 60;
 
-    private static final class ManualTime implements TimeSource {
-        private long nanos;
-
-        @Override
-        public long monotonicNanos() {
-            return nanos;
-        }
-
-        @Override
-        public Instant wallTime() {
-            return Instant.EPOCH.plusNanos(nanos);
-        }
-    }
-
     @Test
     void member_readsThePlatformAtMostEvery15Seconds() {
         assertTrue(readsOfIdle("d9") <= MEMBER_READS, () -> "reads in " + RUN + ": " + readsOfIdle("d9"));
@@ -73,7 +58,6 @@
         int reads = 0;
         long revision = 4;
         for (long at = 0; at < RUN.toNanos(); at += TICK.toNanos()) {
-            time.nanos = at;
             if (at % HEARTBEAT.toNanos() == 0) {
                 others.forEach(member -> controller.onHeartbeat(member.session()));
             }
@@ -90,6 +74,7 @@
                             heartbeat.session(), heartbeat.to(), heartbeat.sentAt(), HeartbeatOutcome.ACKNOWLEDGED);
                 }
             }
+            time.advance(TICK);
         }
         assertTrue(controller.snapshot().lease().isValid(time), "the daemon has joined and holds its lease");
         return reads;
