--- a/daemon/src/main/java/io/daisyhoist/daemon/process/Control.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/Control.java
@@ -13,6 +13,7 @@
 import io.daisyhoist.core.membership.GroupController;
 import io.daisyhoist.core.membership.GroupSnapshot;
 import io.daisyhoist.core.membership.MemberProfile;
+import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.routing.RoutingView;
 import io.daisyhoist.core.time.TimeSource;
@@ -97,7 +98,7 @@
 
     private void onRecordChanged(GroupSnapshot snapshot) {
         routing = RoutingView.of(snapshot.record(), config.tracker().current());
-        Set<io.daisyhoist.core.model.DaemonId> members = snapshot.record().members().stream()
+        Set<DaemonId> members = snapshot.record().members().stream()
                 .map(member -> member.session().daemon())
                 .collect(Collectors.toSet());
         versions.retainMembers(members);
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/DaemonMain.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/DaemonMain.java
@@ -7,6 +7,7 @@
 import io.daisyhoist.core.error.ErrorCode;
 import io.daisyhoist.daemon.process.settings.DaemonSettings;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -40,9 +41,7 @@
                 .epilog("Exit codes: 0 stopped, 1 internal fault, 2 usage, 3 invalid settings.\n"
                         + "Example: daisyhoistd --config /etc/daisyhoist/daemon.toml");
         parser.addArgument("--config").metavar("FILE").required(true).help("settings file (TOML)");
-        parser.addArgument("--check")
-                .action(net.sourceforge.argparse4j.impl.Arguments.storeTrue())
-                .help("validate the settings file and exit");
+        parser.addArgument("--check").action(Arguments.storeTrue()).help("validate the settings file and exit");
         return parser;
     }
 
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/Logging.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/Logging.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.daemon.process;
 
+import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -16,7 +17,7 @@
     static void configure(LogLevel level) {
         System.setProperty("java.util.logging.SimpleFormatter.format", FORMAT);
         LogManager.getLogManager().reset();
-        Handler handler = new java.util.logging.ConsoleHandler();
+        Handler handler = new ConsoleHandler();
         handler.setLevel(level.javaLevel());
         Logger root = Logger.getLogger("");
         root.addHandler(handler);
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/Serving.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/Serving.java
@@ -108,8 +108,7 @@
         EdgeRoutes routes = new EdgeRoutes(
                 inFlight,
                 name -> control.routing().config().service(name).map(ServiceSettings::requestTimeout),
-                new EdgeLimits(
-                        settings.limits().maxHeaderBytes(), settings.limits().maxBodyBytes()),
+                edgeLimits(settings),
                 time,
                 metrics,
                 tracer);
