--- a/core/src/main/java/io/daisyhoist/core/admission/AdmissionGate.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/AdmissionGate.java
@@ -39,6 +39,7 @@
     private long reportExpiryNanos;
     private OptionalLong backendIncarnation = OptionalLong.empty();
     private Optional<Refusal> closed = Optional.empty();
+    private int reservedForInternal;
 
     /**
      * Creates an open gate.
@@ -64,6 +65,14 @@
         return advance();
     }
 
+    /**
+     * Keeps some of the limit free for requests of the highest rank, which have short deadlines and hold up the requests
+     * that they are part of.
+     */
+    public void reserveForInternal(int reserved) {
+        reservedForInternal = reserved;
+    }
+
     /** Returns the number of requests that may be in flight now. */
     public int limit() {
         boolean reportValid = time.monotonicNanos() - reportExpiryNanos < 0;
@@ -211,7 +220,11 @@
         }
         // A request that runs alone is the only one in flight.
         boolean busyAlone = inFlight.size() == 1 && inFlight.iterator().next().alone();
-        return !ticket.alone() && !busyAlone && inFlight.size() < limit();
+        return !ticket.alone() && !busyAlone && inFlight.size() < limitFor(ticket.rank());
+    }
+
+    private int limitFor(Rank rank) {
+        return rank == Rank.INTERNAL ? limit() : Math.max(1, limit() - reservedForInternal);
     }
 
     private Permit admit(Ticket ticket) {
--- a/core/src/main/java/io/daisyhoist/core/keyrange/KeyLoad.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/KeyLoad.java
@@ -1,11 +1,12 @@
 package io.daisyhoist.core.keyrange;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.daisyhoist.core.time.TimeSource;
 
 /**
- * Recent requests per second of each key of one backend server.
+ * Recent work for each key of one backend server, in slots that it keeps busy.
  *
  * <p>Counts decay exponentially with {@link #MEMORY_S}. Confined to one thread.
  */
@@ -25,9 +26,9 @@
         this.decayedNanos = time.monotonicNanos();
     }
 
-    /** Counts a request for a key. */
-    public void onRequest(int key) {
-        weight[key]++;
+    /** Counts a request for a key, with the time that such requests take. */
+    public void onRequest(int key, Duration work) {
+        weight[key] += (float) (work.toNanos() / NANOS_PER_SECOND);
     }
 
     /** Ages all counts; to be called about once a second. */
@@ -40,8 +41,8 @@
         }
     }
 
-    /** Returns the requests per second of a range. */
-    public double rate(KeyRange range) {
+    /** Returns the slots that a range keeps busy. */
+    public double busySlots(KeyRange range) {
         double sum = 0;
         for (int key = range.from(); key <= range.to(); key++) {
             sum += weight[key];
@@ -52,7 +53,7 @@
     /**
      * Finds the range with the fewest keys inside the given one that carries about the wanted load.
      *
-     * @param wanted requests per second; the result carries between half of it and one and a half times it
+     * @param wanted busy slots; the result carries between half of it and one and a half times it
      */
     public Optional<KeyRange> narrowestWith(KeyRange within, double wanted) {
         double most = wanted * MEMORY_S * 1.5;
--- a/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
@@ -16,7 +16,12 @@
  */
 public final class RangePlanner {
     /** Keys move only for more than this share of the mean load, since each move costs service for a moment. */
-    private static final double IMBALANCE = 0.25;
+    private static final double IMBALANCE = 0.3;
+
+    /** Smaller surpluses are not worth a move. */
+    private static final double MIN_SURPLUS_SLOTS = 0.6;
+
+    private static final double MIN_MOVED_SLOTS = 0.2;
 
     private RangePlanner() {}
 
@@ -73,7 +78,11 @@
 
     /** Cuts large lost assignments, so that several backend servers can share them. */
     private static RangeTable splitLost(RangeTable table, Predicate<RangeAssignment> lost, int owners) {
-        int largest = Math.max(1, (KeyRange.MAX_KEY + 1) / (owners * 2));
+        int keys = table.assignments().stream()
+                .filter(lost)
+                .mapToInt(assignment -> assignment.range().size())
+                .sum();
+        int largest = Math.max(1, (keys + owners - 1) / owners);
         List<RangeAssignment> rows = new ArrayList<>();
         for (RangeAssignment assignment : table.assignments()) {
             if (!lost.test(assignment)) {
@@ -156,48 +165,64 @@
     }
 
     /**
-     * Finds keys that the busiest holder should give to the least busy one.
+     * Finds keys that a busy holder should give to less busy ones.
      *
-     * @param self daemon that asks; a move is planned only for its own keys
-     * @param loads requests per second of each holder; holders without a figure are left out
-     * @param keyLoad requests per second of each key of this daemon
+     * <p>Each holder with more than the mean gives of its surplus; what a holder with less lacks is shared among the
+     * givers in proportion to their surplus, so that several of them together do not overload it.
+     *
+     * @param self daemon that asks; moves are planned only for its own keys
+     * @param loads busy slots of each holder; holders without a figure are left out
+     * @param keyLoad work for the keys of this daemon
      */
-    public static Optional<RangeMove> rebalance(
+    public static List<RangeMove> rebalance(
             RangeTable table, DaemonId self, List<RangeOwner> owners, Map<DaemonId, Double> loads, KeyLoad keyLoad) {
         List<RangeOwner> known = owners.stream()
                 .filter(owner -> loads.containsKey(owner.daemon()))
                 .toList();
-        double own = loads.getOrDefault(self, 0.0);
-        if (known.size() < 2 || own <= 0) {
-            return Optional.empty();
-        }
         double mean = known.stream()
                 .mapToDouble(owner -> loads.get(owner.daemon()))
                 .average()
                 .orElse(0);
-        RangeOwner least = known.stream()
-                .min(Comparator.comparingDouble((RangeOwner owner) -> loads.get(owner.daemon()))
-                        .thenComparing(RangeOwner::daemon))
-                .orElseThrow();
-        double gap = own - loads.get(least.daemon());
-        boolean busiest = known.stream().allMatch(owner -> loads.get(owner.daemon()) <= own);
-        if (!busiest || least.daemon().equals(self) || own < mean * (1 + IMBALANCE) || gap < mean * IMBALANCE) {
-            return Optional.empty();
+        double surplus = loads.getOrDefault(self, 0.0) - mean;
+        if (known.size() < 2 || surplus < Math.max(MIN_SURPLUS_SLOTS, mean * IMBALANCE)) {
+            return List.of();
         }
-        double wanted = Math.min(own - mean, gap / 2);
-        return bestPart(table, self, wanted, keyLoad).map(range -> new RangeMove(range, least.daemon(), least.life()));
+        double allSurplus = known.stream()
+                .mapToDouble(owner -> Math.max(0, loads.get(owner.daemon()) - mean))
+                .sum();
+        List<KeyRange> own = new ArrayList<>(
+                table.of(self).stream().map(RangeAssignment::range).toList());
+        List<RangeMove> moves = new ArrayList<>();
+        known.stream()
+                .filter(owner -> !owner.daemon().equals(self))
+                .sorted(Comparator.comparingDouble((RangeOwner owner) -> loads.get(owner.daemon()))
+                        .thenComparing(RangeOwner::daemon))
+                .forEach(owner -> {
+                    double wanted = (mean - loads.get(owner.daemon())) * surplus / allSurplus;
+                    if (wanted >= MIN_MOVED_SLOTS) {
+                        takePart(own, wanted, keyLoad)
+                                .ifPresent(range -> moves.add(new RangeMove(range, owner.daemon(), owner.life())));
+                    }
+                });
+        return moves;
     }
 
-    /** Finds the narrowest range of own keys whose load comes closest to the wanted one without exceeding it by half. */
-    private static Optional<KeyRange> bestPart(RangeTable table, DaemonId self, double wanted, KeyLoad keyLoad) {
+    /** Takes the narrowest range with about the wanted load out of a list of ranges. */
+    private static Optional<KeyRange> takePart(List<KeyRange> ranges, double wanted, KeyLoad keyLoad) {
         Optional<KeyRange> best = Optional.empty();
-        for (RangeAssignment row : table.of(self)) {
-            Optional<KeyRange> part = keyLoad.narrowestWith(row.range(), wanted);
+        for (KeyRange range : ranges) {
+            Optional<KeyRange> part = keyLoad.narrowestWith(range, wanted);
             if (part.isPresent()
                     && (best.isEmpty() || part.get().size() < best.get().size())) {
                 best = part;
             }
         }
+        best.ifPresent(taken -> {
+            List<KeyRange> rest = new ArrayList<>();
+            ranges.forEach(range -> rest.addAll(KeyRanges.subtract(range, taken)));
+            ranges.clear();
+            ranges.addAll(rest);
+        });
         return best;
     }
 }
--- a/core/src/main/java/io/daisyhoist/core/retry/FleetRetryBudget.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/FleetRetryBudget.java
@@ -19,8 +19,8 @@
     /** A quarter of the daemons may carry most of the load, so each gets a multiple of the even share. */
     private static final double SHARE_FACTOR = 2.0;
 
-    /** Part of the ratio that is used; the rest covers requests that are counted in another window elsewhere. */
-    private static final double RATIO_USED = 0.75;
+    /** Part of the ratio that is used; the rest covers the calls that repeated runs make of other services. */
+    private static final double RATIO_USED = 0.5;
 
     private final TimeSource time;
     private final double ratio;
--- a/core/src/main/java/io/daisyhoist/core/routing/BackendLoads.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/BackendLoads.java
@@ -34,6 +34,8 @@
     /** Added to the score of a backend server that is used only if there is no other. */
     private static final double LAST_RESORT = 1_000;
 
+    private static final Duration FIRST_AVOIDANCE = Duration.ofMillis(400);
+    private static final int MAX_DOUBLINGS = 4;
     private static final double JITTER = 0.05;
     private static final double MIN_SLOWNESS = 0.3;
     private static final double MAX_SLOWNESS = 8;
@@ -57,6 +59,7 @@
         private long avoidUntilNanos;
         private boolean avoided;
         private long heardNanos;
+        private int unreachable;
     }
 
     /**
@@ -159,6 +162,11 @@
         state.slowness += GAIN * (ratio - state.slowness);
     }
 
+    /** Returns how long answers to a route's requests take on average; zero when none is known. */
+    public Duration meanLatency(String route) {
+        return Duration.ofNanos(meanLatencyNanos.getOrDefault(route, 0.0).longValue());
+    }
+
     /** Learns that a request failed at the backend server. */
     public void onFailure(DaemonId daemon) {
         State state = state(daemon);
@@ -172,6 +180,18 @@
         state.avoidUntilNanos = time.monotonicNanos() + howLong.toNanos();
     }
 
+    /** Learns that a daemon could not be reached; it is left out for longer each time. */
+    public void onUnreachable(DaemonId daemon) {
+        State state = state(daemon);
+        state.unreachable = Math.min(state.unreachable + 1, MAX_DOUBLINGS);
+        avoid(daemon, FIRST_AVOIDANCE.multipliedBy(1L << (state.unreachable - 1)));
+    }
+
+    /** Learns that a daemon has answered. */
+    public void onReachable(DaemonId daemon) {
+        state(daemon).unreachable = 0;
+    }
+
     /** Forgets daemons that have gone. */
     public void retain(Set<DaemonId> present) {
         states.keySet().removeIf(daemon -> !present.contains(daemon) && states.get(daemon).inFlight == 0);
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendAnswer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendAnswer.java
@@ -41,8 +41,10 @@
         LEAVING,
         /** Its availability zone gets no new work. */
         ZONE_EVACUATED,
-        /** It does not hold the key. */
+        /** It does not hold the key, and will not soon. */
         KEY_NOT_HELD,
+        /** It does not hold the key, which is about to move to it or from it. */
+        KEY_MOVING,
         /** It is cold and has had as many requests as it bears. */
         COLD,
         /** It has no room. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -15,6 +15,7 @@
 import io.daisyhoist.core.keyrange.HoldRight;
 import io.daisyhoist.core.keyrange.KeyHolds;
 import io.daisyhoist.core.keyrange.KeyLoad;
+import io.daisyhoist.core.keyrange.RangeMove;
 import io.daisyhoist.core.keyrange.RangeTable;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ServiceName;
@@ -47,6 +48,12 @@
     /** Holds end soon after a backend server has fallen silent, so that its keys can move. */
     private static final Duration HOLD = Duration.ofMillis(5_000);
 
+    /** Backend servers wait a second for a reply. */
+    private static final Duration MAX_REPLY_DELAY = Duration.ofMillis(500);
+
+    /** Time in which announced keys are usually assigned. */
+    private static final Duration KEYS_FOLLOW = Duration.ofMillis(1_500);
+
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration LOAD_REPORT_INTERVAL = Duration.ofMillis(500);
     private static final Duration LOAD_VALIDITY = Duration.ofSeconds(3);
@@ -66,7 +73,8 @@
     private final LoadSender loadSender;
     private final Map<DaemonId, PeerLoad> peerLoads = new HashMap<>();
     private Optional<LocalBackend> backend = Optional.empty();
-    private long grantedSinceNanos;
+    private Optional<DeferredReply> deferred = Optional.empty();
+    private long keysFollowUntilNanos;
     private long holdsEndNanos;
     private boolean operatorSynchronized;
     private boolean fleetSynchronized;
@@ -75,12 +83,22 @@
     private volatile LocalView local = LocalView.EMPTY;
     private volatile boolean ready;
 
-    private record PeerLoad(double requestsPerSecond, ElapsedTimer heardAt) {}
+    /** A heartbeat whose reply waits for keys that were announced. */
+    private record DeferredReply(
+            BackendHeartbeat heartbeat,
+            Optional<FleetState.StoredTable> seen,
+            CompletableFuture<Optional<KeyHolds.Reply>> reply) {}
+
+    private record PeerLoad(double busySlots, ElapsedTimer heardAt) {}
 
     /** Tells other daemons the load of this one's keys. */
     public interface LoadSender {
-        /** Sends to each of the given daemons. */
-        void send(List<FleetMember> receivers, double keyRequestsPerSecond);
+        /**
+         * Sends to each of the given daemons.
+         *
+         * @param keysFollow whether they are about to be assigned keys
+         */
+        void send(List<FleetMember> receivers, double keyBusySlots, boolean keysFollow);
     }
 
     /** Creates control state that knows nothing; {@link #start} begins to read the store. */
@@ -94,6 +112,7 @@
             LoadSender loadSender) {
         this.settings = settings;
         this.incarnation = incarnation;
+        this.keysFollowUntilNanos = time.monotonicNanos();
         this.time = time;
         this.control = control;
         this.loadSender = loadSender;
@@ -122,7 +141,7 @@
                 keyLoad,
                 new RangeKeeper.Environment(
                         store, control, time, settings.bounds().heartbeatInterval()),
-                this::requestsPerSecond);
+                new KeyLoads());
     }
 
     /** Begins to read the store and to register this daemon. */
@@ -161,13 +180,22 @@
     }
 
     /** Counts a request for a key of this daemon's backend server. */
-    public void onKeyRequest(int key) {
-        control.execute(() -> keyLoad.onRequest(key));
+    public void onKeyWork(int key, Duration work) {
+        control.execute(() -> keyLoad.onRequest(key, work));
     }
 
-    /** Takes the load of another daemon's keys. */
-    public void onPeerLoad(DaemonId daemon, double keyRequestsPerSecond) {
-        control.execute(() -> peerLoads.put(daemon, new PeerLoad(keyRequestsPerSecond, ElapsedTimer.start(time))));
+    /**
+     * Takes the load of another daemon's keys.
+     *
+     * @param keysFollow whether that daemon is about to give keys to this one
+     */
+    public void onPeerLoad(DaemonId daemon, double keyBusySlots, boolean keysFollow) {
+        control.execute(() -> {
+            peerLoads.put(daemon, new PeerLoad(keyBusySlots, ElapsedTimer.start(time)));
+            if (keysFollow) {
+                keysFollowUntilNanos = time.monotonicNanos() + KEYS_FOLLOW.toNanos();
+            }
+        });
     }
 
     @Override
@@ -175,7 +203,7 @@
         CompletableFuture<Optional<KeyHolds.Reply>> reply = new CompletableFuture<>();
         control.execute(() -> {
             try {
-                reply.complete(takeHeartbeat(heartbeat));
+                takeHeartbeat(heartbeat, reply);
             } catch (RuntimeException e) {
                 reply.completeExceptionally(e);
                 throw e;
@@ -184,7 +212,8 @@
         return reply;
     }
 
-    private Optional<KeyHolds.Reply> takeHeartbeat(BackendHeartbeat heartbeat) {
+    private void takeHeartbeat(BackendHeartbeat heartbeat, CompletableFuture<Optional<KeyHolds.Reply>> reply) {
+        answerDeferred();
         LocalBackend.Change change = LocalBackend.classify(backend, heartbeat);
         if (change == LocalBackend.Change.STALE) {
             LOGGER.atInfo().log(
@@ -192,29 +221,69 @@
                     heartbeat.life(),
                     heartbeat.sequence(),
                     backend.map(LocalBackend::life).orElseThrow());
-            return Optional.empty();
+            reply.complete(Optional.empty());
+            return;
         }
         LocalBackend before = backend.orElse(null);
         backend = Optional.of(LocalBackend.after(backend, heartbeat, time));
         logChange(before, change);
         holds.onHeartbeat(heartbeat);
-        Optional<KeyHolds.Reply> reply = Optional.empty();
+        registration.update(member());
         if (isKeyed(heartbeat.service())) {
-            RangeTable table = state.table(heartbeat.service())
-                    .map(FleetState.StoredTable::table)
-                    .orElseGet(() -> RangeTable.empty(heartbeat.service()));
             ranges.tick(heartbeat.service(), backend);
-            reply = holds.reply(heartbeat, table);
-            reply.ifPresent(granted -> {
-                grantedSinceNanos = time.monotonicNanos();
-                holdsEndNanos = grantedSinceNanos + granted.hold().toNanos();
-            });
+        }
+        boolean keysFollow = keysFollowUntilNanos - time.monotonicNanos() > 0 && !heartbeat.draining();
+        if (keysFollow && !holds.hasMoves()) {
+            deferReply(new DeferredReply(heartbeat, state.table(heartbeat.service()), reply));
+        } else {
+            reply.complete(holdsFor(heartbeat));
         }
         publishLocal();
-        registration.update(member());
+    }
+
+    private Optional<KeyHolds.Reply> holdsFor(BackendHeartbeat heartbeat) {
+        if (!isKeyed(heartbeat.service())) {
+            return Optional.empty();
+        }
+        RangeTable table = state.table(heartbeat.service())
+                .map(FleetState.StoredTable::table)
+                .orElseGet(() -> RangeTable.empty(heartbeat.service()));
+        Optional<KeyHolds.Reply> reply = holds.reply(heartbeat, table);
+        reply.ifPresent(granted -> {
+            holdsEndNanos = time.monotonicNanos() + granted.hold().toNanos();
+        });
         return reply;
     }
 
+    /** Waits with the reply until keys that were announced are assigned, since the next heartbeat comes much later. */
+    private void deferReply(DeferredReply next) {
+        deferred = Optional.of(next);
+        control.scheduleOnce(
+                () -> {
+                    if (deferred.equals(Optional.of(next))) {
+                        answerDeferred();
+                    }
+                },
+                MAX_REPLY_DELAY);
+    }
+
+    private void answerDeferred() {
+        deferred.ifPresent(waiting -> {
+            deferred = Optional.empty();
+            waiting.reply().complete(holdsFor(waiting.heartbeat()));
+            publishLocal();
+        });
+    }
+
+    private void answerDeferredIfTableChanged() {
+        boolean changed = deferred.filter(waiting ->
+                        !waiting.seen().equals(state.table(waiting.heartbeat().service())))
+                .isPresent();
+        if (changed) {
+            answerDeferred();
+        }
+    }
+
     private void logChange(LocalBackend before, LocalBackend.Change change) {
         LocalBackend now = backend.orElseThrow();
         boolean changed = change == LocalBackend.Change.NEW_PROCESS
@@ -291,26 +360,21 @@
                 .filter(member -> member.service().equals(service))
                 .filter(member -> !member.daemon().equals(settings.daemon()))
                 .toList();
-        loadSender.send(receivers, ranges.ownLoad(table.get().table()));
-    }
-
-    private Map<DaemonId, Double> requestsPerSecond() {
-        Map<DaemonId, Double> recent = new HashMap<>();
-        peerLoads.forEach((daemon, load) -> {
-            if (load.heardAt().elapsed(time).compareTo(LOAD_VALIDITY) < 0) {
-                recent.put(daemon, load.requestsPerSecond());
-            }
-        });
-        return recent;
+        loadSender.send(receivers, ranges.ownLoad(table.get().table()), false);
     }
 
     private void publishFleet(FleetSnapshot snapshot) {
         fleet = snapshot;
+        answerDeferredIfTableChanged();
     }
 
     private void publishLocal() {
         List<GrantedRange> granted = holds.granted();
-        local = new LocalView(backend, granted, holdsEndNanos, grantedSinceNanos);
+        local = new LocalView(
+                backend,
+                granted,
+                holdsEndNanos,
+                isKeyed(member().service()) && right.hold().isPresent());
     }
 
     /** Hears of what operators write. */
@@ -364,10 +428,42 @@
             }
         }
 
+        @Override
+        public void onStoreRegained() {
+            LOGGER.atInfo().log("event=dependency_regained dependency=store outcome=read_again");
+            operatorFeed.reload();
+            fleetFeed.reload();
+        }
+
         @Override
         public void onRegistered() {
             fleetSynchronized = false;
             fleetFeed.reload();
         }
     }
+
+    /** Knows the loads of other daemons' keys and warns them of keys that follow. */
+    private final class KeyLoads implements RangeKeeper.PeerLoadView {
+        @Override
+        public Map<DaemonId, Double> busySlots() {
+            Map<DaemonId, Double> recent = new HashMap<>();
+            peerLoads.forEach((daemon, load) -> {
+                if (load.heardAt().elapsed(time).compareTo(LOAD_VALIDITY) < 0) {
+                    recent.put(daemon, load.busySlots());
+                }
+            });
+            return recent;
+        }
+
+        @Override
+        public void announceMoves(List<RangeMove> moves) {
+            List<FleetMember> receivers = moves.stream()
+                    .map(RangeMove::daemon)
+                    .distinct()
+                    .flatMap(daemon -> Optional.ofNullable(fleet.members().get(daemon)).stream())
+                    .toList();
+            state.table(member().service())
+                    .ifPresent(table -> loadSender.send(receivers, ranges.ownLoad(table.table()), true));
+        }
+    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -53,6 +53,18 @@
     /** The backend server's connections besides those that carry its slots. */
     private static final int MAX_BACKEND_CONNECTIONS = 48;
 
+    /** Instances lie close together, so that silence shows a lost peer soon; requests wait on these connections. */
+    private static final PeerLimits PEER_LIMITS = new PeerLimits(
+            16 << 20,
+            4096,
+            1 << 20,
+            8 << 20,
+            Duration.ofMillis(300),
+            Duration.ofMillis(50),
+            Duration.ofMillis(600),
+            Duration.ofMillis(200),
+            Duration.ofSeconds(60));
+
     private final FleetSettings settings;
     private final Vertx vertx;
     private final Context context;
@@ -75,12 +87,12 @@
         this.context = vertx.getOrCreateContext();
         long incarnation = new SecureRandom().nextLong() >>> 1;
         PeerIdentity identity = new PeerIdentity(CLUSTER, new ProcessId(settings.daemon(), incarnation));
-        this.peers = new PeerClient(peerLoops, identity, PeerLimits.DEFAULT, ThreadLocalRandom.current());
+        this.peers = new PeerClient(peerLoops, identity, PEER_LIMITS, ThreadLocalRandom.current());
         this.fleet = new FleetControl(settings, incarnation, time, control, store, documents, this::sendLoad);
         WorkerClient worker = new WorkerClient(vertx, context, names, MAX_BACKEND_CONNECTIONS, time);
-        this.gate = new BackendGate(time, settings.zone(), fleet::fleet, fleet::local, worker, fleet::onKeyRequest);
+        this.gate = new BackendGate(time, settings.zone(), fleet::fleet, fleet::local, worker, fleet::onKeyWork);
         this.peerServer = new PeerServer(
-                peerLoops, identity, PeerLimits.DEFAULT, new ForwardReceiver(context, gate, time, fleet::onPeerLoad));
+                peerLoops, identity, PEER_LIMITS, new ForwardReceiver(context, gate, time, fleet::onPeerLoad));
         BackendLoads loads = new BackendLoads(time, new SplittableRandom(incarnation), settings.zone());
         RequestContext requests = new RequestContext(
                 vertx,
@@ -153,11 +165,12 @@
         }
     }
 
-    private void sendLoad(List<FleetMember> receivers, double keyRequestsPerSecond) {
+    private void sendLoad(List<FleetMember> receivers, double keyBusySlots, boolean keysFollow) {
         Envelope message = Envelope.newBuilder()
                 .setFleetLoad(FleetLoad.newBuilder()
                         .setDaemon(settings.daemon().name())
-                        .setKeyRequestsPerSecond(keyRequestsPerSecond))
+                        .setKeyBusySlots(keyBusySlots)
+                        .setKeysFollow(keysFollow))
                 .build();
         receivers.forEach(
                 member -> peers.send(new Endpoint(member.peerHost(), member.peerPort()), PeerChannel.CONTROL, message));
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
@@ -45,6 +45,7 @@
     private static final class Entry {
         private final FleetMember member;
         private Optional<Long> absentSinceNanos = Optional.empty();
+        private boolean replaced;
 
         private Entry(FleetMember member) {
             this.member = member;
@@ -110,6 +111,7 @@
     }
 
     private void onMember(FleetMember member) {
+        markReplaced(member);
         Entry before = members.put(member.daemon(), new Entry(member));
         if (before == null || !before.member.equals(member) || before.absentSinceNanos.isPresent()) {
             LOGGER.atInfo().log(
@@ -122,6 +124,19 @@
         }
     }
 
+    /** An instance whose address now belongs to another daemon is gone; requests to it would reach the other one. */
+    private void markReplaced(FleetMember newcomer) {
+        members.values().stream()
+                .filter(entry -> !entry.member.daemon().equals(newcomer.daemon()))
+                .filter(entry -> entry.member.peerHost().equals(newcomer.peerHost()))
+                .filter(entry -> entry.absentSinceNanos.isPresent())
+                .forEach(entry -> {
+                    entry.replaced = true;
+                    LOGGER.atInfo().log(
+                            "event=member_replaced member=%s by=%s", entry.member.daemon(), newcomer.daemon());
+                });
+    }
+
     private void onTable(RangeTable table, long revision) {
         StoredTable known = tables.get(table.service());
         if (known != null && known.revision() >= revision) {
@@ -193,7 +208,11 @@
 
     FleetSnapshot snapshot() {
         Map<DaemonId, FleetMember> present = new HashMap<>();
-        members.forEach((daemon, entry) -> present.put(daemon, entry.member));
+        members.forEach((daemon, entry) -> {
+            if (!entry.replaced) {
+                present.put(daemon, entry.member);
+            }
+        });
         Map<ServiceName, RangeTable> known = new HashMap<>();
         tables.forEach((service, stored) -> known.put(service, stored.table()));
         return new FleetSnapshot(config, evacuated, present, known);
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
@@ -63,9 +63,12 @@
     private boolean committing;
     private long rebalancedNanos;
 
-    /** Requests per second of the holders of a service's keys, as far as known. */
+    /** Busy slots of the holders of a service's keys, as far as known. */
     interface PeerLoadView {
-        Map<DaemonId, Double> requestsPerSecond();
+        Map<DaemonId, Double> busySlots();
+
+        /** Tells daemons that they are about to be assigned keys. */
+        void announceMoves(List<RangeMove> moves);
     }
 
     /**
@@ -245,26 +248,30 @@
         boolean evacuated = Optional.ofNullable(fleet.members().get(self)).stream()
                 .anyMatch(member -> fleet.isEvacuated(member.availabilityZone()));
         if (!selfAccepts && (backend.get().leaving() || evacuated)) {
-            RangePlanner.evacuate(table, self, others(owners)).forEach(holds::plan);
+            List<RangeMove> moves = RangePlanner.evacuate(table, self, others(owners));
+            moves.forEach(holds::plan);
+            loads.announceMoves(moves);
             return;
         }
         if (selfAccepts && time.monotonicNanos() - rebalancedNanos > REBALANCE_INTERVAL.toNanos()) {
             rebalancedNanos = time.monotonicNanos();
-            Map<DaemonId, Double> known = new HashMap<>(loads.requestsPerSecond());
+            Map<DaemonId, Double> known = new HashMap<>(loads.busySlots());
             known.put(self, ownLoad(table));
-            RangePlanner.rebalance(table, self, owners, known, keyLoad).ifPresent(move -> {
+            List<RangeMove> moves = RangePlanner.rebalance(table, self, owners, known, keyLoad);
+            moves.forEach(move -> {
                 LOGGER.atInfo().log(
                         "event=range_move_planned service=%s range=%s to=%s loads=%s",
                         table.service(), move.range(), move.daemon(), known);
                 holds.plan(move);
             });
+            loads.announceMoves(moves);
         }
     }
 
-    /** Returns the requests per second for the keys of this daemon. */
+    /** Returns the slots that the keys of this daemon keep busy. */
     double ownLoad(RangeTable table) {
         return table.of(self).stream()
-                .mapToDouble(row -> keyLoad.rate(row.range()))
+                .mapToDouble(row -> keyLoad.busySlots(row.range()))
                 .sum();
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -42,6 +42,7 @@
     private boolean dirty;
     private boolean verifyFirst;
     private boolean busy;
+    private boolean storeLost;
     private boolean ended;
 
     /** Hears of the state of the entry, on the control thread. */
@@ -49,6 +50,9 @@
         /** The entry was in the store after a call sent at the given time. */
         void onConfirmed(ElapsedTimer sentAt);
 
+        /** The store answers again after a call had failed; connections from before may be silent for good. */
+        void onStoreRegained();
+
         /** The entry was written anew, so that all else that was read from the store has to be read again. */
         void onRegistered();
     }
@@ -140,9 +144,17 @@
                 "event=registration_call_failed call=%s key=%s revision=%d reason=\"%s\"",
                 call, key, revision, failure.getMessage());
         verifyFirst = true;
+        storeLost = true;
         next(RETRY_WAIT);
     }
 
+    private void answered() {
+        if (storeLost) {
+            storeLost = false;
+            listener.onStoreRegained();
+        }
+    }
+
     private void createLease() {
         store.createLease(leaseTtl)
                 .whenCompleteAsync(
@@ -151,6 +163,7 @@
                                 failed("lease_create", failure);
                                 return;
                             }
+                            answered();
                             lease = created.id();
                             registered = false;
                             readRevision();
@@ -166,6 +179,7 @@
                                 failed("entry_read", failure);
                                 return;
                             }
+                            answered();
                             revision = item.map(found -> found.revision()).orElse(Transaction.ABSENT);
                             write();
                         },
@@ -185,6 +199,7 @@
                                 failed("entry_write", failure);
                                 return;
                             }
+                            answered();
                             onWritten(written, result);
                         },
                         control);
@@ -220,6 +235,7 @@
                                 failed("entry_read", failure);
                                 return;
                             }
+                            answered();
                             long found = item.map(entry -> entry.revision()).orElse(Transaction.ABSENT);
                             if (found != revision) {
                                 registered = false;
@@ -243,6 +259,7 @@
                                 failed("lease_renew", failure);
                                 return;
                             }
+                            answered();
                             if (!alive) {
                                 LOGGER.atWarning().log(
                                         "event=lease_ended key=%s lease=%d outcome=register_again", key, lease);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -45,6 +44,12 @@
     private static final int QUEUE_PER_SLOT = 4;
     private static final double UNKNOWN_SLOWDOWN = 1;
 
+    /** Slots kept for internal requests at backend servers that get some. */
+    private static final int RESERVED_FOR_INTERNAL = 1;
+
+    /** Backend servers with fewer slots cannot spare one. */
+    private static final int MIN_SLOTS_TO_RESERVE = 3;
+
     /** Pause before a refused client should come again when nothing better is known. */
     private static final Duration SHORT_PAUSE = Duration.ofMillis(100);
 
@@ -56,7 +61,8 @@
     private final AdmissionGate gate;
     private final SlotLimit slots = new SlotLimit(1);
     private final ColdGuard cold;
-    private final IntConsumer onKeyRequest;
+    private final KeyWorkListener onKeyRequest;
+    private final WorkTimes workTimes = new WorkTimes();
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private double slowdown = UNKNOWN_SLOWDOWN;
     private int knownSlots = 1;
@@ -65,6 +71,12 @@
     private record Waiting(
             BackendRequestData request, Future<Void> cancelled, Promise<BackendAnswer> answer, long arrivedNanos) {}
 
+    /** Hears of requests for keys. */
+    public interface KeyWorkListener {
+        /** A request for a key has come that is expected to take the given time. */
+        void onKeyWork(int key, Duration work);
+    }
+
     /** Creates an open gate. */
     public BackendGate(
             TimeSource time,
@@ -72,7 +84,7 @@
             Supplier<FleetSnapshot> fleet,
             Supplier<LocalView> local,
             WorkerClient client,
-            IntConsumer onKeyRequest) {
+            KeyWorkListener onKeyRequest) {
         this.time = time;
         this.zone = zone;
         this.fleet = fleet;
@@ -115,10 +127,14 @@
         if (!cold.mayBeSent(backend, policy(request))) {
             return Future.succeededFuture(refuse(request, NotRunReason.COLD, cold.untilRoom()));
         }
-        request.key().ifPresent(onKeyRequest);
+        request.key().ifPresent(key -> onKeyRequest.onKeyWork(key, workTimes.expected(request.priority())));
         Promise<BackendAnswer> answer = Promise.promise();
         Waiting entry = new Waiting(request, cancelled, answer, time.monotonicNanos());
-        Offer offer = gate.offer(rank(request.priority()), queueWait);
+        Rank rank = rank(request.priority());
+        if (rank == Rank.INTERNAL && knownSlots >= MIN_SLOTS_TO_RESERVE) {
+            gate.reserveForInternal(RESERVED_FOR_INTERNAL);
+        }
+        Offer offer = gate.offer(rank, queueWait);
         if (offer instanceof Offer.Admitted admitted) {
             send(entry, admitted.permit());
         } else if (offer instanceof Offer.Queued queued) {
@@ -183,7 +199,10 @@
             return Optional.of(NotRunReason.ZONE_EVACUATED);
         }
         boolean held = request.key().isEmpty() || view.holds(request.key().getAsInt(), time.monotonicNanos());
-        return held ? Optional.empty() : Optional.of(NotRunReason.KEY_NOT_HELD);
+        if (held) {
+            return Optional.empty();
+        }
+        return Optional.of(view.mayHold() ? NotRunReason.KEY_MOVING : NotRunReason.KEY_NOT_HELD);
     }
 
     private NotRun refuse(BackendRequestData request, NotRunReason reason, Duration retryAfter) {
@@ -232,6 +251,7 @@
                 .onSuccess(answer -> {
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     log(entry, answer, sentNanos, latency);
+                    workTimes.onEnd(request.priority(), latency);
                     onConnectionTrouble(answer);
                     entry.answer().complete(answer);
                     apply(gate.complete(permit, outcome(answer), latency));
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -36,8 +36,8 @@
 
     /** Hears of other daemons' loads. */
     public interface LoadListener {
-        /** A daemon has told the load of its keys. */
-        void onLoad(DaemonId daemon, double keyRequestsPerSecond);
+        /** A daemon has told the load of its keys, and whether it is about to give keys to this daemon. */
+        void onLoad(DaemonId daemon, double keyBusySlots, boolean keysFollow);
     }
 
     /** Creates a receiver. */
@@ -62,7 +62,7 @@
     }
 
     private void onLoad(FleetLoad load) {
-        loads.onLoad(new DaemonId(load.getDaemon()), load.getKeyRequestsPerSecond());
+        loads.onLoad(new DaemonId(load.getDaemon()), load.getKeyBusySlots(), load.getKeysFollow());
     }
 
     private void forward(ProcessId from, Envelope message, Consumer<Envelope> reply) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
@@ -35,7 +35,10 @@
     /** Time that a peer's answer may take beyond the deadline that it works under. */
     private static final Duration ANSWER_SLACK = Duration.ofMillis(50);
 
-    private static final Duration AVOID_UNREACHABLE = Duration.ofMillis(400);
+    private static final Duration RETRY_AFTER_UNREACHABLE = Duration.ofMillis(300);
+
+    /** A member entry that names an ended backend server is replaced within about a second, or never. */
+    private static final Duration AVOID_STALE = Duration.ofMillis(700);
 
     private final Context context;
     private final DaemonId self;
@@ -83,16 +86,28 @@
         if (failure == null) {
             ForwardResponse response = reply.getForwardResponse();
             ForwardCodec.load(response).ifPresent(load -> loads.onReport(member.daemon(), load));
-            return ForwardCodec.decode(response);
+            BackendAnswer answer = ForwardCodec.decode(response);
+            if (answer instanceof NotRun notRun && isStale(notRun.reason())) {
+                loads.avoid(member.daemon(), AVOID_STALE);
+            } else {
+                loads.onReachable(member.daemon());
+            }
+            return answer;
         }
         if (failure instanceof PeerException peer) {
             if (peer.reason() != PeerException.Reason.TIMEOUT) {
-                loads.avoid(member.daemon(), AVOID_UNREACHABLE);
+                loads.onUnreachable(member.daemon());
             }
             return peer.certainty() == Certainty.NOT_SENT
-                    ? new NotRun(NotRunReason.PEER_UNREACHABLE, false, AVOID_UNREACHABLE)
+                    ? new NotRun(NotRunReason.PEER_UNREACHABLE, false, RETRY_AFTER_UNREACHABLE)
                     : new Unknown(UnknownReason.PEER_LOST);
         }
         return new Unknown(UnknownReason.CANCELLED);
     }
+
+    private static boolean isStale(NotRunReason reason) {
+        return reason == NotRunReason.WRONG_BACKEND
+                || reason == NotRunReason.LEAVING
+                || reason == NotRunReason.ZONE_EVACUATED;
+    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
@@ -17,6 +17,7 @@
 import io.daisyhoist.mesh.connection.BackendAnswer;
 import io.daisyhoist.mesh.connection.BackendAnswer.Answered;
 import io.daisyhoist.mesh.connection.BackendAnswer.NotRun;
+import io.daisyhoist.mesh.connection.BackendAnswer.NotRunReason;
 import io.daisyhoist.mesh.connection.BackendAnswer.Unknown;
 import io.daisyhoist.mesh.connection.BackendAnswer.UnknownReason;
 import io.daisyhoist.mesh.connection.BackendRequestData;
@@ -37,12 +38,17 @@
     /** Gates that may refuse one request before it is given up; a refusal costs a round trip only. */
     private static final int MAX_GATE_REFUSALS = 4;
 
-    /** Share of the remaining time that a request may wait for a slot; the rest is for its work. */
-    private static final double QUEUE_SHARE = 0.4;
+    /** Share of the time beyond its usual work that a request may wait for a slot. */
+    private static final double QUEUE_SHARE = 0.6;
 
     /** Least time in which another send can be of use. */
     private static final Duration MIN_SEND_TIME = Duration.ofMillis(15);
 
+    private static final Duration MOVE_CHECK_INTERVAL = Duration.ofMillis(25);
+
+    /** Bounds the wait for a move to less than a second. */
+    private static final int MAX_MOVE_WAITS = 24;
+
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(200);
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(30);
 
@@ -61,6 +67,7 @@
     private Optional<Duration> retryAfter = Optional.empty();
     private int sends;
     private int gateRefusals;
+    private int moveWaits;
     private boolean outstanding;
     private boolean mayHaveRun;
 
@@ -155,7 +162,7 @@
                 request.deadline(),
                 context.callerService().name(),
                 member.backend().orElseThrow().life());
-        Duration queueWait = Duration.ofNanos((long) (remaining().toNanos() * QUEUE_SHARE));
+        Duration queueWait = queueWait();
         context.forwarder().send(member, data, queueWait, request.cancelled()).onComplete(done -> {
             outstanding = false;
             BackendAnswer result = done.succeeded() ? done.result() : new Unknown(UnknownReason.CONNECTION_LOST);
@@ -165,6 +172,13 @@
         });
     }
 
+    /** Leaves the time that such requests usually take. */
+    private Duration queueWait() {
+        Duration spare =
+                remaining().minus(context.loads().meanLatency(request.route().name()));
+        return spare.isNegative() ? Duration.ZERO : Duration.ofNanos((long) (spare.toNanos() * QUEUE_SHARE));
+    }
+
     private void onResult(DaemonId daemon, BackendAnswer result, Duration latency) {
         if (result instanceof Answered answered) {
             onAnswered(daemon, answered, latency);
@@ -200,6 +214,9 @@
             retryOrFinish();
             return;
         }
+        if (notRun.reason() == NotRunReason.KEY_MOVING && waitForMove(daemon)) {
+            return;
+        }
         gateRefusals++;
         if (gateRefusals >= MAX_GATE_REFUSALS || remaining().compareTo(MIN_SEND_TIME) < 0) {
             finish(giveUp());
@@ -208,6 +225,23 @@
         next();
     }
 
+    /** A move takes a fraction of a second, which most requests can wait. */
+    private boolean waitForMove(DaemonId daemon) {
+        Duration left = remaining().minus(MOVE_CHECK_INTERVAL);
+        Duration usual = context.loads().meanLatency(request.route().name());
+        if (moveWaits >= MAX_MOVE_WAITS || left.compareTo(usual) < 0) {
+            return false;
+        }
+        moveWaits++;
+        tried.remove(daemon);
+        context.vertx().setTimer(MOVE_CHECK_INTERVAL.toMillis(), fired -> {
+            if (!answer.future().isComplete()) {
+                next();
+            }
+        });
+        return true;
+    }
+
     private void onUnknown(DaemonId daemon, UnknownReason reason) {
         mayHaveRun = true;
         sends++;
--- a/mesh/src/main/java/io/daisyhoist/mesh/version/LocalView.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/version/LocalView.java
@@ -12,12 +12,12 @@
  * @param backend the backend server; empty before its first heartbeat
  * @param granted keys that it was last told to hold
  * @param holdsEndNanos monotonic time at which it stops holding them
- * @param grantedSinceNanos monotonic time of the reply that told it
+ * @param mayHold whether it may be told to hold keys at its next heartbeat
  */
 public record LocalView(
-        Optional<LocalBackend> backend, List<GrantedRange> granted, long holdsEndNanos, long grantedSinceNanos) {
+        Optional<LocalBackend> backend, List<GrantedRange> granted, long holdsEndNanos, boolean mayHold) {
     /** Nothing is known. */
-    public static final LocalView EMPTY = new LocalView(Optional.empty(), List.of(), 0, 0);
+    public static final LocalView EMPTY = new LocalView(Optional.empty(), List.of(), 0, false);
 
     /** Copies the list. */
     public LocalView {
--- a/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoad.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoad.java
@@ -92,19 +92,34 @@
     }
   }
 
-  public static final int KEY_REQUESTS_PER_SECOND_FIELD_NUMBER = 2;
-  private double keyRequestsPerSecond_ = 0D;
+  public static final int KEY_BUSY_SLOTS_FIELD_NUMBER = 2;
+  private double keyBusySlots_ = 0D;
   /**
    * <pre>
-   * Requests per second for the keys that its backend server holds.
+   * Slots of its backend server that work for its keys keeps busy.
    * </pre>
    *
-   * <code>double key_requests_per_second = 2;</code>
-   * @return The keyRequestsPerSecond.
+   * <code>double key_busy_slots = 2;</code>
+   * @return The keyBusySlots.
    */
   @java.lang.Override
-  public double getKeyRequestsPerSecond() {
-    return keyRequestsPerSecond_;
+  public double getKeyBusySlots() {
+    return keyBusySlots_;
+  }
+
+  public static final int KEYS_FOLLOW_FIELD_NUMBER = 3;
+  private boolean keysFollow_ = false;
+  /**
+   * <pre>
+   * Set when keys are about to be assigned to the receiver's backend server.
+   * </pre>
+   *
+   * <code>bool keys_follow = 3;</code>
+   * @return The keysFollow.
+   */
+  @java.lang.Override
+  public boolean getKeysFollow() {
+    return keysFollow_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -124,8 +139,11 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(daemon_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, daemon_);
     }
-    if (java.lang.Double.doubleToRawLongBits(keyRequestsPerSecond_) != 0) {
-      output.writeDouble(2, keyRequestsPerSecond_);
+    if (java.lang.Double.doubleToRawLongBits(keyBusySlots_) != 0) {
+      output.writeDouble(2, keyBusySlots_);
+    }
+    if (keysFollow_ != false) {
+      output.writeBool(3, keysFollow_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -139,9 +157,13 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(daemon_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, daemon_);
     }
-    if (java.lang.Double.doubleToRawLongBits(keyRequestsPerSecond_) != 0) {
+    if (java.lang.Double.doubleToRawLongBits(keyBusySlots_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(2, keyBusySlots_);
+    }
+    if (keysFollow_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(2, keyRequestsPerSecond_);
+        .computeBoolSize(3, keysFollow_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -160,9 +182,11 @@
 
     if (!getDaemon()
         .equals(other.getDaemon())) return false;
-    if (java.lang.Double.doubleToLongBits(getKeyRequestsPerSecond())
+    if (java.lang.Double.doubleToLongBits(getKeyBusySlots())
         != java.lang.Double.doubleToLongBits(
-            other.getKeyRequestsPerSecond())) return false;
+            other.getKeyBusySlots())) return false;
+    if (getKeysFollow()
+        != other.getKeysFollow()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -176,9 +200,12 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + DAEMON_FIELD_NUMBER;
     hash = (53 * hash) + getDaemon().hashCode();
-    hash = (37 * hash) + KEY_REQUESTS_PER_SECOND_FIELD_NUMBER;
+    hash = (37 * hash) + KEY_BUSY_SLOTS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getKeyRequestsPerSecond()));
+        java.lang.Double.doubleToLongBits(getKeyBusySlots()));
+    hash = (37 * hash) + KEYS_FOLLOW_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getKeysFollow());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -315,7 +342,8 @@
       super.clear();
       bitField0_ = 0;
       daemon_ = "";
-      keyRequestsPerSecond_ = 0D;
+      keyBusySlots_ = 0D;
+      keysFollow_ = false;
       return this;
     }
 
@@ -353,7 +381,10 @@
         result.daemon_ = daemon_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.keyRequestsPerSecond_ = keyRequestsPerSecond_;
+        result.keyBusySlots_ = keyBusySlots_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.keysFollow_ = keysFollow_;
       }
     }
 
@@ -374,8 +405,11 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (java.lang.Double.doubleToRawLongBits(other.getKeyRequestsPerSecond()) != 0) {
-        setKeyRequestsPerSecond(other.getKeyRequestsPerSecond());
+      if (java.lang.Double.doubleToRawLongBits(other.getKeyBusySlots()) != 0) {
+        setKeyBusySlots(other.getKeyBusySlots());
+      }
+      if (other.getKeysFollow() != false) {
+        setKeysFollow(other.getKeysFollow());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -409,10 +443,15 @@
               break;
             } // case 10
             case 17: {
-              keyRequestsPerSecond_ = input.readDouble();
+              keyBusySlots_ = input.readDouble();
               bitField0_ |= 0x00000002;
               break;
             } // case 17
+            case 24: {
+              keysFollow_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -502,46 +541,90 @@
       return this;
     }
 
-    private double keyRequestsPerSecond_ ;
+    private double keyBusySlots_ ;
     /**
      * <pre>
-     * Requests per second for the keys that its backend server holds.
+     * Slots of its backend server that work for its keys keeps busy.
      * </pre>
      *
-     * <code>double key_requests_per_second = 2;</code>
-     * @return The keyRequestsPerSecond.
+     * <code>double key_busy_slots = 2;</code>
+     * @return The keyBusySlots.
      */
     @java.lang.Override
-    public double getKeyRequestsPerSecond() {
-      return keyRequestsPerSecond_;
+    public double getKeyBusySlots() {
+      return keyBusySlots_;
     }
     /**
      * <pre>
-     * Requests per second for the keys that its backend server holds.
+     * Slots of its backend server that work for its keys keeps busy.
      * </pre>
      *
-     * <code>double key_requests_per_second = 2;</code>
-     * @param value The keyRequestsPerSecond to set.
+     * <code>double key_busy_slots = 2;</code>
+     * @param value The keyBusySlots to set.
      * @return This builder for chaining.
      */
-    public Builder setKeyRequestsPerSecond(double value) {
+    public Builder setKeyBusySlots(double value) {
 
-      keyRequestsPerSecond_ = value;
+      keyBusySlots_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Requests per second for the keys that its backend server holds.
+     * Slots of its backend server that work for its keys keeps busy.
      * </pre>
      *
-     * <code>double key_requests_per_second = 2;</code>
+     * <code>double key_busy_slots = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearKeyRequestsPerSecond() {
+    public Builder clearKeyBusySlots() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      keyRequestsPerSecond_ = 0D;
+      keyBusySlots_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private boolean keysFollow_ ;
+    /**
+     * <pre>
+     * Set when keys are about to be assigned to the receiver's backend server.
+     * </pre>
+     *
+     * <code>bool keys_follow = 3;</code>
+     * @return The keysFollow.
+     */
+    @java.lang.Override
+    public boolean getKeysFollow() {
+      return keysFollow_;
+    }
+    /**
+     * <pre>
+     * Set when keys are about to be assigned to the receiver's backend server.
+     * </pre>
+     *
+     * <code>bool keys_follow = 3;</code>
+     * @param value The keysFollow to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeysFollow(boolean value) {
+
+      keysFollow_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when keys are about to be assigned to the receiver's backend server.
+     * </pre>
+     *
+     * <code>bool keys_follow = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeysFollow() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      keysFollow_ = false;
       onChanged();
       return this;
     }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoadOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoadOrBuilder.java
@@ -24,11 +24,21 @@
 
   /**
    * <pre>
-   * Requests per second for the keys that its backend server holds.
+   * Slots of its backend server that work for its keys keeps busy.
    * </pre>
    *
-   * <code>double key_requests_per_second = 2;</code>
-   * @return The keyRequestsPerSecond.
+   * <code>double key_busy_slots = 2;</code>
+   * @return The keyBusySlots.
    */
-  double getKeyRequestsPerSecond();
+  double getKeyBusySlots();
+
+  /**
+   * <pre>
+   * Set when keys are about to be assigned to the receiver's backend server.
+   * </pre>
+   *
+   * <code>bool keys_follow = 3;</code>
+   * @return The keysFollow.
+   */
+  boolean getKeysFollow();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -279,9 +279,10 @@
       "r_ms\030\004 \001(\r\"-\n\rCancelRequest\022\034\n\024cancelled" +
       "_request_id\030\001 \001(\004\"Q\n\013CrashReport\022\017\n\007back" +
       "end\030\001 \001(\t\022\033\n\023backend_incarnation\030\002 \001(\006\022\024" +
-      "\n\014fingerprints\030\003 \003(\t\"<\n\tFleetLoad\022\016\n\006dae" +
-      "mon\030\001 \001(\t\022\037\n\027key_requests_per_second\030\002 \001" +
-      "(\001B\034\n\030io.daisyhoist.wire.protoP\001b\006proto3"
+      "\n\014fingerprints\030\003 \003(\t\"H\n\tFleetLoad\022\016\n\006dae" +
+      "mon\030\001 \001(\t\022\026\n\016key_busy_slots\030\002 \001(\001\022\023\n\013key" +
+      "s_follow\030\003 \001(\010B\034\n\030io.daisyhoist.wire.pro" +
+      "toP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -454,7 +455,7 @@
     internal_static_daisyhoist_peer_FleetLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_FleetLoad_descriptor,
-        new java.lang.String[] { "Daemon", "KeyRequestsPerSecond", });
+        new java.lang.String[] { "Daemon", "KeyBusySlots", "KeysFollow", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
