Withdraw keys before a silent backend server's keys are given away

Cause: a daemon that thaws gives away the keys of its silent backend server while the heartbeats that waited are answered with grants; when the write is done, two backend servers hold the keys.

Change: the give-away is planned as moves, which are withheld from grants until the store has settled them, also when a write takes effect late.

--- a/core/src/main/java/io/daisyhoist/core/keyrange/KeyHolds.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/KeyHolds.java
@@ -143,11 +143,17 @@
         return !moves.isEmpty();
     }
 
-    /** Returns the moves whose keys the backend server no longer holds. */
+    /**
+     * Returns the moves whose keys the backend server no longer holds.
+     *
+     * <p>The caller may write them to the store, where a write can take effect late; so the keys stay withdrawn until
+     * {@link #settle}.
+     */
     public List<RangeMove> readyMoves() {
         boolean ended = holdsEnded();
+        moves.forEach(pending -> pending.ready |= ended);
         return moves.stream()
-                .filter(pending -> pending.ready || ended)
+                .filter(pending -> pending.ready)
                 .map(pending -> pending.move)
                 .toList();
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/ControlThread.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/ControlThread.java
@@ -1,7 +1,6 @@
 package io.daisyhoist.daemon.process;
 
 import java.time.Duration;
-import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -15,7 +14,7 @@
  * <p>Tasks run one at a time, in order of submission; a failing task is logged and does not stop later ones. Tasks
  * submitted after {@link #close()} are dropped. Thread-safe.
  */
-public final class ControlThread implements Executor, AutoCloseable {
+public final class ControlThread implements ControlExecutor, AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
@@ -33,12 +32,12 @@
         }
     }
 
-    /** Runs a task repeatedly; a late run does not cause a burst of catch-up runs. */
+    @Override
     public void scheduleRepeating(Runnable task, Duration interval) {
         executor.scheduleWithFixedDelay(guarded(task), 0, interval.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** Runs a task once after a delay. */
+    @Override
     public void scheduleOnce(Runnable task, Duration delay) {
         try {
             executor.schedule(guarded(task), delay.toMillis(), TimeUnit.MILLISECONDS);
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -22,7 +22,7 @@
 import io.daisyhoist.core.route.ServicePolicy;
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.core.time.TimeSource;
-import io.daisyhoist.daemon.process.ControlThread;
+import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoredItem;
@@ -61,7 +61,7 @@
     private final FleetSettings settings;
     private final long incarnation;
     private final TimeSource time;
-    private final ControlThread control;
+    private final ControlExecutor control;
     private final FleetState state;
     private final StoreFeed operatorFeed;
     private final StoreFeed fleetFeed;
@@ -106,7 +106,7 @@
             FleetSettings settings,
             long incarnation,
             TimeSource time,
-            ControlThread control,
+            ControlExecutor control,
             MetadataStore store,
             OperatorDocuments documents,
             LoadSender loadSender) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
@@ -24,7 +24,7 @@
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.route.ServicePolicy;
 import io.daisyhoist.core.time.TimeSource;
-import io.daisyhoist.daemon.process.ControlThread;
+import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.process.FleetState.StoredTable;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.Transaction;
@@ -55,7 +55,7 @@
     private final KeyHolds holds;
     private final KeyLoad keyLoad;
     private final MetadataStore store;
-    private final ControlThread control;
+    private final ControlExecutor control;
     private final TimeSource time;
     private final Duration heartbeatInterval;
     private final PeerLoadView loads;
@@ -79,7 +79,7 @@
      * @param time clock
      * @param heartbeatInterval time between two heartbeats of a backend server
      */
-    record Environment(MetadataStore store, ControlThread control, TimeSource time, Duration heartbeatInterval) {}
+    record Environment(MetadataStore store, ControlExecutor control, TimeSource time, Duration heartbeatInterval) {}
 
     RangeKeeper(
             DaemonId self,
@@ -123,10 +123,10 @@
         }
         if (commitReadyMoves(stored.get())
                 || renewAfterRestart(stored.get(), backend)
-                || giveUpSilent(stored.get(), backend, owners)
                 || takeOver(stored.get(), owners)) {
             return;
         }
+        giveUpSilent(stored.get(), backend, owners);
         planMoves(fleet, stored.get().table(), owners, backend);
     }
 
@@ -194,22 +194,15 @@
         return row.daemon().equals(self) && life.isAfter(row.life());
     }
 
-    private boolean giveUpSilent(StoredTable stored, Optional<LocalBackend> backend, List<RangeOwner> owners) {
+    /** Withdraws the keys before they are given away, since the backend server may be heard again at any moment. */
+    private void giveUpSilent(StoredTable stored, Optional<LocalBackend> backend, List<RangeOwner> owners) {
         Duration limit = heartbeatInterval.multipliedBy(MISSED_HEARTBEATS);
         boolean silent = backend.map(
                         known -> known.leaving() || known.silence(time).compareTo(limit) > 0)
                 .orElse(true);
-        if (!silent || !holds.holdsEnded()) {
-            return false;
+        if (silent && holds.holdsEnded() && !holds.hasMoves()) {
+            RangePlanner.evacuate(stored.table(), self, others(owners)).forEach(holds::plan);
         }
-        List<RangeOwner> others = others(owners);
-        RangeTable next =
-                RangePlanner.reassign(stored.table(), row -> row.daemon().equals(self), others);
-        if (next.equals(stored.table())) {
-            return false;
-        }
-        commit("backend_silent", next, stored.revision(), Set.of());
-        return true;
     }
 
     private boolean takeOver(StoredTable stored, List<RangeOwner> owners) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -8,7 +8,7 @@
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.core.time.TimeSource;
-import io.daisyhoist.daemon.process.ControlThread;
+import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.Transaction;
 import io.daisyhoist.mesh.store.TransactionResult;
@@ -31,7 +31,7 @@
 
     private final String key;
     private final MetadataStore store;
-    private final ControlThread control;
+    private final ControlExecutor control;
     private final TimeSource time;
     private final Listener listener;
     private final Duration leaseTtl;
@@ -61,7 +61,7 @@
             String key,
             FleetMember member,
             MetadataStore store,
-            ControlThread control,
+            ControlExecutor control,
             TimeSource time,
             Duration minLeaseTtl,
             Listener listener) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreFeed.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreFeed.java
@@ -12,7 +12,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.core.time.TimeSource;
-import io.daisyhoist.daemon.process.ControlThread;
+import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.store.ItemPage;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.StoreEvent;
@@ -40,7 +40,7 @@
 
     private final String prefix;
     private final MetadataStore store;
-    private final ControlThread control;
+    private final ControlExecutor control;
     private final TimeSource time;
     private final Listener listener;
     private final Map<String, Long> revisions = new HashMap<>();
@@ -60,7 +60,7 @@
         void onSynchronized(ElapsedTimer sentAt);
     }
 
-    StoreFeed(String prefix, MetadataStore store, ControlThread control, TimeSource time, Listener listener) {
+    StoreFeed(String prefix, MetadataStore store, ControlExecutor control, TimeSource time, Listener listener) {
         this.prefix = prefix;
         this.store = store;
         this.control = control;
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -0,0 +1,197 @@
+package io.daisyhoist.mesh.process;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.daisyhoist.core.fleet.BackendHeartbeat;
+import io.daisyhoist.core.fleet.BackendLife;
+import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.keyrange.GrantedRange;
+import io.daisyhoist.core.keyrange.HeldRange;
+import io.daisyhoist.core.keyrange.KeyHolds;
+import io.daisyhoist.core.keyrange.KeyRange;
+import io.daisyhoist.core.keyrange.KeyRanges;
+import io.daisyhoist.core.keyrange.ReleasedRange;
+import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.mesh.store.OperatorDocuments;
+
+/** One simulated instance: a daemon's control state and the backend server beside it, which holds keys as told. */
+final class SimulatedInstance {
+    static final ServiceName SERVICE = new ServiceName("archive");
+    private static final Duration HEARTBEAT = Duration.ofMillis(870);
+    private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(1);
+
+    /** The backend server's clock is slow, so it holds keys for longer than it is told. */
+    private static final double SLOW_CLOCK = 1.02;
+
+    private final Simulation simulation;
+    private final OperatorDocuments documents;
+    private final SimulatedStore.Client store;
+    private final DaemonId daemon;
+    private final FleetSettings settings;
+    private Simulation.Process process;
+    private FleetControl control;
+    private Optional<Backend> backend = Optional.empty();
+    private int starts;
+
+    SimulatedInstance(Simulation simulation, SimulatedStore store, OperatorDocuments documents, int index) {
+        this.simulation = simulation;
+        this.documents = documents;
+        this.store = store.client();
+        this.daemon = new DaemonId("daemon-" + index);
+        Endpoint address = new Endpoint("10.0.0." + (index + 1), 1000);
+        this.settings = new FleetSettings(
+                daemon,
+                new AvailabilityZone("zone-" + index % 3),
+                SERVICE,
+                address,
+                address,
+                address,
+                address,
+                address,
+                new FleetBounds(
+                        Duration.ofSeconds(6),
+                        Duration.ofSeconds(10),
+                        HEARTBEAT,
+                        Duration.ofSeconds(1),
+                        0.2,
+                        50,
+                        Duration.ofSeconds(10),
+                        1.5,
+                        5));
+        startDaemon();
+        startBackend();
+    }
+
+    DaemonId daemon() {
+        return daemon;
+    }
+
+    SimulatedStore.Client store() {
+        return store;
+    }
+
+    Simulation.Process process() {
+        return process;
+    }
+
+    Optional<Backend> backend() {
+        return backend;
+    }
+
+    void startDaemon() {
+        starts++;
+        process = simulation.process();
+        control = new FleetControl(settings, starts, process, process, store, documents, this::ignoreLoads);
+        control.start();
+    }
+
+    private void ignoreLoads(List<FleetMember> receivers, double keyBusySlots, boolean keysFollow) {
+        // Keys are balanced by load only where requests flow.
+    }
+
+    void killDaemon() {
+        process.kill();
+    }
+
+    void startBackend() {
+        backend = Optional.of(new Backend(new BackendLife("backend-of-" + daemon, simulation.nowNanos() / 1_000_000)));
+        backend.get().sendHeartbeat();
+    }
+
+    void crashBackend() {
+        backend.ifPresent(running -> running.ended = true);
+        backend = Optional.empty();
+    }
+
+    /** Keeps to the contract for servers that hold keys. */
+    final class Backend {
+        private final BackendLife life;
+        private final List<HeldRange> holds = new ArrayList<>();
+        private final List<ReleasedRange> released = new ArrayList<>();
+        private long holdsEndNanos;
+        private long sequence;
+        private boolean ended;
+        private boolean silent;
+
+        private Backend(BackendLife life) {
+            this.life = life;
+        }
+
+        void setSilent(boolean isSilent) {
+            silent = isSilent;
+        }
+
+        List<HeldRange> holds() {
+            return holdsEndNanos > simulation.nowNanos() ? holds : List.of();
+        }
+
+        private void sendHeartbeat() {
+            if (ended) {
+                return;
+            }
+            if (silent || process.isKilled()) {
+                simulation.at(HEARTBEAT, this::sendHeartbeat);
+                return;
+            }
+            sequence++;
+            long sentNanos = simulation.nowNanos();
+            if (holds().isEmpty()) {
+                holds.clear();
+            }
+            BackendHeartbeat heartbeat = new BackendHeartbeat(
+                    life,
+                    sequence,
+                    settings.backend(),
+                    SERVICE,
+                    6,
+                    false,
+                    Duration.ZERO,
+                    List.copyOf(holds),
+                    List.copyOf(released));
+            boolean[] answered = new boolean[1];
+            control.onHeartbeat(heartbeat)
+                    .thenAccept(reply -> simulation.at(Duration.ofMillis(1), () -> {
+                        if (!answered[0] && !ended) {
+                            answered[0] = true;
+                            boolean releasing = take(reply, sentNanos);
+                            simulation.at(releasing ? Duration.ofMillis(100) : HEARTBEAT, this::sendHeartbeat);
+                        }
+                    }));
+            simulation.at(REPLY_TIMEOUT, () -> {
+                if (!answered[0]) {
+                    answered[0] = true;
+                    sendHeartbeat();
+                }
+            });
+        }
+
+        private boolean take(Optional<KeyHolds.Reply> reply, long sentNanos) {
+            released.clear();
+            if (reply.isEmpty()) {
+                return false;
+            }
+            List<HeldRange> before = List.copyOf(holds());
+            holds.clear();
+            reply.get().ranges().forEach(granted -> holds.add(new HeldRange(granted.range(), granted.fence())));
+            holdsEndNanos = sentNanos + (long) (reply.get().hold().toNanos() * SLOW_CLOCK);
+            before.forEach(held -> releaseLeftOut(held.range(), reply.get().ranges()));
+            return !released.isEmpty();
+        }
+
+        private void releaseLeftOut(KeyRange held, List<GrantedRange> granted) {
+            List<KeyRange> rest = List.of(held);
+            for (GrantedRange range : granted) {
+                List<KeyRange> next = new ArrayList<>();
+                rest.forEach(part -> next.addAll(KeyRanges.subtract(part, range.range())));
+                rest = next;
+            }
+            rest.forEach(part -> released.add(new ReleasedRange(part, "token-" + sequence)));
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
@@ -0,0 +1,270 @@
+package io.daisyhoist.mesh.process;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import io.daisyhoist.mesh.store.ItemPage;
+import io.daisyhoist.mesh.store.MetadataStore;
+import io.daisyhoist.mesh.store.StoreEvent;
+import io.daisyhoist.mesh.store.StoreLease;
+import io.daisyhoist.mesh.store.StoreUnavailableException;
+import io.daisyhoist.mesh.store.StoredItem;
+import io.daisyhoist.mesh.store.Transaction;
+import io.daisyhoist.mesh.store.TransactionResult;
+import io.daisyhoist.mesh.store.WatchResult;
+
+/**
+ * The platform's store in simulated time: linearizable, with leases, watches, lost history, outages, lost answers, writes
+ * that are done late, and leases that it ends early.
+ */
+final class SimulatedStore {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Simulation simulation;
+    private final Random random;
+    private final Map<String, Stored> items = new TreeMap<>();
+    private final Map<Long, Long> leaseEndNanos = new HashMap<>();
+    private final Map<Long, Duration> leaseTtls = new HashMap<>();
+    private final List<StoreEvent> history = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long revision = 1;
+    private long forgottenUpTo;
+    private long nextLease = 1;
+    private boolean down;
+    private boolean leasesPause;
+    private double lostAnswers;
+
+    private record Stored(StoredItem item, long lease) {}
+
+    private record Watch(String prefix, long after, Runnable wake) {}
+
+    SimulatedStore(Simulation simulation, Random random) {
+        this.simulation = simulation;
+        this.random = random;
+        expireLeases();
+    }
+
+    private void expireLeases() {
+        if (!(down && leasesPause)) {
+            List.copyOf(leaseEndNanos.keySet()).stream()
+                    .filter(lease -> leaseEndNanos.get(lease) <= simulation.nowNanos())
+                    .forEach(this::endLease);
+        }
+        simulation.at(Duration.ofMillis(20), this::expireLeases);
+    }
+
+    void endLease(long lease) {
+        leaseEndNanos.remove(lease);
+        items.values().stream()
+                .filter(stored -> stored.lease() == lease)
+                .map(stored -> stored.item().key())
+                .toList()
+                .forEach(this::delete);
+    }
+
+    /** Takes away what a daemon has registered although its lease has not run out. */
+    void revoke(String key) {
+        Optional.ofNullable(items.get(key)).ifPresent(stored -> endLease(stored.lease()));
+    }
+
+    void put(String key, byte[] value) {
+        revision++;
+        StoredItem item = new StoredItem(key, value, revision);
+        items.put(key, new Stored(item, Transaction.NO_LEASE));
+        append(new StoreEvent(key, revision, Optional.of(item)));
+    }
+
+    private void delete(String key) {
+        items.remove(key);
+        revision++;
+        append(new StoreEvent(key, revision, Optional.empty()));
+    }
+
+    private void append(StoreEvent event) {
+        history.add(event);
+        List<Watch> woken = watches.stream()
+                .filter(watch -> event.key().startsWith(watch.prefix()))
+                .toList();
+        watches.removeAll(woken);
+        woken.forEach(watch -> simulation.at(Duration.ZERO, watch.wake()));
+    }
+
+    void setDown(boolean isDown, boolean pauseLeases) {
+        down = isDown;
+        leasesPause = pauseLeases;
+    }
+
+    void setLostAnswers(double share) {
+        lostAnswers = share;
+    }
+
+    void forgetHistory() {
+        forgottenUpTo = revision;
+        history.clear();
+    }
+
+    Optional<StoredItem> item(String key) {
+        return Optional.ofNullable(items.get(key)).map(Stored::item);
+    }
+
+    /** The store as one daemon reaches it. */
+    final class Client implements MetadataStore {
+        private boolean cut;
+
+        void setCut(boolean isCut) {
+            cut = isCut;
+        }
+
+        private <T> CompletableFuture<T> call(boolean write, Supplier<T> action) {
+            CompletableFuture<T> answer = new CompletableFuture<>();
+            simulation.at(
+                    CALL_TIMEOUT,
+                    () -> answer.completeExceptionally(new StoreUnavailableException("no answer in time", false)));
+            Duration way = Duration.ofMillis(1 + random.nextInt(6));
+            simulation.at(way, () -> {
+                if (down || cut) {
+                    return;
+                }
+                boolean late = write && random.nextDouble() < lostAnswers / 2;
+                if (late) {
+                    simulation.at(Duration.ofMillis(1_000 + random.nextInt(4_000)), action::get);
+                    return;
+                }
+                T result = action.get();
+                boolean lost = random.nextDouble() < lostAnswers;
+                if (!lost) {
+                    simulation.at(way, () -> {
+                        if (!cut) {
+                            answer.complete(result);
+                        }
+                    });
+                }
+            });
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<Optional<StoredItem>> get(String key) {
+            return call(false, () -> item(key));
+        }
+
+        @Override
+        public CompletableFuture<ItemPage> range(String prefix, Optional<String> after) {
+            return call(
+                    false,
+                    () -> new ItemPage(
+                            items.values().stream()
+                                    .map(Stored::item)
+                                    .filter(item -> item.key().startsWith(prefix))
+                                    .toList(),
+                            false,
+                            revision));
+        }
+
+        @Override
+        public CompletableFuture<WatchResult> watch(String prefix, long afterRevision, Duration wait) {
+            CompletableFuture<WatchResult> answer = new CompletableFuture<>();
+            simulation.at(
+                    wait.plusSeconds(1),
+                    () -> answer.completeExceptionally(new StoreUnavailableException("no answer in time", false)));
+            Runnable respond = () -> {
+                if (!down && !cut) {
+                    answer.complete(changes(prefix, afterRevision));
+                }
+            };
+            boolean due = afterRevision < forgottenUpTo
+                    || history.stream().anyMatch(event -> matches(event, prefix, afterRevision));
+            if (due) {
+                simulation.at(Duration.ofMillis(4), respond);
+            } else {
+                watches.add(new Watch(prefix, afterRevision, respond));
+                simulation.at(wait, respond);
+            }
+            return answer;
+        }
+
+        private WatchResult changes(String prefix, long afterRevision) {
+            if (afterRevision < forgottenUpTo) {
+                return new WatchResult.HistoryLost();
+            }
+            return new WatchResult.Changes(
+                    history.stream()
+                            .filter(event -> matches(event, prefix, afterRevision))
+                            .toList(),
+                    revision);
+        }
+
+        private static boolean matches(StoreEvent event, String prefix, long afterRevision) {
+            return event.revision() > afterRevision && event.key().startsWith(prefix);
+        }
+
+        @Override
+        public CompletableFuture<TransactionResult> commit(Transaction transaction) {
+            return call(true, () -> apply(transaction));
+        }
+
+        private TransactionResult apply(Transaction transaction) {
+            boolean conflict = transaction.conditions().stream()
+                    .anyMatch(condition -> condition.revision()
+                            != item(condition.key()).map(StoredItem::revision).orElse(Transaction.ABSENT));
+            if (conflict) {
+                return new TransactionResult.Conflict();
+            }
+            boolean leaseEnded = transaction.writes().stream()
+                    .anyMatch(write ->
+                            write.lease() != Transaction.NO_LEASE && !leaseEndNanos.containsKey(write.lease()));
+            if (leaseEnded) {
+                return new TransactionResult.LeaseEnded();
+            }
+            revision++;
+            for (Transaction.Write write : transaction.writes()) {
+                StoredItem item = new StoredItem(write.key(), write.value(), revision);
+                items.put(write.key(), new Stored(item, write.lease()));
+                append(new StoreEvent(write.key(), revision, Optional.of(item)));
+            }
+            return new TransactionResult.Committed(revision);
+        }
+
+        @Override
+        public CompletableFuture<StoreLease> createLease(Duration ttl) {
+            return call(true, () -> {
+                long lease = nextLease++;
+                leaseTtls.put(lease, ttl);
+                leaseEndNanos.put(lease, simulation.nowNanos() + ttl.toNanos());
+                return new StoreLease(lease, ttl);
+            });
+        }
+
+        @Override
+        public CompletableFuture<Boolean> renewLease(long lease) {
+            return call(false, () -> {
+                if (!leaseEndNanos.containsKey(lease)) {
+                    return false;
+                }
+                leaseEndNanos.put(
+                        lease, simulation.nowNanos() + leaseTtls.get(lease).toNanos());
+                return true;
+            });
+        }
+
+        @Override
+        public CompletableFuture<Void> endLease(long lease) {
+            return call(true, () -> {
+                SimulatedStore.this.endLease(lease);
+                return null;
+            });
+        }
+    }
+
+    Client client() {
+        return new Client();
+    }
+}
