Hand operators' items on between daemons

Cause: a daemon that the store turns away, or whose watch hangs, hears of a new configuration only when it reaches the store again, although its peers know it.

Change: daemons tell two random others twice a second the revision of the latest operators' change that they know; one that knows more sends the items. A copy counts like a read and never moves the feed back.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -1,10 +1,12 @@
 package io.daisyhoist.mesh.process;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.flogger.FluentLogger;
@@ -23,11 +25,15 @@
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.process.ControlExecutor;
+import io.daisyhoist.mesh.request.ForwardReceiver;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalView;
+import io.daisyhoist.wire.proto.Envelope;
+import io.daisyhoist.wire.proto.FleetLoad;
+import io.daisyhoist.wire.proto.OperatorItems;
 
 /**
  * Control state of one daemon: the fleet as the store shows it, its own registration, its backend server and the keys
@@ -36,7 +42,7 @@
  * <p>All state is confined to the control thread, which publishes immutable views for the request path. Public methods
  * may be called from any thread.
  */
-public final class FleetControl implements BackendReportHandler {
+public final class FleetControl implements BackendReportHandler, ForwardReceiver.PeerNews {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** Keys stay served this long after the last call that the store answered; covers most of its outages. */
@@ -56,6 +62,9 @@
 
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration LOAD_REPORT_INTERVAL = Duration.ofMillis(500);
+    /** Daemons that hear of operators' changes from this one in each interval, whatever the size of the fleet. */
+    private static final int GOSSIP_FANOUT = 2;
+
     private static final Duration LOAD_VALIDITY = Duration.ofSeconds(3);
 
     private final FleetSettings settings;
@@ -70,7 +79,8 @@
     private final KeyHolds holds;
     private final KeyLoad keyLoad;
     private final RangeKeeper ranges;
-    private final LoadSender loadSender;
+    private final PeerSender peerSender;
+    private final SplittableRandom random;
     private final Map<DaemonId, PeerLoad> peerLoads = new HashMap<>();
     private Optional<LocalBackend> backend = Optional.empty();
     private Optional<DeferredReply> deferred = Optional.empty();
@@ -91,14 +101,10 @@
 
     private record PeerLoad(double busySlots, ElapsedTimer heardAt) {}
 
-    /** Tells other daemons the load of this one's keys. */
-    public interface LoadSender {
-        /**
-         * Sends to each of the given daemons.
-         *
-         * @param keysFollow whether they are about to be assigned keys
-         */
-        void send(List<FleetMember> receivers, double keyBusySlots, boolean keysFollow);
+    /** Sends messages to other daemons, without waiting for a reply. */
+    public interface PeerSender {
+        /** Sends a message to each of the given daemons. */
+        void send(List<FleetMember> receivers, Envelope message);
     }
 
     /** Creates control state that knows nothing; {@link #start} begins to read the store. */
@@ -109,13 +115,14 @@
             ControlExecutor control,
             MetadataStore store,
             OperatorDocuments documents,
-            LoadSender loadSender) {
+            PeerSender peerSender) {
         this.settings = settings;
         this.incarnation = incarnation;
+        this.random = new SplittableRandom(incarnation);
         this.keysFollowUntilNanos = time.monotonicNanos();
         this.time = time;
         this.control = control;
-        this.loadSender = loadSender;
+        this.peerSender = peerSender;
         this.state = new FleetState(time, documents, ABSENCE_LIMIT, this::publishFleet);
         this.operatorFeed = new StoreFeed(documents.prefix(), store, control, time, new OperatorListener());
         this.fleetFeed = new StoreFeed("daisyhoist/", store, control, time, new FleetListener());
@@ -184,20 +191,49 @@
         control.execute(() -> keyLoad.onRequest(key, work));
     }
 
-    /**
-     * Takes the load of another daemon's keys.
-     *
-     * @param keysFollow whether that daemon is about to give keys to this one
-     */
-    public void onPeerLoad(DaemonId daemon, double keyBusySlots, boolean keysFollow) {
+    @Override
+    public void onLoad(FleetLoad load) {
         control.execute(() -> {
-            peerLoads.put(daemon, new PeerLoad(keyBusySlots, ElapsedTimer.start(time)));
-            if (keysFollow) {
+            DaemonId sender = new DaemonId(load.getDaemon());
+            peerLoads.put(sender, new PeerLoad(load.getKeyBusySlots(), ElapsedTimer.start(time)));
+            if (load.getKeysFollow()) {
                 keysFollowUntilNanos = time.monotonicNanos() + KEYS_FOLLOW.toNanos();
             }
+            compareOperatorRevisions(sender, load.getOperatorRevision());
+        });
+    }
+
+    /** The daemon that knows more sends it; the one that knows less says so. */
+    private void compareOperatorRevisions(DaemonId sender, long theirs) {
+        long ours = operatorFeed.lastChange();
+        List<FleetMember> receiver =
+                Optional.ofNullable(fleet.members().get(sender)).stream().toList();
+        if (theirs > ours) {
+            sendLoad(receiver, false);
+        } else if (theirs < ours) {
+            peerSender.send(receiver, PeerMessages.operatorItems(operatorFeed.items(), operatorFeed.asOf()));
+        }
+    }
+
+    @Override
+    public void onOperatorItems(OperatorItems items) {
+        control.execute(() -> {
+            if (items.getAsOf() > operatorFeed.asOf()) {
+                LOGGER.atInfo().log(
+                        "event=operator_items_from_peer as_of=%d known_as_of=%d", items.getAsOf(), operatorFeed.asOf());
+                operatorFeed.applyCopy(PeerMessages.storedItems(items), items.getAsOf());
+            }
         });
     }
 
+    private void sendLoad(List<FleetMember> receivers, boolean keysFollow) {
+        double busySlots = state.table(member().service())
+                .map(table -> ranges.ownLoad(table.table()))
+                .orElse(0.0);
+        peerSender.send(
+                receivers, PeerMessages.load(settings.daemon(), busySlots, keysFollow, operatorFeed.lastChange()));
+    }
+
     @Override
     public CompletableFuture<Optional<KeyHolds.Reply>> onHeartbeat(BackendHeartbeat heartbeat) {
         CompletableFuture<Optional<KeyHolds.Reply>> reply = new CompletableFuture<>();
@@ -352,15 +388,17 @@
     private void reportLoad() {
         keyLoad.decay();
         ServiceName service = member().service();
-        Optional<FleetState.StoredTable> table = state.table(service);
-        if (table.isEmpty() || !isKeyed(service)) {
-            return;
-        }
-        List<FleetMember> receivers = fleet.members().values().stream()
-                .filter(member -> member.service().equals(service))
+        boolean keyed = isKeyed(service);
+        List<FleetMember> others = fleet.members().values().stream()
                 .filter(member -> !member.daemon().equals(settings.daemon()))
                 .toList();
-        loadSender.send(receivers, ranges.ownLoad(table.get().table()), false);
+        List<FleetMember> receivers = new ArrayList<>(others.stream()
+                .filter(member -> keyed && member.service().equals(service))
+                .toList());
+        for (int i = 0; i < GOSSIP_FANOUT && !others.isEmpty(); i++) {
+            receivers.add(others.get(random.nextInt(others.size())));
+        }
+        sendLoad(receivers.stream().distinct().toList(), false);
     }
 
     private void publishFleet(FleetSnapshot snapshot) {
@@ -462,8 +500,7 @@
                     .distinct()
                     .flatMap(daemon -> Optional.ofNullable(fleet.members().get(daemon)).stream())
                     .toList();
-            state.table(member().service())
-                    .ifPresent(table -> loadSender.send(receivers, ranges.ownLoad(table.table()), true));
+            sendLoad(receivers, true);
         }
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -32,7 +32,6 @@
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.wire.proto.Envelope;
-import io.daisyhoist.wire.proto.FleetLoad;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -88,11 +87,11 @@
         long incarnation = new SecureRandom().nextLong() >>> 1;
         PeerIdentity identity = new PeerIdentity(CLUSTER, new ProcessId(settings.daemon(), incarnation));
         this.peers = new PeerClient(peerLoops, identity, PEER_LIMITS, ThreadLocalRandom.current());
-        this.fleet = new FleetControl(settings, incarnation, time, control, store, documents, this::sendLoad);
+        this.fleet = new FleetControl(settings, incarnation, time, control, store, documents, this::sendToPeers);
         WorkerClient worker = new WorkerClient(vertx, context, names, MAX_BACKEND_CONNECTIONS, time);
         this.gate = new BackendGate(time, settings.zone(), fleet::fleet, fleet::local, worker, fleet::onKeyWork);
-        this.peerServer = new PeerServer(
-                peerLoops, identity, PEER_LIMITS, new ForwardReceiver(context, gate, time, fleet::onPeerLoad));
+        this.peerServer =
+                new PeerServer(peerLoops, identity, PEER_LIMITS, new ForwardReceiver(context, gate, time, fleet));
         BackendLoads loads = new BackendLoads(time, new SplittableRandom(incarnation), settings.zone());
         RequestContext requests = new RequestContext(
                 vertx,
@@ -165,24 +164,8 @@
         }
     }
 
-    private void sendLoad(List<FleetMember> receivers, double keyBusySlots, boolean keysFollow) {
-        Envelope message = Envelope.newBuilder()
-                .setFleetLoad(FleetLoad.newBuilder()
-                        .setDaemon(settings.daemon().name())
-                        .setKeyBusySlots(keyBusySlots)
-                        .setKeysFollow(keysFollow))
-                .build();
+    private void sendToPeers(List<FleetMember> receivers, Envelope message) {
         receivers.forEach(
                 member -> peers.send(new Endpoint(member.peerHost(), member.peerPort()), PeerChannel.CONTROL, message));
     }
-
-    /** Returns the clock of this daemon. */
-    public TimeSource time() {
-        return time;
-    }
-
-    /** Returns the longest time that a stop takes. */
-    public Duration stopGrace() {
-        return settings.bounds().stopGrace();
-    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreFeed.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreFeed.java
@@ -43,7 +43,8 @@
     private final ControlExecutor control;
     private final TimeSource time;
     private final Listener listener;
-    private final Map<String, Long> revisions = new HashMap<>();
+    private final Map<String, StoredItem> items = new HashMap<>();
+    private long lastChange;
     private long asOf;
     private boolean connected = true;
     private long round;
@@ -97,15 +98,15 @@
 
     private record Read(List<StoredItem> items, long asOf) {}
 
-    private CompletableFuture<Read> readPages(Optional<String> after, List<StoredItem> items, long lowestAsOf) {
+    private CompletableFuture<Read> readPages(Optional<String> after, List<StoredItem> pages, long lowestAsOf) {
         return store.range(prefix, after).thenCompose(page -> {
-            items.addAll(page.items());
+            pages.addAll(page.items());
             // Pages are not a snapshot, so changes since the first page have to be followed.
             long readAsOf = Math.min(lowestAsOf, page.asOf());
             if (!page.hasMore() || page.items().isEmpty()) {
-                return CompletableFuture.completedFuture(new Read(items, readAsOf));
+                return CompletableFuture.completedFuture(new Read(pages, readAsOf));
             }
-            return readPages(Optional.of(lastKey(page)), items, readAsOf);
+            return readPages(Optional.of(lastKey(page)), pages, readAsOf);
         });
     }
 
@@ -113,25 +114,48 @@
         return page.items().get(page.items().size() - 1).key();
     }
 
+    /** Takes what another daemon has read; it counts as if this daemon had read it. */
+    void applyCopy(List<StoredItem> copies, long copiedAsOf) {
+        apply(new Read(copies, copiedAsOf));
+    }
+
+    /** Returns the items. */
+    List<StoredItem> items() {
+        return List.copyOf(items.values());
+    }
+
+    /** Returns the store revision up to which the items are complete. */
+    long asOf() {
+        return asOf;
+    }
+
+    /** Returns the store revision of the latest change that is known. */
+    long lastChange() {
+        return lastChange;
+    }
+
     private void apply(Read read) {
-        List<String> missing = new ArrayList<>(revisions.keySet());
+        if (read.asOf() < asOf) {
+            return;
+        }
+        List<String> missing = new ArrayList<>(items.keySet());
         for (StoredItem item : read.items()) {
             missing.remove(item.key());
             onItem(item);
         }
         for (String key : missing) {
-            if (revisions.get(key) <= read.asOf()) {
-                revisions.remove(key);
-                listener.onDeleted(key);
+            if (items.get(key).revision() <= read.asOf()) {
+                delete(key, read.asOf());
             }
         }
         asOf = Math.max(asOf, read.asOf());
     }
 
     private void onItem(StoredItem item) {
-        Long known = revisions.get(item.key());
-        if (known == null || known < item.revision()) {
-            revisions.put(item.key(), item.revision());
+        StoredItem known = items.get(item.key());
+        if (known == null || known.revision() < item.revision()) {
+            items.put(item.key(), item);
+            lastChange = Math.max(lastChange, item.revision());
             listener.onItem(item);
         }
     }
@@ -171,17 +195,26 @@
     }
 
     private void onEvent(StoreEvent event) {
+        // A copy from another daemon may have come while the watch was waiting.
+        if (event.revision() <= asOf) {
+            return;
+        }
         if (event.item().isPresent()) {
             onItem(event.item().get());
             return;
         }
-        Long known = revisions.get(event.key());
-        if (known != null && known <= event.revision()) {
-            revisions.remove(event.key());
-            listener.onDeleted(event.key());
+        StoredItem known = items.get(event.key());
+        if (known != null && known.revision() <= event.revision()) {
+            delete(event.key(), event.revision());
         }
     }
 
+    private void delete(String key, long revision) {
+        items.remove(key);
+        lastChange = Math.max(lastChange, revision);
+        listener.onDeleted(key);
+    }
+
     private void ifCurrent(long current, Runnable action) {
         if (current == round) {
             action.run();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -6,7 +6,6 @@
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
-import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.PeerHandler;
@@ -15,6 +14,7 @@
 import io.daisyhoist.mesh.connection.ForwardCodec;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
+import io.daisyhoist.wire.proto.OperatorItems;
 import io.vertx.core.Context;
 import io.vertx.core.Promise;
 
@@ -29,23 +29,26 @@
     private final Context context;
     private final BackendGate gate;
     private final TimeSource time;
-    private final LoadListener loads;
+    private final PeerNews peerNews;
     private final Map<CallId, Promise<Void>> running = new HashMap<>();
 
     private record CallId(ProcessId from, long number) {}
 
-    /** Hears of other daemons' loads. */
-    public interface LoadListener {
-        /** A daemon has told the load of its keys, and whether it is about to give keys to this daemon. */
-        void onLoad(DaemonId daemon, double keyBusySlots, boolean keysFollow);
+    /** Hears of what other daemons tell besides requests. Implementations are thread-safe. */
+    public interface PeerNews {
+        /** A daemon has told its load and what it knows. */
+        void onLoad(FleetLoad load);
+
+        /** A daemon has sent what operators have written. */
+        void onOperatorItems(OperatorItems items);
     }
 
     /** Creates a receiver. */
-    public ForwardReceiver(Context context, BackendGate gate, TimeSource time, LoadListener loads) {
+    public ForwardReceiver(Context context, BackendGate gate, TimeSource time, PeerNews peerNews) {
         this.context = context;
         this.gate = gate;
         this.time = time;
-        this.loads = loads;
+        this.peerNews = peerNews;
     }
 
     @Override
@@ -55,16 +58,13 @@
             case CANCEL_REQUEST ->
                 context.runOnContext(run ->
                         cancel(new CallId(from, message.getCancelRequest().getCancelledRequestId())));
-            case FLEET_LOAD -> onLoad(message.getFleetLoad());
+            case FLEET_LOAD -> peerNews.onLoad(message.getFleetLoad());
+            case OPERATOR_ITEMS -> peerNews.onOperatorItems(message.getOperatorItems());
             default ->
                 LOGGER.atWarning().log("event=peer_message_ignored peer=%s body=%s", from, message.getBodyCase());
         }
     }
 
-    private void onLoad(FleetLoad load) {
-        loads.onLoad(new DaemonId(load.getDaemon()), load.getKeyBusySlots(), load.getKeysFollow());
-    }
-
     private void forward(ProcessId from, Envelope message, Consumer<Envelope> reply) {
         BackendRequestData request = ForwardCodec.decode(message.getForwardRequest(), time);
         CallId id = new CallId(from, message.getRequestId());
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
@@ -34,6 +34,7 @@
 
     /** Distance between the keys that are checked. */
     private static final int KEY_STEP = 4_093;
+
     private static final Duration STEP = Duration.ofMillis(25);
 
     /** Longest time without faults after which every key has to be held again. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -19,6 +19,7 @@
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.wire.proto.Envelope;
 
 /** One simulated instance: a daemon's control state and the backend server beside it, which holds keys as told. */
 final class SimulatedInstance {
@@ -87,11 +88,11 @@
     void startDaemon() {
         starts++;
         process = simulation.process();
-        control = new FleetControl(settings, starts, process, process, store, documents, this::ignoreLoads);
+        control = new FleetControl(settings, starts, process, process, store, documents, this::ignoreMessages);
         control.start();
     }
 
-    private void ignoreLoads(List<FleetMember> receivers, double keyBusySlots, boolean keysFollow) {
+    private void ignoreMessages(List<FleetMember> receivers, Envelope message) {
         // Keys are balanced by load only where requests flow.
     }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Envelope.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Envelope.java
@@ -71,6 +71,7 @@
     CRASH_REPORT(16),
     GROUP_FETCH(17),
     FLEET_LOAD(18),
+    OPERATOR_ITEMS(19),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -105,6 +106,7 @@
         case 16: return CRASH_REPORT;
         case 17: return GROUP_FETCH;
         case 18: return FLEET_LOAD;
+        case 19: return OPERATOR_ITEMS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -662,6 +664,37 @@
     return io.daisyhoist.wire.proto.FleetLoad.getDefaultInstance();
   }
 
+  public static final int OPERATOR_ITEMS_FIELD_NUMBER = 19;
+  /**
+   * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+   * @return Whether the operatorItems field is set.
+   */
+  @java.lang.Override
+  public boolean hasOperatorItems() {
+    return bodyCase_ == 19;
+  }
+  /**
+   * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+   * @return The operatorItems.
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.OperatorItems getOperatorItems() {
+    if (bodyCase_ == 19) {
+       return (io.daisyhoist.wire.proto.OperatorItems) body_;
+    }
+    return io.daisyhoist.wire.proto.OperatorItems.getDefaultInstance();
+  }
+  /**
+   * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.OperatorItemsOrBuilder getOperatorItemsOrBuilder() {
+    if (bodyCase_ == 19) {
+       return (io.daisyhoist.wire.proto.OperatorItems) body_;
+    }
+    return io.daisyhoist.wire.proto.OperatorItems.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -730,6 +763,9 @@
     if (bodyCase_ == 18) {
       output.writeMessage(18, (io.daisyhoist.wire.proto.FleetLoad) body_);
     }
+    if (bodyCase_ == 19) {
+      output.writeMessage(19, (io.daisyhoist.wire.proto.OperatorItems) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -811,6 +847,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(18, (io.daisyhoist.wire.proto.FleetLoad) body_);
     }
+    if (bodyCase_ == 19) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, (io.daisyhoist.wire.proto.OperatorItems) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -898,6 +938,10 @@
         if (!getFleetLoad()
             .equals(other.getFleetLoad())) return false;
         break;
+      case 19:
+        if (!getOperatorItems()
+            .equals(other.getOperatorItems())) return false;
+        break;
       case 0:
       default:
     }
@@ -984,6 +1028,10 @@
         hash = (37 * hash) + FLEET_LOAD_FIELD_NUMBER;
         hash = (53 * hash) + getFleetLoad().hashCode();
         break;
+      case 19:
+        hash = (37 * hash) + OPERATOR_ITEMS_FIELD_NUMBER;
+        hash = (53 * hash) + getOperatorItems().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1170,6 +1218,9 @@
       if (fleetLoadBuilder_ != null) {
         fleetLoadBuilder_.clear();
       }
+      if (operatorItemsBuilder_ != null) {
+        operatorItemsBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1282,6 +1333,10 @@
           fleetLoadBuilder_ != null) {
         result.body_ = fleetLoadBuilder_.build();
       }
+      if (bodyCase_ == 19 &&
+          operatorItemsBuilder_ != null) {
+        result.body_ = operatorItemsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1368,6 +1423,10 @@
           mergeFleetLoad(other.getFleetLoad());
           break;
         }
+        case OPERATOR_ITEMS: {
+          mergeOperatorItems(other.getOperatorItems());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1522,6 +1581,13 @@
               bodyCase_ = 18;
               break;
             } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetOperatorItemsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 19;
+              break;
+            } // case 154
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4012,6 +4078,148 @@
       return fleetLoadBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.OperatorItems, io.daisyhoist.wire.proto.OperatorItems.Builder, io.daisyhoist.wire.proto.OperatorItemsOrBuilder> operatorItemsBuilder_;
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     * @return Whether the operatorItems field is set.
+     */
+    @java.lang.Override
+    public boolean hasOperatorItems() {
+      return bodyCase_ == 19;
+    }
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     * @return The operatorItems.
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.OperatorItems getOperatorItems() {
+      if (operatorItemsBuilder_ == null) {
+        if (bodyCase_ == 19) {
+          return (io.daisyhoist.wire.proto.OperatorItems) body_;
+        }
+        return io.daisyhoist.wire.proto.OperatorItems.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 19) {
+          return operatorItemsBuilder_.getMessage();
+        }
+        return io.daisyhoist.wire.proto.OperatorItems.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     */
+    public Builder setOperatorItems(io.daisyhoist.wire.proto.OperatorItems value) {
+      if (operatorItemsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        operatorItemsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     */
+    public Builder setOperatorItems(
+        io.daisyhoist.wire.proto.OperatorItems.Builder builderForValue) {
+      if (operatorItemsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        operatorItemsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     */
+    public Builder mergeOperatorItems(io.daisyhoist.wire.proto.OperatorItems value) {
+      if (operatorItemsBuilder_ == null) {
+        if (bodyCase_ == 19 &&
+            body_ != io.daisyhoist.wire.proto.OperatorItems.getDefaultInstance()) {
+          body_ = io.daisyhoist.wire.proto.OperatorItems.newBuilder((io.daisyhoist.wire.proto.OperatorItems) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 19) {
+          operatorItemsBuilder_.mergeFrom(value);
+        } else {
+          operatorItemsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     */
+    public Builder clearOperatorItems() {
+      if (operatorItemsBuilder_ == null) {
+        if (bodyCase_ == 19) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 19) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        operatorItemsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     */
+    public io.daisyhoist.wire.proto.OperatorItems.Builder getOperatorItemsBuilder() {
+      return internalGetOperatorItemsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.OperatorItemsOrBuilder getOperatorItemsOrBuilder() {
+      if ((bodyCase_ == 19) && (operatorItemsBuilder_ != null)) {
+        return operatorItemsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 19) {
+          return (io.daisyhoist.wire.proto.OperatorItems) body_;
+        }
+        return io.daisyhoist.wire.proto.OperatorItems.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.OperatorItems, io.daisyhoist.wire.proto.OperatorItems.Builder, io.daisyhoist.wire.proto.OperatorItemsOrBuilder> 
+        internalGetOperatorItemsFieldBuilder() {
+      if (operatorItemsBuilder_ == null) {
+        if (!(bodyCase_ == 19)) {
+          body_ = io.daisyhoist.wire.proto.OperatorItems.getDefaultInstance();
+        }
+        operatorItemsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.daisyhoist.wire.proto.OperatorItems, io.daisyhoist.wire.proto.OperatorItems.Builder, io.daisyhoist.wire.proto.OperatorItemsOrBuilder>(
+                (io.daisyhoist.wire.proto.OperatorItems) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 19;
+      onChanged();
+      return operatorItemsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.Envelope)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/EnvelopeOrBuilder.java
@@ -275,5 +275,20 @@
    */
   io.daisyhoist.wire.proto.FleetLoadOrBuilder getFleetLoadOrBuilder();
 
+  /**
+   * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+   * @return Whether the operatorItems field is set.
+   */
+  boolean hasOperatorItems();
+  /**
+   * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+   * @return The operatorItems.
+   */
+  io.daisyhoist.wire.proto.OperatorItems getOperatorItems();
+  /**
+   * <code>.daisyhoist.peer.OperatorItems operator_items = 19;</code>
+   */
+  io.daisyhoist.wire.proto.OperatorItemsOrBuilder getOperatorItemsOrBuilder();
+
   io.daisyhoist.wire.proto.Envelope.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoad.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoad.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * What a daemon tells the other daemons of its backend server's service, without a reply.
+ * What a daemon tells other daemons from time to time, without a reply.
  * </pre>
  *
  * Protobuf type {@code daisyhoist.peer.FleetLoad}
@@ -122,6 +122,21 @@
     return keysFollow_;
   }
 
+  public static final int OPERATOR_REVISION_FIELD_NUMBER = 4;
+  private long operatorRevision_ = 0L;
+  /**
+   * <pre>
+   * Store revision of the latest operators' change that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 operator_revision = 4;</code>
+   * @return The operatorRevision.
+   */
+  @java.lang.Override
+  public long getOperatorRevision() {
+    return operatorRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -145,6 +160,9 @@
     if (keysFollow_ != false) {
       output.writeBool(3, keysFollow_);
     }
+    if (operatorRevision_ != 0L) {
+      output.writeUInt64(4, operatorRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -165,6 +183,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, keysFollow_);
     }
+    if (operatorRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, operatorRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -187,6 +209,8 @@
             other.getKeyBusySlots())) return false;
     if (getKeysFollow()
         != other.getKeysFollow()) return false;
+    if (getOperatorRevision()
+        != other.getOperatorRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -206,6 +230,9 @@
     hash = (37 * hash) + KEYS_FOLLOW_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getKeysFollow());
+    hash = (37 * hash) + OPERATOR_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getOperatorRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -305,7 +332,7 @@
   }
   /**
    * <pre>
-   * What a daemon tells the other daemons of its backend server's service, without a reply.
+   * What a daemon tells other daemons from time to time, without a reply.
    * </pre>
    *
    * Protobuf type {@code daisyhoist.peer.FleetLoad}
@@ -344,6 +371,7 @@
       daemon_ = "";
       keyBusySlots_ = 0D;
       keysFollow_ = false;
+      operatorRevision_ = 0L;
       return this;
     }
 
@@ -386,6 +414,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.keysFollow_ = keysFollow_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.operatorRevision_ = operatorRevision_;
+      }
     }
 
     @java.lang.Override
@@ -411,6 +442,9 @@
       if (other.getKeysFollow() != false) {
         setKeysFollow(other.getKeysFollow());
       }
+      if (other.getOperatorRevision() != 0L) {
+        setOperatorRevision(other.getOperatorRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -452,6 +486,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              operatorRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -629,6 +668,50 @@
       return this;
     }
 
+    private long operatorRevision_ ;
+    /**
+     * <pre>
+     * Store revision of the latest operators' change that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 operator_revision = 4;</code>
+     * @return The operatorRevision.
+     */
+    @java.lang.Override
+    public long getOperatorRevision() {
+      return operatorRevision_;
+    }
+    /**
+     * <pre>
+     * Store revision of the latest operators' change that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 operator_revision = 4;</code>
+     * @param value The operatorRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOperatorRevision(long value) {
+
+      operatorRevision_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Store revision of the latest operators' change that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 operator_revision = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOperatorRevision() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      operatorRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.FleetLoad)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoadOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoadOrBuilder.java
@@ -41,4 +41,14 @@
    * @return The keysFollow.
    */
   boolean getKeysFollow();
+
+  /**
+   * <pre>
+   * Store revision of the latest operators' change that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 operator_revision = 4;</code>
+   * @return The operatorRevision.
+   */
+  long getOperatorRevision();
 }
