--- a/core/src/main/java/io/daisyhoist/core/retry/FleetRetryBudget.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/FleetRetryBudget.java
@@ -16,8 +16,8 @@
  * bound. Confined to one thread.
  */
 public final class FleetRetryBudget {
-    /** A quarter of the daemons may carry most of the load, so each gets a multiple of the even share. */
-    private static final double SHARE_FACTOR = 2.0;
+    /** Part of the even share of the slack that is used; a repeated run's calls are repeats at other services. */
+    private static final double SLACK_USED = 0.5;
 
     /** Part of the ratio that is used; the rest covers the calls that repeated runs make of other services. */
     private static final double RATIO_USED = 0.5;
@@ -61,11 +61,18 @@
      * Takes a retry from the budget.
      *
      * @param daemons number of daemons that share the slack
+     * @param cost 1 for a request that no backend server has run, more for one whose repeated run repeats its calls
      */
-    public boolean tryRetry(ServiceName service, int daemons) {
+    public boolean tryRetry(ServiceName service, int daemons, int cost) {
         Usage used = of(service);
-        double share = Math.min(slack / 2, SHARE_FACTOR * slack / Math.max(1, daemons)) / 2;
-        return used.retries.tryRecord(RATIO_USED * ratio * used.requests.count() + share);
+        double limit = RATIO_USED * ratio * used.requests.count() + SLACK_USED * slack / Math.max(1, daemons);
+        if (used.retries.count() + cost > limit) {
+            return false;
+        }
+        for (int i = 0; i < cost; i++) {
+            used.retries.record();
+        }
+        return true;
     }
 
     private Usage of(ServiceName service) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
@@ -25,6 +27,7 @@
  */
 public final class ForwardReceiver implements PeerHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int MAX_EARLY_CANCELS = 10_000;
 
     private final Context context;
     private final BackendGate gate;
@@ -32,6 +35,9 @@
     private final PeerNews peerNews;
     private final Map<CallId, Promise<Void>> running = new HashMap<>();
 
+    /** Calls whose cancellation was read before they were started, as happens after a delay on the way. */
+    private final Set<CallId> cancelledEarly = ConcurrentHashMap.newKeySet();
+
     private record CallId(ProcessId from, long number) {}
 
     /** Hears of what other daemons tell besides requests. Implementations are thread-safe. */
@@ -56,8 +62,7 @@
         switch (message.getBodyCase()) {
             case FORWARD_REQUEST -> context.runOnContext(run -> forward(from, message, reply));
             case CANCEL_REQUEST ->
-                context.runOnContext(run ->
-                        cancel(new CallId(from, message.getCancelRequest().getCancelledRequestId())));
+                onCancel(new CallId(from, message.getCancelRequest().getCancelledRequestId()));
             case FLEET_LOAD -> peerNews.onLoad(message.getFleetLoad());
             case OPERATOR_ITEMS -> peerNews.onOperatorItems(message.getOperatorItems());
             default ->
@@ -66,8 +71,14 @@
     }
 
     private void forward(ProcessId from, Envelope message, Consumer<Envelope> reply) {
-        BackendRequestData request = ForwardCodec.decode(message.getForwardRequest(), time);
         CallId id = new CallId(from, message.getRequestId());
+        if (cancelledEarly.remove(id)) {
+            LOGGER.atInfo().log(
+                    "event=forward_dropped request=%s reason=cancelled_before_start",
+                    message.getForwardRequest().getRequestId());
+            return;
+        }
+        BackendRequestData request = ForwardCodec.decode(message.getForwardRequest(), time);
         Promise<Void> cancelled = Promise.promise();
         running.put(id, cancelled);
         Duration queueWait = Duration.ofMillis(message.getForwardRequest().getQueueWaitMs());
@@ -83,7 +94,15 @@
         });
     }
 
+    private void onCancel(CallId id) {
+        if (cancelledEarly.size() < MAX_EARLY_CANCELS) {
+            cancelledEarly.add(id);
+        }
+        context.runOnContext(run -> cancel(id));
+    }
+
     private void cancel(CallId id) {
+        cancelledEarly.remove(id);
         Promise<Void> cancelled = running.get(id);
         if (cancelled != null) {
             cancelled.tryComplete();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
@@ -38,12 +38,15 @@
     /** Gates that may refuse one request before it is given up; a refusal costs a round trip only. */
     private static final int MAX_GATE_REFUSALS = 4;
 
-    /** Share of the time beyond its usual work that a request may wait for a slot. */
-    private static final double QUEUE_SHARE = 0.6;
+    /** Share of the time until its deadline that a request may wait for a slot although its answer will be late. */
+    private static final double LATE_QUEUE_SHARE = 0.3;
 
     /** Least time in which another send can be of use. */
     private static final Duration MIN_SEND_TIME = Duration.ofMillis(15);
 
+    /** A run that is repeated makes its calls to other services again. */
+    private static final int REPEATED_RUN_COST = 2;
+
     private static final Duration MOVE_CHECK_INTERVAL = Duration.ofMillis(25);
 
     /** Bounds the wait for a move to less than a second. */
@@ -172,11 +175,18 @@
         });
     }
 
-    /** Leaves the time that such requests usually take. */
+    /**
+     * Lets a request wait while it can still be answered within the target; beyond that only for a small part of the time
+     * until its deadline, because a long queue makes all answers late and does not serve more of them.
+     */
     private Duration queueWait() {
-        Duration spare =
-                remaining().minus(context.loads().meanLatency(request.route().name()));
-        return spare.isNegative() ? Duration.ZERO : Duration.ofNanos((long) (spare.toNanos() * QUEUE_SHARE));
+        Duration usual = context.loads().meanLatency(request.route().name());
+        Duration elapsed = Duration.ofNanos(context.time().monotonicNanos() - request.arrivedNanos());
+        Duration untilTarget = request.route().target().minus(elapsed).minus(usual);
+        Duration untilDeadline = remaining().minus(usual);
+        Duration late = Duration.ofNanos((long) (untilDeadline.toNanos() * LATE_QUEUE_SHARE));
+        Duration wait = untilTarget.compareTo(late) > 0 ? untilTarget : late;
+        return wait.isNegative() ? Duration.ZERO : wait;
     }
 
     private void onResult(DaemonId daemon, BackendAnswer result, Duration latency) {
@@ -264,7 +274,7 @@
                 && !request.cancelled().isComplete()
                 && choose(context.fleet().get()).isPresent()
                 && context.budget()
-                        .tryRetry(service, context.fleet().get().members().size());
+                        .tryRetry(service, context.fleet().get().members().size(), retryCost());
         if (allowed) {
             next();
         } else {
@@ -272,6 +282,10 @@
         }
     }
 
+    private int retryCost() {
+        return mayHaveRun ? REPEATED_RUN_COST : 1;
+    }
+
     private FinalAnswer giveUp() {
         if (lastAnswer.isPresent()) {
             return deliver(lastAnswer.get());
