--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -13,6 +13,7 @@
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.retry.FleetRetryBudget;
+import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.routing.BackendLoads;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
@@ -31,6 +32,7 @@
 import io.daisyhoist.mesh.request.RequestContext;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.wire.proto.Envelope;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -69,6 +71,7 @@
     private final Context context;
     private final TimeSource time = new SystemTimeSource();
     private final ControlThread control = new ControlThread();
+    private final FleetMetrics metrics = new FleetMetrics();
     private final FleetControl fleet;
     private final EventLoopGroup peerLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final PeerClient peers;
@@ -89,7 +92,8 @@
         this.peers = new PeerClient(peerLoops, identity, PEER_LIMITS, ThreadLocalRandom.current());
         this.fleet = new FleetControl(settings, incarnation, time, control, store, documents, this::sendToPeers);
         WorkerClient worker = new WorkerClient(vertx, context, names, MAX_BACKEND_CONNECTIONS, time);
-        this.gate = new BackendGate(time, settings.zone(), fleet::fleet, fleet::local, worker, fleet::onKeyWork);
+        this.gate =
+                new BackendGate(time, settings.zone(), fleet::fleet, fleet::local, worker, fleet::onKeyWork, metrics);
         this.peerServer =
                 new PeerServer(peerLoops, identity, PEER_LIMITS, new ForwardReceiver(context, gate, time, fleet));
         BackendLoads loads = new BackendLoads(time, new SplittableRandom(incarnation), settings.zone());
@@ -104,8 +108,28 @@
                         time,
                         settings.bounds().retryRatio(),
                         settings.bounds().retrySlack(),
-                        settings.bounds().retryWindow()));
+                        settings.bounds().retryWindow()),
+                metrics);
         this.clients = new ClientServer(vertx, requests, names);
+        addGauges();
+    }
+
+    private void addGauges() {
+        metrics.gauge("daisyhoist.fleet.in.flight", "Requests of clients without an answer", clients::inFlight);
+        metrics.gauge("daisyhoist.fleet.backend.busy", "Requests at the backend server or waiting for it", gate::busy);
+        metrics.gauge(
+                "daisyhoist.fleet.members",
+                "Daemons that are known",
+                () -> fleet.fleet().members().size());
+        metrics.gauge(
+                "daisyhoist.fleet.config.version",
+                "Version of the configuration in force",
+                () -> fleet.fleet().config().map(FleetConfig::version).orElse(0L));
+    }
+
+    /** Returns all metrics as text. */
+    public String metrics() {
+        return metrics.scrape();
     }
 
     /** Opens the ports and begins to read the store. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -26,6 +27,7 @@
 import io.daisyhoist.mesh.connection.BackendAnswer.NotRunReason;
 import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.WorkerClient;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalView;
 import io.vertx.core.Future;
@@ -62,6 +64,7 @@
     private final SlotLimit slots = new SlotLimit(1);
     private final ColdGuard cold;
     private final KeyWorkListener onKeyRequest;
+    private final FleetMetrics metrics;
     private final WorkTimes workTimes = new WorkTimes();
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private double slowdown = UNKNOWN_SLOWDOWN;
@@ -84,13 +87,15 @@
             Supplier<FleetSnapshot> fleet,
             Supplier<LocalView> local,
             WorkerClient client,
-            KeyWorkListener onKeyRequest) {
+            KeyWorkListener onKeyRequest,
+            FleetMetrics metrics) {
         this.time = time;
         this.zone = zone;
         this.fleet = fleet;
         this.local = local;
         this.client = client;
         this.onKeyRequest = onKeyRequest;
+        this.metrics = metrics;
         this.gate = new AdmissionGate(time, slots, QUEUE_PER_SLOT);
         this.cold = new ColdGuard(time);
     }
@@ -206,6 +211,7 @@
     }
 
     private NotRun refuse(BackendRequestData request, NotRunReason reason, Duration retryAfter) {
+        metrics.onRefusal(reason.name().toLowerCase(Locale.ROOT));
         LOGGER.atInfo().log(
                 "event=gate_refused request=%s reason=%s busy=%d limit=%d retry_after_ms=%d",
                 request.id(), reason, busy(), gate.limit(), retryAfter.toMillis());
@@ -259,6 +265,7 @@
     }
 
     private void log(Waiting entry, BackendAnswer answer, long sentNanos, Duration latency) {
+        metrics.onRun(entry.request().service(), AnswerText.of(answer), latency);
         LOGGER.atInfo().log(
                 "event=gate_run request=%s backend=%s outcome=%s queue_ms=%d run_ms=%d in_flight=%d limit=%d",
                 entry.request().id(),
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestContext.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestContext.java
@@ -6,6 +6,7 @@
 import io.daisyhoist.core.retry.FleetRetryBudget;
 import io.daisyhoist.core.routing.BackendLoads;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.vertx.core.Vertx;
 
@@ -19,6 +20,7 @@
  * @param forwarder way to backend servers
  * @param loads loads of backend servers
  * @param budget retries that this daemon may send
+ * @param metrics counters and histograms
  */
 public record RequestContext(
         Vertx vertx,
@@ -27,4 +29,5 @@
         ServiceName callerService,
         Forwarder forwarder,
         BackendLoads loads,
-        FleetRetryBudget budget) {}
+        FleetRetryBudget budget,
+        FleetMetrics metrics) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
@@ -276,6 +276,7 @@
                 && context.budget()
                         .tryRetry(service, context.fleet().get().members().size(), retryCost());
         if (allowed) {
+            context.metrics().onRetry(service);
             next();
         } else {
             finish(giveUp());
@@ -310,6 +311,8 @@
 
     private void log() {
         FinalAnswer result = answer.future().result();
+        Duration elapsed = Duration.ofNanos(context.time().monotonicNanos() - request.arrivedNanos());
+        context.metrics().onAnswer(request.route().name(), service, result.status(), elapsed);
         LOGGER.atInfo().log(
                 "event=request_done request=%s route=%s service=%s config_version=%d key=%s status=%d retry_after_ms=%d"
                         + " elapsed_ms=%d client_gone=%s hops=\"%s\"",
@@ -320,8 +323,7 @@
                 request.key().isPresent() ? request.key().getAsInt() : "none",
                 result.status(),
                 result.retryAfter().map(Duration::toMillis).orElse(0L),
-                Duration.ofNanos(context.time().monotonicNanos() - request.arrivedNanos())
-                        .toMillis(),
+                elapsed.toMillis(),
                 request.cancelled().isComplete(),
                 trace);
     }
--- /dev/null
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -0,0 +1,74 @@
+package io.daisyhoist.mesh.telemetry;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+
+import io.daisyhoist.core.model.ServiceName;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/**
+ * Counters and latency histograms of a daemon of a fleet.
+ *
+ * <p>Labels come from the configuration and from fixed sets, so clients cannot add time series. Thread-safe.
+ */
+public final class FleetMetrics {
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(10),
+        Duration.ofMillis(25),
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(200),
+        Duration.ofMillis(400),
+        Duration.ofMillis(800),
+        Duration.ofMillis(1_600),
+        Duration.ofMillis(3_200)
+    };
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    /** Records the answer to a client. */
+    public void onAnswer(String route, ServiceName service, int status, Duration latency) {
+        timer("daisyhoist.fleet.request", "Time from the arrival of a request to its answer")
+                .tag("route", route)
+                .tag("service", service.name())
+                .tag("status", Integer.toString(status))
+                .register(registry)
+                .record(latency);
+    }
+
+    /** Records a request that was sent to the backend server beside this daemon. */
+    public void onRun(ServiceName service, String outcome, Duration latency) {
+        timer("daisyhoist.fleet.run", "Time from sending a request to the backend server to its end")
+                .tag("service", service.name())
+                .tag("outcome", outcome)
+                .register(registry)
+                .record(latency);
+    }
+
+    /** Counts a request that the gate of the backend server refused. */
+    public void onRefusal(String reason) {
+        registry.counter("daisyhoist.fleet.refusals", "reason", reason).increment();
+    }
+
+    /** Counts a request that was sent to another backend server after an earlier one. */
+    public void onRetry(ServiceName service) {
+        registry.counter("daisyhoist.fleet.retries", "service", service.name()).increment();
+    }
+
+    /** Adds a gauge that reads a value when it is scraped. */
+    public void gauge(String name, String description, Supplier<Number> value) {
+        Gauge.builder(name, value).description(description).register(registry);
+    }
+
+    /** Returns all metrics as text. */
+    public String scrape() {
+        return registry.scrape();
+    }
+
+    private static Timer.Builder timer(String name, String description) {
+        return Timer.builder(name).description(description).serviceLevelObjectives(BUCKETS);
+    }
+}
