--- a/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
@@ -31,7 +31,7 @@
  * <p>Invariant: a request is sent once; a failure is reported as not run only if no byte of it was sent. Confined to the
  * traffic event loop.
  */
-public final class Forwarder {
+public final class Forwarder implements BackendSender {
     /** Time that a peer's answer may take beyond the deadline that it works under. */
     private static final Duration ANSWER_SLACK = Duration.ofMillis(50);
 
@@ -58,7 +58,7 @@
         this.time = time;
     }
 
-    /** Sends a request to the backend server beside a daemon. */
+    @Override
     public Future<BackendAnswer> send(
             FleetMember member, BackendRequestData request, Duration queueWait, Future<Void> cancelled) {
         loads.onSend(member.daemon());
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestContext.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestContext.java
@@ -27,7 +27,7 @@
         TimeSource time,
         Supplier<FleetSnapshot> fleet,
         ServiceName callerService,
-        Forwarder forwarder,
+        BackendSender forwarder,
         BackendLoads loads,
         FleetRetryBudget budget,
         FleetMetrics metrics) {}
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ColdGuardTest.java
@@ -0,0 +1,83 @@
+package io.daisyhoist.mesh.request;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.daisyhoist.core.fleet.BackendHeartbeat;
+import io.daisyhoist.core.fleet.BackendLife;
+import io.daisyhoist.core.fleet.LocalBackend;
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.route.ServicePolicy;
+import io.daisyhoist.core.time.ManualTimeSource;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ColdGuardTest {
+    private static final ServiceName SERVICE = new ServiceName("s");
+    private static final Optional<ServicePolicy> POLICY =
+            Optional.of(new ServicePolicy(SERVICE, false, Duration.ofSeconds(3), 14, 110));
+
+    private final ManualTimeSource time = new ManualTimeSource();
+    private final ColdGuard guard = new ColdGuard(time);
+
+    private LocalBackend backend(long coldMillis) {
+        BackendHeartbeat heartbeat = new BackendHeartbeat(
+                new BackendLife("b", 1),
+                1,
+                new Endpoint("127.0.0.1", 1000),
+                SERVICE,
+                6,
+                false,
+                Duration.ofMillis(coldMillis),
+                List.of(),
+                List.of());
+        return LocalBackend.after(Optional.empty(), heartbeat, time);
+    }
+
+    private int sendAll(LocalBackend backend) {
+        int sent = 0;
+        while (sent < 100 && guard.mayBeSent(backend, POLICY)) {
+            guard.onSend();
+            sent++;
+        }
+        return sent;
+    }
+
+    /** Guards against a burst that a cold backend server does not bear, in any second. */
+    @Test
+    void mayBeSent_cold_boundsEachSecond() {
+        LocalBackend cold = backend(3_000);
+        assertEquals(14, sendAll(cold));
+        time.advance(Duration.ofMillis(1_000));
+        assertEquals(0, sendAll(cold));
+        time.advance(Duration.ofMillis(1));
+        assertEquals(14, sendAll(cold));
+    }
+
+    /** Guards against sends before a backend server became cold that are forgotten. */
+    @Test
+    void mayBeSent_warmSendsCountOnceItIsCold() {
+        LocalBackend warm = backend(0);
+        for (int i = 0; i < 20; i++) {
+            guard.onSend();
+        }
+        assertTrue(guard.mayBeSent(warm, POLICY));
+        assertFalse(guard.mayBeSent(backend(3_000), POLICY));
+    }
+
+    /** Guards against full load on a process that restarted under its old id before its next heartbeat. */
+    @Test
+    void isCold_fromAFailedConnectionToTheNextHeartbeat() {
+        LocalBackend before = backend(0);
+        time.advance(Duration.ofMillis(100));
+        guard.onConnectionFailure();
+        assertTrue(guard.isCold(before));
+        time.advance(Duration.ofMillis(100));
+        assertFalse(guard.isCold(backend(0)));
+    }
+}
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestRunTest.java
@@ -0,0 +1,227 @@
+package io.daisyhoist.mesh.request;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.retry.FleetRetryBudget;
+import io.daisyhoist.core.route.ClientLimits;
+import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.core.route.Route;
+import io.daisyhoist.core.route.RouteKind;
+import io.daisyhoist.core.route.RouteTable;
+import io.daisyhoist.core.route.WeightedService;
+import io.daisyhoist.core.routing.BackendLoads;
+import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.core.time.SystemTimeSource;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.connection.BackendAnswer;
+import io.daisyhoist.mesh.connection.BackendAnswer.Answered;
+import io.daisyhoist.mesh.connection.BackendAnswer.NotRun;
+import io.daisyhoist.mesh.connection.BackendAnswer.NotRunReason;
+import io.daisyhoist.mesh.connection.BackendAnswer.Unknown;
+import io.daisyhoist.mesh.connection.BackendAnswer.UnknownReason;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
+import io.daisyhoist.mesh.version.FleetSnapshot;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RequestRunTest {
+    private static final ServiceName SERVICE = new ServiceName("s");
+    private static final AvailabilityZone ZONE = new AvailabilityZone("z");
+    private static final BackendAnswer OK = new Answered(200, List.of(), Buffer.buffer("body"));
+    private static final BackendAnswer FAILED = new Answered(500, List.of(), Buffer.buffer());
+    private static final BackendAnswer LOST = new Unknown(UnknownReason.CONNECTION_LOST);
+    private static final BackendAnswer REJECTED = new NotRun(NotRunReason.REJECTED, true, Duration.ZERO);
+    private static final BackendAnswer FULL = new NotRun(NotRunReason.OVERLOADED, false, Duration.ofMillis(80));
+
+    private final Vertx vertx = Vertx.vertx();
+    private final TimeSource time = new SystemTimeSource();
+    private final Deque<Future<BackendAnswer>> answers = new ArrayDeque<>();
+    private final List<DaemonId> sentTo = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    private static FleetMember member(int index) {
+        return new FleetMember(
+                new DaemonId("d" + index),
+                1,
+                ZONE,
+                "10.0.0." + index,
+                1000,
+                SERVICE,
+                Optional.of(new FleetMember.MemberBackend("b" + index, 1, 6, true)));
+    }
+
+    private static Route route(RouteKind kind) {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                kind,
+                Duration.ofSeconds(5),
+                Duration.ofMillis(200),
+                1,
+                List.of(new WeightedService(SERVICE, 1)),
+                2);
+    }
+
+    private FleetSnapshot fleet() {
+        Map<DaemonId, FleetMember> members = new HashMap<>();
+        for (int i = 1; i <= 3; i++) {
+            members.put(member(i).daemon(), member(i));
+        }
+        FleetConfig config = new FleetConfig(1, new RouteTable(List.of()), Map.of(), ClientLimits.DEFAULT);
+        return new FleetSnapshot(Optional.of(config), Set.of(), members, Map.of());
+    }
+
+    private FinalAnswer run(RouteKind kind, Duration deadline, BackendAnswer... planned) {
+        for (BackendAnswer answer : planned) {
+            answers.add(Future.succeededFuture(answer));
+        }
+        FleetRetryBudget budget = new FleetRetryBudget(time, 0.2, 100, Duration.ofSeconds(10));
+        RequestContext context = new RequestContext(
+                vertx,
+                time,
+                this::fleet,
+                SERVICE,
+                (member, request, queueWait, cancelled) -> {
+                    sentTo.add(member.daemon());
+                    return answers.isEmpty() ? Promise.<BackendAnswer>promise().future() : answers.poll();
+                },
+                new BackendLoads(time, new SplittableRandom(1), ZONE),
+                budget,
+                new FleetMetrics());
+        ClientRequest request = new ClientRequest(
+                "id",
+                route(kind),
+                1,
+                OptionalInt.empty(),
+                "POST",
+                "/",
+                List.of(),
+                Buffer.buffer(),
+                time.monotonicNanos(),
+                Deadline.after(time, deadline),
+                Promise.<Void>promise().future());
+        try {
+            Promise<FinalAnswer> result = Promise.promise();
+            vertx.getOrCreateContext()
+                    .runOnContext(started ->
+                            new RequestRun(context, request, SERVICE).start().onComplete(result));
+            return result.future().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            throw new AssertionError("no answer", e);
+        }
+    }
+
+    private FinalAnswer run(RouteKind kind, BackendAnswer... planned) {
+        return run(kind, Duration.ofSeconds(2), planned);
+    }
+
+    @Nested
+    class NonIdempotent {
+        /** Guards against a second run of a request that may have run. */
+        @Test
+        void start_outcomeUnknown_isNeitherRepeatedNorCalledNotRun() {
+            assertEquals(
+                    FinalAnswer.OUTCOME_UNKNOWN,
+                    run(RouteKind.NON_IDEMPOTENT, LOST, OK).status());
+            assertEquals(1, sentTo.size());
+        }
+
+        /** Guards against a second run of a request that failed after it had run. */
+        @Test
+        void start_backendFailed_deliversItsAnswer() {
+            assertEquals(500, run(RouteKind.NON_IDEMPOTENT, FAILED, OK).status());
+            assertEquals(1, sentTo.size());
+        }
+
+        @Test
+        void start_rejectedAsNotRun_goesElsewhere() {
+            assertEquals(200, run(RouteKind.NON_IDEMPOTENT, REJECTED, OK).status());
+            assertEquals(2, Set.copyOf(sentTo).size());
+        }
+
+        /** Guards against "not run" for a request whose outcome nobody knows at its deadline. */
+        @Test
+        void start_noAnswerAtDeadline_isTimedOut() {
+            assertEquals(
+                    FinalAnswer.TIMED_OUT,
+                    run(RouteKind.NON_IDEMPOTENT, Duration.ofMillis(400)).status());
+        }
+    }
+
+    @Nested
+    class Idempotent {
+        @Test
+        void start_outcomeUnknown_goesElsewhere() {
+            assertEquals(200, run(RouteKind.IDEMPOTENT, LOST, OK).status());
+            assertEquals(2, Set.copyOf(sentTo).size());
+        }
+
+        /** Guards against more sends than the route allows. */
+        @Test
+        void start_allFail_stopsAtTheRoutesAttempts() {
+            assertEquals(500, run(RouteKind.IDEMPOTENT, FAILED, FAILED, FAILED).status());
+            assertEquals(2, sentTo.size());
+        }
+
+        /** Guards against "not run" after an earlier copy that may have run. */
+        @Test
+        void start_lostThenFull_isNotCalledNotRun() {
+            assertEquals(
+                    FinalAnswer.OUTCOME_UNKNOWN,
+                    run(RouteKind.IDEMPOTENT, LOST, FULL, FULL, FULL).status());
+        }
+    }
+
+    @Nested
+    class Refusals {
+        /** Answers an overload: a full gate costs no attempt, and the client is told when there is room. */
+        @Test
+        void start_allGatesFull_isRefusedAtOnceWithTheirWait() {
+            long startNanos = time.monotonicNanos();
+            FinalAnswer answer = run(RouteKind.NON_IDEMPOTENT, FULL, FULL, FULL);
+            assertEquals(FinalAnswer.NOT_RUN, answer.status());
+            assertEquals(Optional.of(Duration.ofMillis(80)), answer.retryAfter());
+            assertEquals(3, sentTo.size());
+            assertTrue(
+                    time.monotonicNanos() - startNanos < Duration.ofSeconds(1).toNanos());
+        }
+
+        /** Guards against a wait that the client cannot use. */
+        @Test
+        void start_gatesFullForLong_retryAfterIsAThirdOfTheTimeLeft() {
+            BackendAnswer full = new NotRun(NotRunReason.OVERLOADED, false, Duration.ofSeconds(10));
+            Duration wait = run(RouteKind.IDEMPOTENT, Duration.ofMillis(900), full, full, full)
+                    .retryAfter()
+                    .orElseThrow();
+            assertTrue(wait.compareTo(Duration.ofMillis(300)) <= 0, wait.toString());
+        }
+    }
+}
