Grant keys only after changes of an earlier process can no longer be made

The model shows how it can happen: a daemon ends after it has sent a move, its successor grants the keys from the table, then the store does the move late.

Change: a process grants keys only from a table that was written after its first registration; if its own rows are older, it writes the table again, which makes an earlier process's change fail.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -147,7 +147,7 @@
                 holds,
                 keyLoad,
                 new RangeKeeper.Environment(
-                        store, control, time, settings.bounds().heartbeatInterval()),
+                        store, control, time, settings.bounds().heartbeatInterval(), registration::firstRevision),
                 new KeyLoads());
     }
 
@@ -278,12 +278,11 @@
     }
 
     private Optional<KeyHolds.Reply> holdsFor(BackendHeartbeat heartbeat) {
-        if (!isKeyed(heartbeat.service())) {
+        Optional<FleetState.StoredTable> stored = state.table(heartbeat.service());
+        if (!isKeyed(heartbeat.service()) || stored.filter(ranges::isOwnTime).isEmpty()) {
             return Optional.empty();
         }
-        RangeTable table = state.table(heartbeat.service())
-                .map(FleetState.StoredTable::table)
-                .orElseGet(() -> RangeTable.empty(heartbeat.service()));
+        RangeTable table = stored.get().table();
         Optional<KeyHolds.Reply> reply = holds.reply(heartbeat, table);
         reply.ifPresent(granted -> {
             holdsEndNanos = time.monotonicNanos() + granted.hold().toNanos();
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendLife;
@@ -59,6 +61,7 @@
     private final TimeSource time;
     private final Duration heartbeatInterval;
     private final PeerLoadView loads;
+    private final Supplier<OptionalLong> firstRegistration;
     private final long startedNanos;
     private boolean committing;
     private long rebalancedNanos;
@@ -78,8 +81,14 @@
      * @param control the control thread
      * @param time clock
      * @param heartbeatInterval time between two heartbeats of a backend server
+     * @param firstRegistration store revision at which this process registered for the first time
      */
-    record Environment(MetadataStore store, ControlExecutor control, TimeSource time, Duration heartbeatInterval) {}
+    record Environment(
+            MetadataStore store,
+            ControlExecutor control,
+            TimeSource time,
+            Duration heartbeatInterval,
+            Supplier<OptionalLong> firstRegistration) {}
 
     RangeKeeper(
             DaemonId self,
@@ -97,6 +106,7 @@
         this.time = environment.time();
         this.heartbeatInterval = environment.heartbeatInterval();
         this.loads = loads;
+        this.firstRegistration = environment.firstRegistration();
         this.startedNanos = time.monotonicNanos();
         this.rebalancedNanos = startedNanos;
     }
@@ -121,7 +131,8 @@
             proposeFirst(service, owners, stored);
             return;
         }
-        if (commitReadyMoves(stored.get())
+        if (supersedePredecessor(stored.get())
+                || commitReadyMoves(stored.get())
                 || renewAfterRestart(stored.get(), backend)
                 || takeOver(stored.get(), owners)) {
             return;
@@ -159,6 +170,26 @@
                 Set.of());
     }
 
+    /**
+     * An earlier process of this daemon may have sent a change that the store does late. Any write of the table after this
+     * process has registered makes such a change fail.
+     */
+    private boolean supersedePredecessor(StoredTable stored) {
+        if (isOwnTime(stored)
+                || stored.table().of(self).isEmpty()
+                || firstRegistration.get().isEmpty()) {
+            return false;
+        }
+        commit("supersede_predecessor", stored.table(), stored.revision(), Set.of());
+        return true;
+    }
+
+    /** Returns whether no change that an earlier process of this daemon has sent can still be made to the table. */
+    boolean isOwnTime(StoredTable stored) {
+        OptionalLong registered = firstRegistration.get();
+        return registered.isPresent() && stored.revision() > registered.getAsLong();
+    }
+
     private boolean commitReadyMoves(StoredTable stored) {
         List<RangeMove> ready = holds.readyMoves();
         if (ready.isEmpty()) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.FleetMember;
@@ -43,6 +44,7 @@
     private boolean verifyFirst;
     private boolean busy;
     private boolean storeLost;
+    private OptionalLong firstRevision = OptionalLong.empty();
     private boolean ended;
 
     /** Hears of the state of the entry, on the control thread. */
@@ -84,6 +86,11 @@
         return registered;
     }
 
+    /** Returns the store revision at which this process registered for the first time. */
+    OptionalLong firstRevision() {
+        return firstRevision;
+    }
+
     FleetMember member() {
         return member;
     }
@@ -208,6 +215,9 @@
     private void onWritten(FleetMember written, TransactionResult result) {
         if (result instanceof TransactionResult.Committed committed) {
             revision = committed.revision();
+            if (firstRevision.isEmpty()) {
+                firstRevision = OptionalLong.of(revision);
+            }
             dirty = !written.equals(member);
             if (!registered) {
                 registered = true;
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
@@ -44,6 +44,8 @@
 
     private record Stored(StoredItem item, long lease) {}
 
+    private record DelayedCommit(Duration delay, Runnable sent) {}
+
     private record Watch(String prefix, long after, Runnable wake) {}
 
     SimulatedStore(Simulation simulation, Random random) {
@@ -118,6 +120,7 @@
     /** The store as one daemon reaches it. */
     final class Client implements MetadataStore {
         private boolean cut;
+        private Optional<DelayedCommit> delayedCommit = Optional.empty();
 
         void setCut(boolean isCut) {
             cut = isCut;
@@ -206,8 +209,22 @@
             return event.revision() > afterRevision && event.key().startsWith(prefix);
         }
 
+        /** Does the next write of a range table late and tells nobody; the callback runs when it is sent. */
+        void delayNextRangeCommit(Duration delay, Runnable sent) {
+            delayedCommit = Optional.of(new DelayedCommit(delay, sent));
+        }
+
         @Override
         public CompletableFuture<TransactionResult> commit(Transaction transaction) {
+            boolean ofRanges =
+                    transaction.writes().stream().anyMatch(write -> write.key().startsWith(FleetState.RANGE_PREFIX));
+            if (ofRanges && delayedCommit.isPresent()) {
+                DelayedCommit delayed = delayedCommit.get();
+                delayedCommit = Optional.empty();
+                simulation.at(delayed.delay(), () -> apply(transaction));
+                delayed.sent().run();
+                return new CompletableFuture<>();
+            }
             return call(true, () -> apply(transaction));
         }
 
