Let a predecessor's holds count after a daemon's restart

Cause: the first heartbeat after a restart of the daemon was taken for a new process of the backend server, whose predecessor holds nothing.

Change: only a change of a known process voids the holds. A test of a silent holder had relied on the fault and now starts after the earlier holds have ended. Unused methods go; the client of the backend server is named as such.

Measured: KeyHoldsTest.readyMoves_afterTheFirstHeartbeat red before, green after.

--- a/core/src/main/java/io/daisyhoist/core/keyrange/KeyHolds.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/KeyHolds.java
@@ -65,9 +65,10 @@
 
     /** Learns of a heartbeat that is not stale. */
     public void onHeartbeat(BackendHeartbeat heartbeat) {
-        if (!life.equals(Optional.of(heartbeat.life()))) {
-            onNewProcess(heartbeat.life());
+        if (life.isPresent() && !life.get().equals(heartbeat.life())) {
+            onNewProcess();
         }
+        life = Optional.of(heartbeat.life());
         released.addAll(heartbeat.released());
         while (released.size() > MAX_RELEASED) {
             released.remove(0);
@@ -79,8 +80,8 @@
         }
     }
 
-    private void onNewProcess(BackendLife process) {
-        life = Optional.of(process);
+    /** The former process has ended and holds nothing; one that this daemon meets first may hold keys of before. */
+    private void onNewProcess() {
         released.clear();
         moves.clear();
         granted = List.of();
@@ -200,11 +201,6 @@
         return holdsEndNanos - time.monotonicNanos() <= 0;
     }
 
-    /** Returns whether the last reply granted a key. */
-    public boolean grants(int key) {
-        return !holdsEnded() && granted.stream().anyMatch(range -> range.range().contains(key));
-    }
-
     /** Returns what the last reply granted. */
     public List<GrantedRange> granted() {
         return holdsEnded() ? List.of() : granted;
--- a/core/src/main/java/io/daisyhoist/core/routing/BackendLoads.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/BackendLoads.java
@@ -192,11 +192,6 @@
         state(daemon).unreachable = 0;
     }
 
-    /** Forgets daemons that have gone. */
-    public void retain(Set<DaemonId> present) {
-        states.keySet().removeIf(daemon -> !present.contains(daemon) && states.get(daemon).inFlight == 0);
-    }
-
     private State state(DaemonId daemon) {
         return states.computeIfAbsent(daemon, any -> new State());
     }
--- a/core/src/test/java/io/daisyhoist/core/keyrange/KeyHoldsTest.java
+++ b/core/src/test/java/io/daisyhoist/core/keyrange/KeyHoldsTest.java
@@ -172,6 +172,7 @@
         /** Guards against keys that never move because their holder fell silent. */
         @Test
         void readyMoves_silentHolder_readyWhenAllHoldsHaveEnded() {
+            time.advance(Duration.ofSeconds(11));
             planAndWithdraw();
             time.advance(HOLD);
             assertEquals(List.of(), holds.readyMoves(), "the holder's clock may be slow");
@@ -182,6 +183,16 @@
 
     @Nested
     class Restart {
+        /** Guards against keys that move while the backend server still holds them from the daemon's earlier process. */
+        @Test
+        void readyMoves_afterTheFirstHeartbeat_earlierHoldsStillCount() {
+            holds.onHeartbeat(heartbeat(LIFE, 5, List.of(new HeldRange(new KeyRange(0, 99), 5))));
+            holds.plan(new RangeMove(new KeyRange(10, 19), OTHER, OTHER_LIFE));
+            assertEquals(List.of(), holds.readyMoves());
+            time.advance(Duration.ofMillis(10_400));
+            assertEquals(1, holds.readyMoves().size());
+        }
+
         /** Guards against keys that are given away while an earlier process' holds last. */
         @Test
         void holdsEnded_afterStart_onlyAfterTheLongestHold() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/WorkerClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -15,7 +15,7 @@
  * <p>Invariants: a request is written at most once; an answer goes only to the request whose id it bears; a connection on
  * which an answer was incomplete, damaged or given up is closed. Confined to the traffic event loop.
  */
-public final class WorkerClient implements AutoCloseable {
+public final class BackendHttpClient implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
     private static final int WAITING_PER_CONNECTION = 4;
 
@@ -23,14 +23,14 @@
     private static final int KEEP_ALIVE_S = 4;
 
     private final HttpClient client;
-    private final WorkerExchange.Environment environment;
+    private final BackendHttpExchange.Environment environment;
 
     /**
      * Creates a client without connections.
      *
      * @param maxConnections most connections that are open at once
      */
-    public WorkerClient(Vertx vertx, Context context, HeaderNames names, int maxConnections, TimeSource time) {
+    public BackendHttpClient(Vertx vertx, Context context, HeaderNames names, int maxConnections, TimeSource time) {
         this.client = vertx.createHttpClient(
                 new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
@@ -41,7 +41,7 @@
                 new PoolOptions()
                         .setHttp1MaxSize(maxConnections)
                         .setMaxWaitQueueSize(WAITING_PER_CONNECTION * maxConnections));
-        this.environment = new WorkerExchange.Environment(context, client, names, time);
+        this.environment = new BackendHttpExchange.Environment(context, client, names, time);
     }
 
     /** Takes part in one exchange, on the traffic event loop. */
@@ -63,7 +63,7 @@
      */
     public Future<BackendAnswer> send(
             Endpoint backend, BackendRequestData request, Future<Void> cancelled, Observer observer) {
-        WorkerExchange exchange = new WorkerExchange(environment, backend, request, observer);
+        BackendHttpExchange exchange = new BackendHttpExchange(environment, backend, request, observer);
         cancelled.onComplete(gone -> exchange.cancel());
         exchange.start();
         return exchange.result();
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/WorkerExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -29,7 +29,7 @@
  * <p>Invariant: the phase leaves {@code WAITING} once, either to {@code WRITTEN} immediately before the write or to
  * {@code ENDED} without a write. Confined to the traffic event loop.
  */
-final class WorkerExchange {
+final class BackendHttpExchange {
     private static final int MISDIRECTED = 421;
 
     private enum Phase {
@@ -44,7 +44,7 @@
     private final TimeSource time;
     private final Endpoint backend;
     private final BackendRequestData request;
-    private final WorkerClient.Observer observer;
+    private final BackendHttpClient.Observer observer;
     private final Promise<BackendAnswer> result = Promise.promise();
     private Phase phase = Phase.WAITING;
     private Optional<HttpClientRequest> stream = Optional.empty();
@@ -59,8 +59,11 @@
      */
     record Environment(Context context, HttpClient client, HeaderNames names, TimeSource time) {}
 
-    WorkerExchange(
-            Environment environment, Endpoint backend, BackendRequestData request, WorkerClient.Observer observer) {
+    BackendHttpExchange(
+            Environment environment,
+            Endpoint backend,
+            BackendRequestData request,
+            BackendHttpClient.Observer observer) {
         this.context = environment.context();
         this.client = environment.client();
         this.names = environment.names();
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
@@ -35,10 +35,4 @@
         int priority,
         Deadline deadline,
         String callerService,
-        BackendLife expected) {
-    /** Returns the same request for another process of a backend server. */
-    public BackendRequestData toward(BackendLife life) {
-        return new BackendRequestData(
-                id, service, key, method, uri, headers, body, priority, deadline, callerService, life);
-    }
-}
+        BackendLife expected) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -23,8 +23,8 @@
 import io.daisyhoist.daemon.connection.PeerLimits;
 import io.daisyhoist.daemon.connection.PeerServer;
 import io.daisyhoist.daemon.process.ControlThread;
+import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.HeaderNames;
-import io.daisyhoist.mesh.connection.WorkerClient;
 import io.daisyhoist.mesh.request.BackendGate;
 import io.daisyhoist.mesh.request.ClientServer;
 import io.daisyhoist.mesh.request.ForwardReceiver;
@@ -91,7 +91,7 @@
         PeerIdentity identity = new PeerIdentity(CLUSTER, new ProcessId(settings.daemon(), incarnation));
         this.peers = new PeerClient(peerLoops, identity, PEER_LIMITS, ThreadLocalRandom.current());
         this.fleet = new FleetControl(settings, incarnation, time, control, store, documents, this::sendToPeers);
-        WorkerClient worker = new WorkerClient(vertx, context, names, MAX_BACKEND_CONNECTIONS, time);
+        BackendHttpClient worker = new BackendHttpClient(vertx, context, names, MAX_BACKEND_CONNECTIONS, time);
         this.gate =
                 new BackendGate(time, settings.zone(), fleet::fleet, fleet::local, worker, fleet::onKeyWork, metrics);
         this.peerServer =
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
@@ -25,8 +25,8 @@
 import io.daisyhoist.mesh.connection.BackendAnswer;
 import io.daisyhoist.mesh.connection.BackendAnswer.NotRun;
 import io.daisyhoist.mesh.connection.BackendAnswer.NotRunReason;
+import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.BackendRequestData;
-import io.daisyhoist.mesh.connection.WorkerClient;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalView;
@@ -59,7 +59,7 @@
     private final AvailabilityZone zone;
     private final Supplier<FleetSnapshot> fleet;
     private final Supplier<LocalView> local;
-    private final WorkerClient client;
+    private final BackendHttpClient client;
     private final AdmissionGate gate;
     private final SlotLimit slots = new SlotLimit(1);
     private final ColdGuard cold;
@@ -86,7 +86,7 @@
             AvailabilityZone zone,
             Supplier<FleetSnapshot> fleet,
             Supplier<LocalView> local,
-            WorkerClient client,
+            BackendHttpClient client,
             KeyWorkListener onKeyRequest,
             FleetMetrics metrics) {
         this.time = time;
@@ -297,7 +297,7 @@
     }
 
     /** Decides at the last moment, and learns what the exchange shows. */
-    private final class GateObserver implements WorkerClient.Observer {
+    private final class GateObserver implements BackendHttpClient.Observer {
         private final BackendRequestData request;
         private final LocalBackend backend;
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/store/MetadataStore.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/store/MetadataStore.java
@@ -28,7 +28,4 @@
 
     /** Renews a lease; false when it has ended. */
     CompletableFuture<Boolean> renewLease(long lease);
-
-    /** Ends a lease and removes its items. */
-    CompletableFuture<Void> endLease(long lease);
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/version/FleetSnapshot.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/version/FleetSnapshot.java
@@ -82,9 +82,4 @@
     public Optional<RangeTable> table(ServiceName service) {
         return Optional.ofNullable(tables.get(service));
     }
-
-    /** Returns the availability zones that get no new work. */
-    public Set<AvailabilityZone> evacuated() {
-        return evacuated;
-    }
 }
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
@@ -0,0 +1,145 @@
+package io.daisyhoist.mesh.process;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.route.ClientLimits;
+import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.core.route.RouteTable;
+import io.daisyhoist.core.time.ManualTimeSource;
+import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.store.StoredItem;
+import io.daisyhoist.mesh.version.FleetSnapshot;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class FleetStateTest {
+    private static final Duration ABSENCE_LIMIT = Duration.ofSeconds(10);
+
+    private final ManualTimeSource time = new ManualTimeSource();
+    private FleetSnapshot published = FleetSnapshot.EMPTY;
+    private final FleetState state =
+            new FleetState(time, new Documents(), ABSENCE_LIMIT, snapshot -> published = snapshot);
+
+    /** Values of configurations are their version numbers; all other keys are evacuated availability zones. */
+    private static final class Documents implements OperatorDocuments {
+        @Override
+        public String prefix() {
+            return "o/";
+        }
+
+        @Override
+        public Optional<Document> read(StoredItem item) {
+            if (!item.key().equals("o/config")) {
+                return evacuatedZone(item.key()).map(EvacuatedZone::new);
+            }
+            long version = Long.parseLong(new String(item.value(), StandardCharsets.UTF_8));
+            return Optional.of(new Configuration(
+                    new FleetConfig(version, new RouteTable(List.of()), Map.of(), ClientLimits.DEFAULT)));
+        }
+
+        @Override
+        public Optional<AvailabilityZone> evacuatedZone(String key) {
+            return Optional.of(new AvailabilityZone(key.substring("o/".length())));
+        }
+    }
+
+    private static StoredItem item(String key, String value) {
+        return new StoredItem(key, value.getBytes(StandardCharsets.UTF_8), 1);
+    }
+
+    private static StoredItem memberItem(String name, String host) {
+        FleetMember member = new FleetMember(
+                new DaemonId(name),
+                1,
+                new AvailabilityZone("z"),
+                host,
+                1000,
+                new ServiceName("s"),
+                Optional.of(new FleetMember.MemberBackend("b-" + name, 1, 6, true)));
+        return new StoredItem(FleetState.memberKey(member.daemon()), FleetJson.write(member), 1);
+    }
+
+    private boolean isMember(String name) {
+        return published.members().containsKey(new DaemonId(name));
+    }
+
+    @Nested
+    class Configuration {
+        /** Guards against a configuration that goes back. */
+        @Test
+        void onOperatorItem_olderVersion_isIgnored() {
+            state.onOperatorItem(item("o/config", "7"));
+            state.onOperatorItem(item("o/config", "5"));
+            assertEquals(7, published.config().orElseThrow().version());
+        }
+
+        @Test
+        void onOperatorItem_evacuationAndReturn() {
+            AvailabilityZone zone = new AvailabilityZone("z");
+            state.onFleetItem(memberItem("d", "10.0.0.1"));
+            state.onOperatorItem(item("o/z", ""));
+            assertTrue(published.isEvacuated(zone));
+            assertTrue(published.candidates(new ServiceName("s")).isEmpty());
+            state.onOperatorDeleted("o/z");
+            assertEquals(1, published.candidates(new ServiceName("s")).size());
+        }
+    }
+
+    @Nested
+    class Members {
+        /** Guards against members that are dropped because an outage of the store has ended their entries. */
+        @Test
+        void onFleetDeleted_memberStaysUntilItHasBeenAbsentForLong() {
+            state.onFleetItem(memberItem("d", "10.0.0.1"));
+            state.onFleetDeleted(FleetState.MEMBER_PREFIX + "d");
+            time.advance(ABSENCE_LIMIT);
+            state.dropAbsent();
+            assertTrue(isMember("d"));
+            time.advance(Duration.ofMillis(1));
+            state.dropAbsent();
+            assertFalse(isMember("d"));
+        }
+
+        @Test
+        void onFleetItem_memberReturns_isNotDropped() {
+            state.onFleetItem(memberItem("d", "10.0.0.1"));
+            state.onFleetDeleted(FleetState.MEMBER_PREFIX + "d");
+            state.onFleetItem(memberItem("d", "10.0.0.1"));
+            time.advance(ABSENCE_LIMIT.multipliedBy(2));
+            state.dropAbsent();
+            assertTrue(isMember("d"));
+        }
+
+        /** Guards against requests to a lost instance that reach the daemon which has its address now. */
+        @Test
+        void onFleetItem_addressOfAnAbsentMember_replacesIt() {
+            state.onFleetItem(memberItem("old", "10.0.0.1"));
+            state.onFleetDeleted(FleetState.MEMBER_PREFIX + "old");
+            state.onFleetItem(memberItem("new", "10.0.0.1"));
+            assertFalse(isMember("old"));
+            assertTrue(isMember("new"));
+        }
+
+        /** Guards against a damaged item that ends the process or removes what is known. */
+        @Test
+        void onFleetItem_unreadable_changesNothing() {
+            state.onFleetItem(memberItem("d", "10.0.0.1"));
+            state.onFleetItem(item(FleetState.MEMBER_PREFIX + "e", "{"));
+            state.onFleetItem(item(FleetState.RANGE_PREFIX + "s", "[]"));
+            assertTrue(isMember("d"));
+            assertEquals(Optional.empty(), state.table(new ServiceName("s")));
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/StopSequenceTest.java
@@ -0,0 +1,58 @@
+package io.daisyhoist.mesh.process;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.daisyhoist.core.time.SystemTimeSource;
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class StopSequenceTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final AtomicBoolean idle = new AtomicBoolean();
+    private final AtomicBoolean refusing = new AtomicBoolean();
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    @AfterEach
+    void close() {
+        vertx.close();
+    }
+
+    private void start(Duration grace) {
+        StopSequence stop = new StopSequence(
+                vertx, new SystemTimeSource(), grace, idle::get, () -> refusing.set(true), ended::countDown);
+        vertx.runOnContext(run -> stop.start());
+    }
+
+    /** Guards against an end while clients have not yet noticed that the daemon is not ready. */
+    @Test
+    void start_idle_waitsUntilClientsHaveNoticed() throws InterruptedException {
+        idle.set(true);
+        start(Duration.ofSeconds(20));
+        assertFalse(ended.await(2, TimeUnit.SECONDS));
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+
+    /** Guards against a request that is cut although there is time left. */
+    @Test
+    void start_busy_waitsForTheRequests() throws InterruptedException {
+        start(Duration.ofSeconds(20));
+        assertFalse(ended.await(3, TimeUnit.SECONDS));
+        assertTrue(refusing.get());
+        idle.set(true);
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+
+    /** Guards against a process that has to be killed. */
+    @Test
+    void start_busyForever_endsInsideTheGrace() throws InterruptedException {
+        start(Duration.ofSeconds(4));
+        assertTrue(ended.await(10, TimeUnit.SECONDS));
+    }
+}
