--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -164,10 +164,16 @@
             LOGGER.atInfo().log("event=daemon_stopping in_flight=%d busy=%d", clients.inFlight(), gate.busy());
             fleet.stopAccepting();
             clients.closeConnectionsAfterAnswers();
-            new StopSequence(vertx, time, settings.bounds().stopGrace(), this::isIdle, gate::close, this::end).start();
+            new StopSequence(vertx, time, settings.bounds().stopGrace(), this::isIdle, this::refuseWork, this::end)
+                    .start();
         });
     }
 
+    private void refuseWork() {
+        gate.close();
+        clients.refuseNewRequests();
+    }
+
     private boolean isIdle() {
         return clients.inFlight() == 0 && gate.busy() == 0;
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -48,6 +48,7 @@
     private final HttpServer server;
     private int inFlight;
     private boolean closing;
+    private boolean refusing;
 
     /** Creates a server that does not listen yet. */
     public ClientServer(Vertx vertx, RequestContext context, HeaderNames names) {
@@ -71,6 +72,11 @@
         closing = true;
     }
 
+    /** Refuses all further requests as not run, since there may be no time left to answer them. */
+    public void refuseNewRequests() {
+        refusing = true;
+    }
+
     /** Returns the number of requests without an answer. */
     public int inFlight() {
         return inFlight;
@@ -99,6 +105,9 @@
             if (body.isEmpty()) {
                 return Future.succeededFuture(FinalAnswer.tooLarge());
             }
+            if (refusing) {
+                return refuse(http, "stopping", FinalAnswer.notRun(NOT_READY_RETRY_AFTER));
+            }
             return route(http, body.get(), arrivedNanos, gone);
         });
     }
