Move keys only away from busy holders and count young load in full

Keys moved for a surplus of 0.6 slots although the holder had more than half of its slots free; each move stops a key for 0.3 to 0.7 s. The load of a holder was also read at 40% of its size one second after it began, so the first move came after 2.1 s. Ruled out: narrower ranges; the requests that a move interrupts follow from the moved load, not from the number of keys.

Change: a holder gives keys away only when half of its slots are busy; counts are divided by the time that they cover; replies wait up to 700 ms for announced keys, and the announcement lasts as long as a heartbeat and the running requests need.

--- a/core/src/main/java/io/daisyhoist/core/keyrange/KeyLoad.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/KeyLoad.java
@@ -14,11 +14,14 @@
     /** Time over which the figures forget; long enough for a steady figure, short enough for a key that becomes hot. */
     private static final double MEMORY_S = 2.0;
 
+    private static final double MIN_OBSERVED_S = 0.7;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final TimeSource time;
     private final float[] weight = new float[KeyRange.MAX_KEY + 1];
     private long decayedNanos;
+    private Optional<Long> firstNanos = Optional.empty();
 
     /** Creates counts of zero. */
     public KeyLoad(TimeSource time) {
@@ -28,6 +31,9 @@
 
     /** Counts a request for a key, with the time that such requests take. */
     public void onRequest(int key, Duration work) {
+        if (firstNanos.isEmpty()) {
+            firstNanos = Optional.of(time.monotonicNanos());
+        }
         weight[key] += (float) (work.toNanos() / NANOS_PER_SECOND);
     }
 
@@ -47,7 +53,15 @@
         for (int key = range.from(); key <= range.to(); key++) {
             sum += weight[key];
         }
-        return sum / MEMORY_S;
+        return sum / observedSeconds();
+    }
+
+    /** Counts that have just begun cover less time than the memory; a floor keeps the first requests from weighing much. */
+    private double observedSeconds() {
+        double ageS = firstNanos
+                .map(first -> (time.monotonicNanos() - first) / NANOS_PER_SECOND)
+                .orElse(0.0);
+        return MEMORY_S * (1 - Math.exp(-Math.max(ageS, MIN_OBSERVED_S) / MEMORY_S));
     }
 
     /**
@@ -56,8 +70,8 @@
      * @param wanted busy slots; the result carries between half of it and one and a half times it
      */
     public Optional<KeyRange> narrowestWith(KeyRange within, double wanted) {
-        double most = wanted * MEMORY_S * 1.5;
-        double target = wanted * MEMORY_S;
+        double target = wanted * observedSeconds();
+        double most = target * 1.5;
         double sum = 0;
         int from = within.from();
         Optional<KeyRange> best = Optional.empty();
--- a/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
@@ -23,6 +23,9 @@
 
     private static final double MIN_MOVED_SLOTS = 0.2;
 
+    /** Part of its slots that a holder must have busy to give keys away; below it hardly a request waits for a slot. */
+    private static final double BUSY_SHARE = 0.5;
+
     private RangePlanner() {}
 
     /** Divides all keys evenly, as the first table of a service. */
@@ -171,11 +174,20 @@
      * givers in proportion to their surplus, so that several of them together do not overload it.
      *
      * @param self daemon that asks; moves are planned only for its own keys
+     * @param slots requests that its backend server runs at once
      * @param loads busy slots of each holder; holders without a figure are left out
      * @param keyLoad work for the keys of this daemon
      */
     public static List<RangeMove> rebalance(
-            RangeTable table, DaemonId self, List<RangeOwner> owners, Map<DaemonId, Double> loads, KeyLoad keyLoad) {
+            RangeTable table,
+            DaemonId self,
+            int slots,
+            List<RangeOwner> owners,
+            Map<DaemonId, Double> loads,
+            KeyLoad keyLoad) {
+        if (loads.getOrDefault(self, 0.0) < BUSY_SHARE * slots) {
+            return List.of();
+        }
         List<RangeOwner> known = owners.stream()
                 .filter(owner -> loads.containsKey(owner.daemon()))
                 .toList();
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -54,11 +54,11 @@
     /** Holds end soon after a backend server has fallen silent, so that its keys can move. */
     private static final Duration HOLD = Duration.ofMillis(5_000);
 
-    /** Backend servers wait a second for a reply. */
-    private static final Duration MAX_REPLY_DELAY = Duration.ofMillis(500);
+    /** Backend servers wait a second for a reply; the rest is for a daemon that runs slowly. */
+    private static final Duration MAX_REPLY_DELAY = Duration.ofMillis(700);
 
-    /** Time in which announced keys are usually assigned. */
-    private static final Duration KEYS_FOLLOW = Duration.ofMillis(1_500);
+    /** Time in which announced keys are usually assigned: a heartbeat of the giver and the end of its requests. */
+    private static final Duration KEYS_FOLLOW = Duration.ofMillis(2_500);
 
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration LOAD_REPORT_INTERVAL = Duration.ofMillis(500);
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
@@ -281,7 +281,8 @@
             rebalancedNanos = time.monotonicNanos();
             Map<DaemonId, Double> known = new HashMap<>(loads.busySlots());
             known.put(self, ownLoad(table));
-            List<RangeMove> moves = RangePlanner.rebalance(table, self, owners, known, keyLoad);
+            int slots = backend.get().heartbeat().slots();
+            List<RangeMove> moves = RangePlanner.rebalance(table, self, slots, owners, known, keyLoad);
             moves.forEach(move -> {
                 LOGGER.atInfo().log(
                         "event=range_move_planned service=%s range=%s to=%s loads=%s",
