Let requests wait for the next free slot, pass over slow instances, use the retry budget

Change: a request may wait 150 ms for a slot if its deadline allows it; within a rank the earliest deadline goes first (the property test of the gate states the new order as strictly as the old one); a gate whose backend server reported a slowdown within 300 ms refuses once as slow if the sender sees room elsewhere; repeated runs are bounded separately and charged to the services that they call, other retries use 0.8 of the ratio.

--- a/core/src/main/java/io/daisyhoist/core/admission/TicketQueue.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/TicketQueue.java
@@ -1,22 +1,26 @@
 package io.daisyhoist.core.admission;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 
-/** Bounded queue ordered by rank, then by arrival. Confined to one thread. */
+/** Bounded queue ordered by rank, then by deadline, then by arrival. Confined to one thread. */
 final class TicketQueue {
+    private static final Comparator<Ticket> EARLIEST_DEADLINE_FIRST =
+            Comparator.comparingLong(Ticket::deadlineNanos).thenComparingLong(Ticket::number);
+
     private int bound;
-    private final Map<Rank, ArrayDeque<Ticket>> byRank = new EnumMap<>(Rank.class);
+    private final Map<Rank, TreeSet<Ticket>> byRank = new EnumMap<>(Rank.class);
     private int size;
 
     TicketQueue(int bound) {
         this.bound = bound;
         for (Rank rank : Rank.values()) {
-            byRank.put(rank, new ArrayDeque<>());
+            byRank.put(rank, new TreeSet<>(EARLIEST_DEADLINE_FIRST));
         }
     }
 
@@ -34,7 +38,7 @@
     }
 
     void add(Ticket ticket) {
-        byRank.get(ticket.rank()).addLast(ticket);
+        byRank.get(ticket.rank()).add(ticket);
         size++;
     }
 
@@ -45,9 +49,9 @@
     }
 
     Optional<Ticket> peek() {
-        for (ArrayDeque<Ticket> tickets : byRank.values()) {
+        for (TreeSet<Ticket> tickets : byRank.values()) {
             if (!tickets.isEmpty()) {
-                return Optional.of(tickets.peekFirst());
+                return Optional.of(tickets.first());
             }
         }
         return Optional.empty();
@@ -71,14 +75,14 @@
         return tickets;
     }
 
-    /** Removes the latest ticket of the lowest rank, if that rank is below the given one. */
+    /** Removes the ticket with the latest deadline of the lowest rank, if that rank is below the given one. */
     Optional<Ticket> removeLastBelow(Rank rank) {
         Rank[] ranks = Rank.values();
         for (int i = ranks.length - 1; i > rank.ordinal(); i--) {
-            ArrayDeque<Ticket> tickets = byRank.get(ranks[i]);
+            TreeSet<Ticket> tickets = byRank.get(ranks[i]);
             if (!tickets.isEmpty()) {
                 size--;
-                return Optional.of(tickets.removeLast());
+                return Optional.of(tickets.pollLast());
             }
         }
         return Optional.empty();
@@ -89,7 +93,7 @@
             return List.of();
         }
         List<Ticket> expired = new ArrayList<>();
-        for (ArrayDeque<Ticket> tickets : byRank.values()) {
+        for (TreeSet<Ticket> tickets : byRank.values()) {
             tickets.stream()
                     .filter(ticket -> ticket.deadlineNanos() - nowNanos <= 0)
                     .forEach(expired::add);
--- a/core/src/main/java/io/daisyhoist/core/retry/FleetRetryBudget.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/FleetRetryBudget.java
@@ -13,14 +13,21 @@
  *
  * <p>Invariant: in any window, the retries to a service are at most {@code ratio} times the requests for it plus this
  * daemon's share of the slack, counted over the same window; so the sum over all daemons stays within the fleet's
- * bound. Confined to one thread.
+ * bound. A repeated run makes its calls to other services again, which count as retries there, so it is charged to those
+ * too. Confined to one thread.
  */
 public final class FleetRetryBudget {
-    /** Part of the even share of the slack that is used; a repeated run's calls are repeats at other services. */
-    private static final double SLACK_USED = 0.5;
+    /** Part of the even share of the slack that is used; a daemon that restarts within a window uses its share again. */
+    private static final double SLACK_USED = 0.6;
 
-    /** Part of the ratio that is used; the rest covers the calls that repeated runs make of other services. */
-    private static final double RATIO_USED = 0.5;
+    /** Part of the ratio that is used; the rest covers requests that end before the window of their retries. */
+    private static final double RATIO_USED = 0.8;
+
+    /** Part of the used budget that repeated runs may take, since each may repeat calls to another service besides. */
+    private static final double REPEATED_RUNS = 0.45;
+
+    /** Calls to one other service that a repeated run may make again. */
+    private static final int CALLS_OF_A_RUN = 2;
 
     private final TimeSource time;
     private final double ratio;
@@ -31,10 +38,18 @@
     private static final class Usage {
         private final RateWindow requests;
         private final RateWindow retries;
+        private final RateWindow repeatedRuns;
 
         private Usage(TimeSource time, Duration window) {
             requests = new RateWindow(time, window);
             retries = new RateWindow(time, window);
+            repeatedRuns = new RateWindow(time, window);
+        }
+
+        private void chargeCalls() {
+            for (int i = 0; i < CALLS_OF_A_RUN; i++) {
+                retries.record();
+            }
         }
     }
 
@@ -61,16 +76,25 @@
      * Takes a retry from the budget.
      *
      * @param daemons number of daemons that share the slack
-     * @param cost 1 for a request that no backend server has run, more for one whose repeated run repeats its calls
+     * @param repeatsRun whether a backend server may have run the request already
      */
-    public boolean tryRetry(ServiceName service, int daemons, int cost) {
+    public boolean tryRetry(ServiceName service, int daemons, boolean repeatsRun) {
         Usage used = of(service);
         double limit = RATIO_USED * ratio * used.requests.count() + SLACK_USED * slack / Math.max(1, daemons);
-        if (used.retries.count() + cost > limit) {
+        if (used.retries.count() + 1 > limit) {
+            return false;
+        }
+        if (repeatsRun && used.repeatedRuns.count() + 1 > REPEATED_RUNS * limit) {
             return false;
         }
-        for (int i = 0; i < cost; i++) {
-            used.retries.record();
+        used.retries.record();
+        if (repeatsRun) {
+            used.repeatedRuns.record();
+            usage.forEach((called, others) -> {
+                if (!called.equals(service)) {
+                    others.chargeCalls();
+                }
+            });
         }
         return true;
     }
--- a/core/src/main/java/io/daisyhoist/core/routing/BackendLoads.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/BackendLoads.java
@@ -104,19 +104,41 @@
         return Optional.ofNullable(best);
     }
 
-    private double score(Candidate candidate) {
+    /** Returns whether one of the candidates seems to have a free slot. */
+    public boolean hasRoom(Collection<Candidate> candidates, Set<DaemonId> excluded) {
+        return candidates.stream()
+                .filter(candidate -> !excluded.contains(candidate.daemon()))
+                .anyMatch(candidate -> utilization(candidate) <= 1 && !isLastResort(state(candidate.daemon())));
+    }
+
+    /** Returns the part of the slots that is busy once another request has been sent. */
+    private double utilization(Candidate candidate) {
         State state = state(candidate.daemon());
-        long now = time.monotonicNanos();
-        boolean fresh = state.reported && now - state.reportNanos < REPORT_VALIDITY.toNanos();
+        boolean fresh = isFresh(state);
         double busy = fresh ? Math.max(state.inFlight, state.reportedBusy + state.sentSinceReport) : state.inFlight;
         double slots = fresh && state.reportedLimit > 0 ? state.reportedLimit : candidate.slots();
-        double score = (busy + 1) / Math.max(1, slots);
+        return (busy + 1) / Math.max(1, slots);
+    }
+
+    private boolean isFresh(State state) {
+        return state.reported && time.monotonicNanos() - state.reportNanos < REPORT_VALIDITY.toNanos();
+    }
+
+    private boolean isLastResort(State state) {
+        long now = time.monotonicNanos();
+        boolean silent = state.inFlight > 0 && now - state.heardNanos > SILENCE.toNanos();
+        return silent || state.avoided && state.avoidUntilNanos - now > 0;
+    }
+
+    private double score(Candidate candidate) {
+        State state = state(candidate.daemon());
+        boolean fresh = isFresh(state);
+        double score = utilization(candidate);
         score *= state.slowness * (fresh ? Math.sqrt(state.slowdown) : 1) * (1 + FAILURE_WEIGHT * state.failures);
         if (!candidate.zone().equals(ownZone)) {
             score *= OTHER_ZONE_COST;
         }
-        boolean silent = state.inFlight > 0 && now - state.heardNanos > SILENCE.toNanos();
-        if (silent || state.avoided && state.avoidUntilNanos - now > 0) {
+        if (isLastResort(state)) {
             score += LAST_RESORT;
         }
         return score * (1 + JITTER * random.nextDouble());
--- a/core/src/test/java/io/daisyhoist/core/admission/AdmissionGateTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/AdmissionGateTest.java
@@ -46,6 +46,19 @@
             assertTrue(gate.offer(Rank.NORMAL, Duration.ofMillis(1_100)) instanceof Offer.Queued);
         }
 
+        /** Answers an overload: short calls wait behind long requests of the same rank until their time is over. */
+        @Test
+        void complete_sameRank_admitsTheEarliestDeadlineFirst() {
+            AdmissionGate gate = gate(1, 10);
+            Permit running = admitted(gate.offer(Rank.NORMAL, LONG));
+            gate.offer(Rank.NORMAL, LONG);
+            Ticket urgent = ((Offer.Queued) gate.offer(Rank.NORMAL, Duration.ofMillis(100))).ticket();
+            GateUpdate update = gate.complete(running, Outcome.CANCELLED, Duration.ZERO);
+            assertEquals(
+                    List.of(urgent),
+                    update.admitted().stream().map(GateUpdate.Admission::ticket).toList());
+        }
+
         @Test
         void complete_samePermitTwice_freesOneSlotOnly() {
             AdmissionGate gate = gate(2, 10);
@@ -163,9 +176,11 @@
             update.shed().forEach(shed -> checkShed(shed, Optional.empty()));
             for (GateUpdate.Admission admission : update.admitted()) {
                 Ticket first = waiting.stream()
-                        .min(Comparator.comparing(Ticket::rank).thenComparing(Ticket::number))
+                        .min(Comparator.comparing(Ticket::rank)
+                                .thenComparing(Ticket::deadlineNanos)
+                                .thenComparing(Ticket::number))
                         .orElseThrow();
-                assertEquals(first, admission.ticket(), "highest rank first, then by arrival");
+                assertEquals(first, admission.ticket(), "highest rank first, then by deadline, then by arrival");
                 assertTrue(first.deadlineNanos() > time.monotonicNanos(), "admitted after its deadline");
                 waiting.remove(first);
                 admit(admission.permit());
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendAnswer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendAnswer.java
@@ -47,6 +47,8 @@
         KEY_MOVING,
         /** It is cold and has had as many requests as it bears. */
         COLD,
+        /** Its instance is slow at present, and the sender has another choice. */
+        SLOW,
         /** It has no room. */
         OVERLOADED,
         /** It could not be reached. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
@@ -23,6 +23,7 @@
  * @param deadline time at which nobody waits for the answer any more
  * @param callerService service of the instance at which it entered the fleet
  * @param expected process of the backend server that is meant
+ * @param hasAlternative whether the sender can choose another backend server if this one is slow at present
  */
 public record BackendRequestData(
         String id,
@@ -35,4 +36,5 @@
         int priority,
         Deadline deadline,
         String callerService,
-        BackendLife expected) {}
+        BackendLife expected,
+        boolean hasAlternative) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -55,7 +55,8 @@
                 .setExpectedBackend(BackendProcess.newBuilder()
                         .setId(request.expected().id())
                         .setStartedMs(request.expected().startedMillis()))
-                .setQueueWaitMs((int) queueWait.toMillis());
+                .setQueueWaitMs((int) queueWait.toMillis())
+                .setHasAlternative(request.hasAlternative());
         request.key().ifPresent(key -> message.setKey(Integer.toString(key)));
         request.headers().forEach(field -> message.addHeaders(header(field)));
         return Envelope.newBuilder().setForwardRequest(message).build();
@@ -77,7 +78,8 @@
                 message.getCallerService(),
                 new BackendLife(
                         message.getExpectedBackend().getId(),
-                        message.getExpectedBackend().getStartedMs()));
+                        message.getExpectedBackend().getStartedMs()),
+                message.getHasAlternative());
     }
 
     /** Returns the message for an answer. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
@@ -44,7 +44,6 @@
 public final class BackendGate {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int QUEUE_PER_SLOT = 4;
-    private static final double UNKNOWN_SLOWDOWN = 1;
 
     /** Slots kept for internal requests at backend servers that get some. */
     private static final int RESERVED_FOR_INTERNAL = 1;
@@ -67,7 +66,7 @@
     private final FleetMetrics metrics;
     private final WorkTimes workTimes = new WorkTimes();
     private final Map<Long, Waiting> waiting = new HashMap<>();
-    private double slowdown = UNKNOWN_SLOWDOWN;
+    private final Slowdown slowdown;
     private int knownSlots = 1;
     private boolean closed;
 
@@ -98,12 +97,13 @@
         this.metrics = metrics;
         this.gate = new AdmissionGate(time, slots, QUEUE_PER_SLOT);
         this.cold = new ColdGuard(time);
+        this.slowdown = new Slowdown(time);
     }
 
     /** Returns the load that other daemons go by. */
     public BackendLoads.Report load() {
         int limit = local.get().backend().filter(cold::isCold).map(backend -> 1).orElse(gate.limit());
-        return new BackendLoads.Report(gate.inFlight() + gate.queued(), limit, slowdown);
+        return new BackendLoads.Report(gate.inFlight() + gate.queued(), limit, slowdown.factor());
     }
 
     /** Returns the number of requests at the backend server or waiting for it. */
@@ -132,6 +132,9 @@
         if (!cold.mayBeSent(backend, policy(request))) {
             return Future.succeededFuture(refuse(request, NotRunReason.COLD, cold.untilRoom()));
         }
+        if (request.hasAlternative() && slowdown.isSlowNow()) {
+            return Future.succeededFuture(refuse(request, NotRunReason.SLOW, Duration.ZERO));
+        }
         request.key().ifPresent(key -> onKeyRequest.onKeyWork(key, workTimes.expected(request.priority())));
         Promise<BackendAnswer> answer = Promise.promise();
         Waiting entry = new Waiting(request, cancelled, answer, time.monotonicNanos());
@@ -318,7 +321,7 @@
 
         @Override
         public void onSlowdown(double reported) {
-            slowdown = reported;
+            slowdown.onReport(reported);
         }
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
@@ -41,12 +41,12 @@
     /** Share of the time until its deadline that a request may wait for a slot although its answer will be late. */
     private static final double LATE_QUEUE_SHARE = 0.3;
 
+    /** A slot of a busy backend server usually becomes free within this time. */
+    private static final Duration MIN_LATE_WAIT = Duration.ofMillis(150);
+
     /** Least time in which another send can be of use. */
     private static final Duration MIN_SEND_TIME = Duration.ofMillis(15);
 
-    /** A run that is repeated makes its calls to other services again. */
-    private static final int REPEATED_RUN_COST = 2;
-
     private static final Duration MOVE_CHECK_INTERVAL = Duration.ofMillis(25);
 
     /** Bounds the wait for a move to less than a second. */
@@ -68,6 +68,8 @@
     private final StringBuilder trace = new StringBuilder();
     private Optional<Answered> lastAnswer = Optional.empty();
     private Optional<Duration> retryAfter = Optional.empty();
+    private Optional<DaemonId> slow = Optional.empty();
+    private boolean slowRefused;
     private int sends;
     private int gateRefusals;
     private int moveWaits;
@@ -106,7 +108,7 @@
 
     private void next() {
         FleetSnapshot fleet = context.fleet().get();
-        Optional<FleetMember> member = choose(fleet);
+        Optional<FleetMember> member = choose(fleet).or(() -> slowMember(fleet));
         if (member.isEmpty()) {
             trace.append(" none");
             finish(giveUp());
@@ -125,6 +127,15 @@
                 .map(candidate -> fleet.members().get(candidate.daemon()));
     }
 
+    /** A backend server that was passed over as slow is better than none. */
+    private Optional<FleetMember> slowMember(FleetSnapshot fleet) {
+        Optional<FleetMember> member =
+                slow.flatMap(daemon -> Optional.ofNullable(fleet.members().get(daemon))
+                        .filter(known -> known.acceptingBackend().isPresent()));
+        slow = Optional.empty();
+        return member;
+    }
+
     /** Clients state a key with every request; only services with keys go by it. */
     private OptionalInt key(FleetSnapshot fleet) {
         boolean keyed = fleet.config()
@@ -164,7 +175,8 @@
                 request.route().priority(),
                 request.deadline(),
                 context.callerService().name(),
-                member.backend().orElseThrow().life());
+                member.backend().orElseThrow().life(),
+                hasAlternative());
         Duration queueWait = queueWait();
         context.forwarder().send(member, data, queueWait, request.cancelled()).onComplete(done -> {
             outstanding = false;
@@ -185,10 +197,24 @@
         Duration untilTarget = request.route().target().minus(elapsed).minus(usual);
         Duration untilDeadline = remaining().minus(usual);
         Duration late = Duration.ofNanos((long) (untilDeadline.toNanos() * LATE_QUEUE_SHARE));
-        Duration wait = untilTarget.compareTo(late) > 0 ? untilTarget : late;
+        Duration wait = longer(longer(untilTarget, late), shorter(MIN_LATE_WAIT, untilDeadline));
         return wait.isNegative() ? Duration.ZERO : wait;
     }
 
+    private static Duration longer(Duration one, Duration other) {
+        return one.compareTo(other) > 0 ? one : other;
+    }
+
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
+    /** A request is passed on as slow once; the search for a better backend server takes time as well. */
+    private boolean hasAlternative() {
+        FleetSnapshot fleet = context.fleet().get();
+        return !slowRefused && key(fleet).isEmpty() && context.loads().hasRoom(fleet.candidates(service), tried);
+    }
+
     private void onResult(DaemonId daemon, BackendAnswer result, Duration latency) {
         if (result instanceof Answered answered) {
             onAnswered(daemon, answered, latency);
@@ -227,6 +253,10 @@
         if (notRun.reason() == NotRunReason.KEY_MOVING && waitForMove(daemon)) {
             return;
         }
+        if (notRun.reason() == NotRunReason.SLOW) {
+            slowRefused = true;
+            slow = Optional.of(daemon);
+        }
         gateRefusals++;
         if (gateRefusals >= MAX_GATE_REFUSALS || remaining().compareTo(MIN_SEND_TIME) < 0) {
             finish(giveUp());
@@ -274,7 +304,7 @@
                 && !request.cancelled().isComplete()
                 && choose(context.fleet().get()).isPresent()
                 && context.budget()
-                        .tryRetry(service, context.fleet().get().members().size(), retryCost());
+                        .tryRetry(service, context.fleet().get().members().size(), mayHaveRun);
         if (allowed) {
             context.metrics().onRetry(service);
             next();
@@ -283,10 +313,6 @@
         }
     }
 
-    private int retryCost() {
-        return mayHaveRun ? REPEATED_RUN_COST : 1;
-    }
-
     private FinalAnswer giveUp() {
         if (lastAnswer.isPresent()) {
             return deliver(lastAnswer.get());
@@ -314,16 +340,18 @@
         Duration elapsed = Duration.ofNanos(context.time().monotonicNanos() - request.arrivedNanos());
         context.metrics().onAnswer(request.route().name(), service, result.status(), elapsed);
         LOGGER.atInfo().log(
-                "event=request_done request=%s route=%s service=%s config_version=%d key=%s status=%d retry_after_ms=%d"
-                        + " elapsed_ms=%d client_gone=%s hops=\"%s\"",
+                "event=request_done request=%s route=%s priority=%d service=%s config_version=%d key=%s status=%d"
+                        + " retry_after_ms=%d elapsed_ms=%d deadline_ms=%d client_gone=%s hops=\"%s\"",
                 request.id(),
                 request.route().name(),
+                request.route().priority(),
                 service,
                 request.configVersion(),
                 request.key().isPresent() ? request.key().getAsInt() : "none",
                 result.status(),
                 result.retryAfter().map(Duration::toMillis).orElse(0L),
                 elapsed.toMillis(),
+                elapsed.plus(remaining()).toMillis(),
                 request.cancelled().isComplete(),
                 trace);
     }
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -91,7 +91,8 @@
                 1,
                 Deadline.after(time, deadline),
                 "caller",
-                new BackendLife("b", 1));
+                new BackendLife("b", 1),
+                false);
         Promise<BackendAnswer> answer = Promise.promise();
         context.runOnContext(run -> client.send(backend, request, cancelled.future(), new BackendHttpClient.Observer() {
                     @Override
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestRunTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestRunTest.java
@@ -60,6 +60,8 @@
     private final TimeSource time = new SystemTimeSource();
     private final Deque<Future<BackendAnswer>> answers = new ArrayDeque<>();
     private final List<DaemonId> sentTo = new ArrayList<>();
+    private final List<Duration> queueWaits = new ArrayList<>();
+    private final List<Boolean> alternatives = new ArrayList<>();
 
     @AfterEach
     void close() {
@@ -111,6 +113,8 @@
                 SERVICE,
                 (member, request, queueWait, cancelled) -> {
                     sentTo.add(member.daemon());
+                    queueWaits.add(queueWait);
+                    alternatives.add(request.hasAlternative());
                     return answers.isEmpty() ? Promise.<BackendAnswer>promise().future() : answers.poll();
                 },
                 new BackendLoads(time, new SplittableRandom(1), ZONE),
@@ -200,6 +204,43 @@
         }
     }
 
+    @Nested
+    class SlowBackend {
+        private static final BackendAnswer SLOW = new NotRun(NotRunReason.SLOW, false, Duration.ZERO);
+
+        /** Answers backend servers that are slowed for moments by neighbours: the request goes to another one. */
+        @Test
+        void start_backendIsSlowAtPresent_goesElsewhereOnce() {
+            assertEquals(200, run(RouteKind.NON_IDEMPOTENT, SLOW, OK).status());
+            assertEquals(List.of(true, false), alternatives);
+            assertEquals(2, Set.copyOf(sentTo).size());
+        }
+
+        /** Guards against a refusal although a backend server that is only slow has room. */
+        @Test
+        void start_othersAreFull_returnsToTheSlowOne() {
+            assertEquals(200, run(RouteKind.IDEMPOTENT, SLOW, FULL, FULL, OK).status());
+            assertEquals(sentTo.get(0), sentTo.get(3));
+        }
+    }
+
+    @Nested
+    class Waiting {
+        /** Answers an overload: a short call is refused although its caller has time for a slot to become free. */
+        @Test
+        void start_littleTimeLeft_mayWaitForTheNextFreeSlot() {
+            run(RouteKind.IDEMPOTENT, Duration.ofMillis(180), OK);
+            assertTrue(queueWaits.get(0).toMillis() >= 140, queueWaits.toString());
+        }
+
+        /** Answers an overload: a long queue makes all answers late and serves no more of them. */
+        @Test
+        void start_muchTimeLeft_waitsForASmallPartOfIt() {
+            run(RouteKind.IDEMPOTENT, Duration.ofMillis(1_000), OK);
+            assertTrue(queueWaits.get(0).toMillis() <= 300, queueWaits.toString());
+        }
+    }
+
     @Nested
     class Refusals {
         /** Answers an overload: a full gate costs no attempt, and the client is told when there is room. */
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequest.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequest.java
@@ -616,6 +616,21 @@
     return configVersion_;
   }
 
+  public static final int HAS_ALTERNATIVE_FIELD_NUMBER = 18;
+  private boolean hasAlternative_ = false;
+  /**
+   * <pre>
+   * The sender can choose another backend server if this one is slow at present.
+   * </pre>
+   *
+   * <code>bool has_alternative = 18;</code>
+   * @return The hasAlternative.
+   */
+  @java.lang.Override
+  public boolean getHasAlternative() {
+    return hasAlternative_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -681,6 +696,9 @@
     if (configVersion_ != 0L) {
       output.writeUInt64(17, configVersion_);
     }
+    if (hasAlternative_ != false) {
+      output.writeBool(18, hasAlternative_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -754,6 +772,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(17, configVersion_);
     }
+    if (hasAlternative_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(18, hasAlternative_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -815,6 +837,8 @@
         != other.getQueueWaitMs()) return false;
     if (getConfigVersion()
         != other.getConfigVersion()) return false;
+    if (getHasAlternative()
+        != other.getHasAlternative()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -872,6 +896,9 @@
     hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigVersion());
+    hash = (37 * hash) + HAS_ALTERNATIVE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHasAlternative());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1037,6 +1064,7 @@
       }
       queueWaitMs_ = 0;
       configVersion_ = 0L;
+      hasAlternative_ = false;
       return this;
     }
 
@@ -1138,6 +1166,9 @@
       if (((from_bitField0_ & 0x00010000) != 0)) {
         result.configVersion_ = configVersion_;
       }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.hasAlternative_ = hasAlternative_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1245,6 +1276,9 @@
       if (other.getConfigVersion() != 0L) {
         setConfigVersion(other.getConfigVersion());
       }
+      if (other.getHasAlternative() != false) {
+        setHasAlternative(other.getHasAlternative());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1366,6 +1400,11 @@
               bitField0_ |= 0x00010000;
               break;
             } // case 136
+            case 144: {
+              hasAlternative_ = input.readBool();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 144
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2734,6 +2773,50 @@
       return this;
     }
 
+    private boolean hasAlternative_ ;
+    /**
+     * <pre>
+     * The sender can choose another backend server if this one is slow at present.
+     * </pre>
+     *
+     * <code>bool has_alternative = 18;</code>
+     * @return The hasAlternative.
+     */
+    @java.lang.Override
+    public boolean getHasAlternative() {
+      return hasAlternative_;
+    }
+    /**
+     * <pre>
+     * The sender can choose another backend server if this one is slow at present.
+     * </pre>
+     *
+     * <code>bool has_alternative = 18;</code>
+     * @param value The hasAlternative to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHasAlternative(boolean value) {
+
+      hasAlternative_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender can choose another backend server if this one is slow at present.
+     * </pre>
+     *
+     * <code>bool has_alternative = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHasAlternative() {
+      bitField0_ = (bitField0_ & ~0x00020000);
+      hasAlternative_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.ForwardRequest)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequestOrBuilder.java
@@ -255,4 +255,14 @@
    * @return The configVersion.
    */
   long getConfigVersion();
+
+  /**
+   * <pre>
+   * The sender can choose another backend server if this one is slow at present.
+   * </pre>
+   *
+   * <code>bool has_alternative = 18;</code>
+   * @return The hasAlternative.
+   */
+  boolean getHasAlternative();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -261,7 +261,7 @@
       "4\n\022DroppedUpToMsEntry\022\013\n\003key\030\001 \001(\004\022\r\n\005va" +
       "lue\030\002 \001(\022:\0028\001J\004\010\002\020\003\"\037\n\013TransferAck\022\020\n\010ac" +
       "cepted\030\001 \001(\010\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005" +
-      "value\030\002 \001(\t\"\367\003\n\016ForwardRequest\022\017\n\007servic" +
+      "value\030\002 \001(\t\"\220\004\n\016ForwardRequest\022\017\n\007servic" +
       "e\030\001 \001(\t\022\034\n\017partition_index\030\002 \001(\rH\000\210\001\001\022\020\n" +
       "\003key\030\003 \001(\tH\001\210\001\001\022\016\n\006method\030\004 \001(\t\022\014\n\004path\030" +
       "\005 \001(\t\022(\n\007headers\030\006 \003(\0132\027.daisyhoist.peer" +
@@ -272,32 +272,33 @@
       "aller_service\030\016 \001(\t\022>\n\020expected_backend\030" +
       "\017 \001(\0132\037.daisyhoist.peer.BackendProcessH\003" +
       "\210\001\001\022\025\n\rqueue_wait_ms\030\020 \001(\r\022\026\n\016config_ver" +
-      "sion\030\021 \001(\004B\022\n\020_partition_indexB\006\n\004_keyB\020" +
-      "\n\016_attempt_tokenB\023\n\021_expected_backend\"0\n" +
-      "\016BackendProcess\022\n\n\002id\030\001 \001(\t\022\022\n\nstarted_m" +
-      "s\030\002 \001(\006\"Y\n\013BackendLoad\022\021\n\tin_flight\030\001 \001(" +
-      "\r\022\016\n\006queued\030\002 \001(\r\022\r\n\005limit\030\003 \001(\r\022\030\n\020slow" +
-      "down_percent\030\004 \001(\r\"\302\002\n\017ForwardResponse\022\016" +
-      "\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003(\0132\027.daisyh" +
-      "oist.peer.Header\022\014\n\004body\030\003 \001(\014\022.\n\007refusa" +
-      "l\030\004 \001(\0132\030.daisyhoist.peer.RefusalH\000\210\001\001\022\025" +
-      "\n\rgroup_version\030\005 \001(\004\022\017\n\007backend\030\006 \001(\t\022\032" +
-      "\n\rattempt_token\030\007 \001(\tH\001\210\001\001\022/\n\004load\030\010 \001(\013" +
-      "2\034.daisyhoist.peer.BackendLoadH\002\210\001\001\022\033\n\023a" +
-      "nswered_by_backend\030\t \001(\010B\n\n\010_refusalB\020\n\016" +
-      "_attempt_tokenB\007\n\005_load\"S\n\007Refusal\022\014\n\004co" +
-      "de\030\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030\003" +
-      " \001(\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n\rCancelRe" +
-      "quest\022\034\n\024cancelled_request_id\030\001 \001(\004\"Q\n\013C" +
-      "rashReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_i" +
-      "ncarnation\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\t\"c" +
-      "\n\tFleetLoad\022\016\n\006daemon\030\001 \001(\t\022\026\n\016key_busy_" +
-      "slots\030\002 \001(\001\022\023\n\013keys_follow\030\003 \001(\010\022\031\n\021oper" +
-      "ator_revision\030\004 \001(\004\"\210\001\n\rOperatorItems\0222\n" +
-      "\005items\030\001 \003(\0132#.daisyhoist.peer.OperatorI" +
-      "tems.Item\022\r\n\005as_of\030\002 \001(\004\0324\n\004Item\022\013\n\003key\030" +
-      "\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004B\034" +
-      "\n\030io.daisyhoist.wire.protoP\001b\006proto3"
+      "sion\030\021 \001(\004\022\027\n\017has_alternative\030\022 \001(\010B\022\n\020_" +
+      "partition_indexB\006\n\004_keyB\020\n\016_attempt_toke" +
+      "nB\023\n\021_expected_backend\"0\n\016BackendProcess" +
+      "\022\n\n\002id\030\001 \001(\t\022\022\n\nstarted_ms\030\002 \001(\006\"Y\n\013Back" +
+      "endLoad\022\021\n\tin_flight\030\001 \001(\r\022\016\n\006queued\030\002 \001" +
+      "(\r\022\r\n\005limit\030\003 \001(\r\022\030\n\020slowdown_percent\030\004 " +
+      "\001(\r\"\302\002\n\017ForwardResponse\022\016\n\006status\030\001 \001(\005\022" +
+      "(\n\007headers\030\002 \003(\0132\027.daisyhoist.peer.Heade" +
+      "r\022\014\n\004body\030\003 \001(\014\022.\n\007refusal\030\004 \001(\0132\030.daisy" +
+      "hoist.peer.RefusalH\000\210\001\001\022\025\n\rgroup_version" +
+      "\030\005 \001(\004\022\017\n\007backend\030\006 \001(\t\022\032\n\rattempt_token" +
+      "\030\007 \001(\tH\001\210\001\001\022/\n\004load\030\010 \001(\0132\034.daisyhoist.p" +
+      "eer.BackendLoadH\002\210\001\001\022\033\n\023answered_by_back" +
+      "end\030\t \001(\010B\n\n\010_refusalB\020\n\016_attempt_tokenB" +
+      "\007\n\005_load\"S\n\007Refusal\022\014\n\004code\030\001 \001(\t\022\021\n\trun" +
+      "_state\030\002 \001(\t\022\017\n\007message\030\003 \001(\t\022\026\n\016retry_a" +
+      "fter_ms\030\004 \001(\r\"-\n\rCancelRequest\022\034\n\024cancel" +
+      "led_request_id\030\001 \001(\004\"Q\n\013CrashReport\022\017\n\007b" +
+      "ackend\030\001 \001(\t\022\033\n\023backend_incarnation\030\002 \001(" +
+      "\006\022\024\n\014fingerprints\030\003 \003(\t\"c\n\tFleetLoad\022\016\n\006" +
+      "daemon\030\001 \001(\t\022\026\n\016key_busy_slots\030\002 \001(\001\022\023\n\013" +
+      "keys_follow\030\003 \001(\010\022\031\n\021operator_revision\030\004" +
+      " \001(\004\"\210\001\n\rOperatorItems\0222\n\005items\030\001 \003(\0132#." +
+      "daisyhoist.peer.OperatorItems.Item\022\r\n\005as" +
+      "_of\030\002 \001(\004\0324\n\004Item\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
+      "\002 \001(\014\022\020\n\010revision\030\003 \001(\004B\034\n\030io.daisyhoist" +
+      ".wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -428,7 +429,7 @@
     internal_static_daisyhoist_peer_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_ForwardRequest_descriptor,
-        new java.lang.String[] { "Service", "PartitionIndex", "Key", "Method", "Path", "Headers", "Body", "RemainingDeadlineMs", "Rank", "AttemptToken", "Traceparent", "TokenOnly", "RequestId", "CallerService", "ExpectedBackend", "QueueWaitMs", "ConfigVersion", });
+        new java.lang.String[] { "Service", "PartitionIndex", "Key", "Method", "Path", "Headers", "Body", "RemainingDeadlineMs", "Rank", "AttemptToken", "Traceparent", "TokenOnly", "RequestId", "CallerService", "ExpectedBackend", "QueueWaitMs", "ConfigVersion", "HasAlternative", });
     internal_static_daisyhoist_peer_BackendProcess_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_daisyhoist_peer_BackendProcess_fieldAccessorTable = new
