Keep keys served while the store is silent, and grant them sooner after a start

After all daemons had been killed, the first heartbeat was answered before the table was known, so that keys came a heartbeat later. Ruled out: the hot keys themselves; the other holders served theirs.

Change: moves are planned and written only if the store has confirmed the registration within 1.5 s; until a write has been sent, a move is dropped and its keys are granted again under the token with which they were released; a write that the store has certainly not done (refused, or no connection) leaves the move open for that.

--- a/core/src/main/java/io/daisyhoist/core/keyrange/HoldRight.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/HoldRight.java
@@ -45,6 +45,13 @@
         }
     }
 
+    /** Returns whether the store confirmed the registration by a call sent within the given time. */
+    public boolean isConfirmedWithin(Duration age) {
+        return confirmed
+                .filter(sentAt -> sentAt.elapsed(time).compareTo(age) <= 0)
+                .isPresent();
+    }
+
     /** Returns the hold that may be given now; empty when it would be too short to be of use. */
     public Optional<Duration> hold() {
         if (confirmed.isEmpty()) {
--- a/core/src/main/java/io/daisyhoist/core/keyrange/KeyHolds.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/KeyHolds.java
@@ -28,6 +28,7 @@
     private final HoldRight right;
     private final List<PendingMove> moves = new ArrayList<>();
     private final List<ReleasedRange> released = new ArrayList<>();
+    private final List<KeyRange> takenBack = new ArrayList<>();
     private Optional<BackendLife> life = Optional.empty();
     private List<GrantedRange> granted = List.of();
     private long holdsEndNanos;
@@ -37,6 +38,7 @@
         private final RangeMove move;
         private long withdrawnAtSequence = Long.MAX_VALUE;
         private boolean ready;
+        private int openWrites;
 
         private PendingMove(RangeMove move) {
             this.move = move;
@@ -84,6 +86,7 @@
     private void onNewProcess() {
         released.clear();
         moves.clear();
+        takenBack.clear();
         granted = List.of();
         holdsEndNanos = time.monotonicNanos();
     }
@@ -104,7 +107,7 @@
         for (RangeAssignment assignment : table.assignments()) {
             if (assignment.belongsTo(self, heartbeat.life())) {
                 for (KeyRange part : withoutMoves(assignment.range())) {
-                    ranges.add(new GrantedRange(part, assignment.fence(), assignment.handoverToken()));
+                    ranges.addAll(grants(part, assignment));
                 }
             }
         }
@@ -117,6 +120,22 @@
         return Optional.of(new Reply(granted, hold.get()));
     }
 
+    /** Keys that were given up for a move that was dropped come back under the token with which they were released. */
+    private List<GrantedRange> grants(KeyRange part, RangeAssignment assignment) {
+        List<GrantedRange> grants = new ArrayList<>();
+        List<KeyRange> rest = List.of(part);
+        for (KeyRange back : takenBack) {
+            KeyRanges.intersect(part, back)
+                    .ifPresent(keys -> grants.add(new GrantedRange(
+                            keys, assignment.fence(), handoverToken(keys).orElse(assignment.handoverToken()))));
+            List<KeyRange> next = new ArrayList<>();
+            rest.forEach(keys -> next.addAll(KeyRanges.subtract(keys, back)));
+            rest = next;
+        }
+        rest.forEach(keys -> grants.add(new GrantedRange(keys, assignment.fence(), assignment.handoverToken())));
+        return grants;
+    }
+
     private List<KeyRange> withoutMoves(KeyRange range) {
         List<KeyRange> parts = List.of(range);
         for (PendingMove pending : moves) {
@@ -131,12 +150,32 @@
     public void plan(RangeMove move) {
         if (moves.stream().noneMatch(pending -> pending.move.range().overlaps(move.range()))) {
             moves.add(new PendingMove(move));
+            takenBack.removeIf(keys -> keys.overlaps(move.range()));
         }
     }
 
-    /** Drops moves whose target no longer qualifies; the keys are granted again if the table still assigns them. */
+    /**
+     * Drops moves that no longer qualify and have not been written to the store; their keys are granted again if the table
+     * still assigns them.
+     */
     public void retainMoves(Predicate<RangeMove> valid) {
-        moves.removeIf(pending -> !pending.ready && !valid.test(pending.move));
+        for (Iterator<PendingMove> it = moves.iterator(); it.hasNext(); ) {
+            PendingMove pending = it.next();
+            if (pending.openWrites == 0 && !valid.test(pending.move)) {
+                it.remove();
+                takenBack.add(pending.move.range());
+            }
+        }
+    }
+
+    /** Learns that moves are being written to the store. */
+    public void onWriting(List<RangeMove> beingWritten) {
+        moves.forEach(pending -> pending.openWrites += beingWritten.contains(pending.move) ? 1 : 0);
+    }
+
+    /** Learns that the store has not done a write of moves and never will; without this, only {@link #settle} ends them. */
+    public void onNotWritten(List<RangeMove> notWritten) {
+        moves.forEach(pending -> pending.openWrites -= notWritten.contains(pending.move) ? 1 : 0);
     }
 
     /** Returns whether a move has been planned and not yet settled. */
@@ -147,7 +186,7 @@
     /**
      * Returns the moves whose keys the backend server no longer holds.
      *
-     * <p>The caller may write them to the store, where a write can take effect late; so the keys stay withdrawn until
+     * <p>A write to the store can take effect late; so the keys of a move that has been written stay withdrawn until
      * {@link #settle}.
      */
     public List<RangeMove> readyMoves() {
--- a/core/src/test/java/io/daisyhoist/core/keyrange/KeyHoldsTest.java
+++ b/core/src/test/java/io/daisyhoist/core/keyrange/KeyHoldsTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendLife;
@@ -169,6 +170,33 @@
             assertEquals(5, next.find(50).orElseThrow().fence());
         }
 
+        /** Guards against keys that nobody serves: given up for a move that was dropped before it was written. */
+        @Test
+        void retainMoves_givenUpButNotWritten_grantsTheKeysAgainUnderTheirToken() {
+            planAndWithdraw();
+            exchange(heartbeat(LIFE, 3, List.of(), new ReleasedRange(new KeyRange(10, 19), "token")));
+            assertEquals(List.of(move), holds.readyMoves());
+            holds.retainMoves(any -> false);
+            assertEquals(
+                    Set.of(
+                            new GrantedRange(new KeyRange(0, 9), 5, ""),
+                            new GrantedRange(new KeyRange(10, 19), 5, "token"),
+                            new GrantedRange(new KeyRange(20, 99), 5, "")),
+                    Set.copyOf(exchange(heartbeat(LIFE, 4, List.of()))
+                            .orElseThrow()
+                            .ranges()));
+        }
+
+        /** Guards against two holders: a write whose answer was lost may still take effect. */
+        @Test
+        void retainMoves_written_keepsTheKeysWithdrawn() {
+            planAndWithdraw();
+            exchange(heartbeat(LIFE, 3, List.of()));
+            holds.onWriting(holds.readyMoves());
+            holds.retainMoves(any -> false);
+            assertEquals(List.of(move), holds.readyMoves());
+        }
+
         /** Guards against keys that never move because their holder fell silent. */
         @Test
         void readyMoves_silentHolder_readyWhenAllHoldsHaveEnded() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -147,7 +147,12 @@
                 holds,
                 keyLoad,
                 new RangeKeeper.Environment(
-                        store, control, time, settings.bounds().heartbeatInterval(), registration::firstRevision),
+                        store,
+                        control,
+                        time,
+                        settings.bounds().heartbeatInterval(),
+                        registration::firstRevision,
+                        right),
                 new KeyLoads());
     }
 
@@ -268,8 +273,7 @@
         if (isKeyed(heartbeat.service())) {
             ranges.tick(heartbeat.service(), backend);
         }
-        boolean keysFollow = keysFollowUntilNanos - time.monotonicNanos() > 0 && !heartbeat.draining();
-        if (keysFollow && !holds.hasMoves()) {
+        if (!heartbeat.draining() && !holds.hasMoves() && (keysWereAnnounced() || isStarting(heartbeat.service()))) {
             deferReply(new DeferredReply(heartbeat, state.table(heartbeat.service()), reply));
         } else {
             reply.complete(holdsFor(heartbeat));
@@ -277,6 +281,21 @@
         publishLocal();
     }
 
+    private boolean keysWereAnnounced() {
+        return keysFollowUntilNanos - time.monotonicNanos() > 0;
+    }
+
+    /** Returns whether this process does not know yet what its backend server is to hold. */
+    private boolean isStarting(ServiceName service) {
+        if (fleet.config().isEmpty() || !fleetSynchronized) {
+            return true;
+        }
+        return isKeyed(service)
+                && state.table(service)
+                        .filter(table -> !ranges.isOwnTime(table))
+                        .isPresent();
+    }
+
     private Optional<KeyHolds.Reply> holdsFor(BackendHeartbeat heartbeat) {
         Optional<FleetState.StoredTable> stored = state.table(heartbeat.service());
         if (!isKeyed(heartbeat.service()) || stored.filter(ranges::isOwnTime).isEmpty()) {
@@ -314,7 +333,7 @@
         boolean changed = deferred.filter(waiting ->
                         !waiting.seen().equals(state.table(waiting.heartbeat().service())))
                 .isPresent();
-        if (changed) {
+        if (changed && right.hold().isPresent()) {
             answerDeferred();
         }
     }
@@ -452,6 +471,7 @@
             fleetSynchronized = true;
             if (registration.isRegistered()) {
                 right.onConfirmed(sentAt);
+                answerDeferredIfTableChanged();
             }
         }
     }
@@ -462,6 +482,7 @@
         public void onConfirmed(ElapsedTimer sentAt) {
             if (fleetSynchronized) {
                 right.onConfirmed(sentAt);
+                answerDeferredIfTableChanged();
             }
         }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeKeeper.java
@@ -15,6 +15,7 @@
 import io.daisyhoist.core.fleet.BackendLife;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.fleet.LocalBackend;
+import io.daisyhoist.core.keyrange.HoldRight;
 import io.daisyhoist.core.keyrange.KeyHolds;
 import io.daisyhoist.core.keyrange.KeyLoad;
 import io.daisyhoist.core.keyrange.RangeAssignment;
@@ -29,6 +30,7 @@
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.process.FleetState.StoredTable;
 import io.daisyhoist.mesh.store.MetadataStore;
+import io.daisyhoist.mesh.store.StoreUnavailableException;
 import io.daisyhoist.mesh.store.Transaction;
 import io.daisyhoist.mesh.store.TransactionResult;
 import io.daisyhoist.mesh.version.FleetSnapshot;
@@ -49,6 +51,9 @@
 
     private static final Duration REBALANCE_INTERVAL = Duration.ofMillis(1_000);
 
+    /** Longer than the interval of renewals; without an answer in this time a move could not be finished. */
+    private static final Duration STORE_SILENCE = Duration.ofMillis(1_500);
+
     /** Heartbeats that may be missing before a silent backend server's keys move. */
     private static final int MISSED_HEARTBEATS = 4;
 
@@ -62,6 +67,7 @@
     private final Duration heartbeatInterval;
     private final PeerLoadView loads;
     private final Supplier<OptionalLong> firstRegistration;
+    private final HoldRight right;
     private final long startedNanos;
     private boolean committing;
     private long rebalancedNanos;
@@ -82,13 +88,15 @@
      * @param time clock
      * @param heartbeatInterval time between two heartbeats of a backend server
      * @param firstRegistration store revision at which this process registered for the first time
+     * @param right what the store has confirmed last
      */
     record Environment(
             MetadataStore store,
             ControlExecutor control,
             TimeSource time,
             Duration heartbeatInterval,
-            Supplier<OptionalLong> firstRegistration) {}
+            Supplier<OptionalLong> firstRegistration,
+            HoldRight right) {}
 
     RangeKeeper(
             DaemonId self,
@@ -107,6 +115,7 @@
         this.heartbeatInterval = environment.heartbeatInterval();
         this.loads = loads;
         this.firstRegistration = environment.firstRegistration();
+        this.right = environment.right();
         this.startedNanos = time.monotonicNanos();
         this.rebalancedNanos = startedNanos;
     }
@@ -125,6 +134,9 @@
         if (!keyed || committing) {
             return;
         }
+        if (!right.isConfirmedWithin(STORE_SILENCE)) {
+            abandonMoves();
+        }
         List<RangeOwner> owners = owners(fleet, service);
         Optional<StoredTable> stored = state.table(service);
         if (stored.isEmpty() || stored.get().table().assignments().isEmpty()) {
@@ -137,10 +149,21 @@
                 || takeOver(stored.get(), owners)) {
             return;
         }
+        if (!right.isConfirmedWithin(STORE_SILENCE)) {
+            return;
+        }
         giveUpSilent(stored.get(), backend, owners);
         planMoves(fleet, stored.get().table(), owners, backend);
     }
 
+    /** Keys that were withdrawn for a move would be served by nobody until the store answers again. */
+    private void abandonMoves() {
+        if (holds.hasMoves()) {
+            holds.retainMoves(move -> false);
+            LOGGER.atInfo().log("event=range_moves_abandoned reason=store_silent left=%s", holds.hasMoves());
+        }
+    }
+
     private List<RangeOwner> owners(FleetSnapshot fleet, ServiceName service) {
         List<RangeOwner> owners = new ArrayList<>();
         fleet.members().values().stream()
@@ -200,7 +223,7 @@
             holds.settle(ready);
             return false;
         }
-        commit("move", next, stored.revision(), Set.of());
+        commit("move", next, stored.revision(), Set.of(), ready);
         return true;
     }
 
@@ -301,7 +324,13 @@
     }
 
     private void commit(String cause, RangeTable next, long expectedRevision, Set<DaemonId> mustBeAbsent) {
+        commit(cause, next, expectedRevision, mustBeAbsent, List.of());
+    }
+
+    private void commit(
+            String cause, RangeTable next, long expectedRevision, Set<DaemonId> mustBeAbsent, List<RangeMove> moves) {
         committing = true;
+        holds.onWriting(moves);
         String key = FleetState.rangeKey(next.service());
         List<Transaction.Condition> conditions = new ArrayList<>();
         conditions.add(new Transaction.Condition(key, expectedRevision));
@@ -323,9 +352,12 @@
                                     next.service(), cause, expectedRevision, outcome);
                             if (result instanceof TransactionResult.Committed committed) {
                                 state.onCommittedTable(next, committed.revision());
-                            } else {
-                                refresh(next.service());
+                                return;
+                            }
+                            if (StoreUnavailableException.hasDoneNothing(failure)) {
+                                holds.onNotWritten(moves);
                             }
+                            refresh(next.service());
                         },
                         control);
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/store/StoreUnavailableException.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/store/StoreUnavailableException.java
@@ -1,5 +1,7 @@
 package io.daisyhoist.mesh.store;
 
+import java.util.concurrent.CompletionException;
+
 import io.daisyhoist.core.error.DaisyhoistException;
 import io.daisyhoist.core.error.ErrorCode;
 
@@ -23,4 +25,10 @@
     public boolean isNothingDone() {
         return nothingDone;
     }
+
+    /** Returns whether the call that failed with the given exception has certainly done nothing. */
+    public static boolean hasDoneNothing(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof StoreUnavailableException unavailable && unavailable.isNothingDone();
+    }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
@@ -350,5 +350,17 @@
             history.run(Duration.ofSeconds(3));
             assertEquals(0, history.unheldKeys());
         }
+
+        /** Guards against keys that are withdrawn for moves which cannot be written while the store refuses calls. */
+        @Test
+        void storeRefusesWhileKeysMove_keysAreGrantedAgain() {
+            for (int seed = 1; seed <= 12; seed++) {
+                History fleet = new History(seed);
+                fleet.run(Duration.ofMillis(7_000 + 250L * seed));
+                fleet.store.setRefusing(true);
+                fleet.run(Duration.ofSeconds(5));
+                assertEquals(0, fleet.unheldKeys(), "seed " + seed);
+            }
+        }
     }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
@@ -39,6 +39,7 @@
     private long forgottenUpTo;
     private long nextLease = 1;
     private boolean down;
+    private boolean refusing;
     private boolean leasesPause;
     private double lostAnswers;
 
@@ -104,6 +105,11 @@
         leasesPause = pauseLeases;
     }
 
+    /** Makes the store refuse all calls at once, having done nothing. */
+    void setRefusing(boolean isRefusing) {
+        refusing = isRefusing;
+    }
+
     void setLostAnswers(double share) {
         lostAnswers = share;
     }
@@ -136,6 +142,10 @@
                 if (down || cut) {
                     return;
                 }
+                if (refusing) {
+                    answer.completeExceptionally(new StoreUnavailableException("busy", true));
+                    return;
+                }
                 boolean late = write && random.nextDouble() < lostAnswers / 2;
                 if (late) {
                     simulation.at(Duration.ofMillis(1_000 + random.nextInt(4_000)), action::get);
