Keep a slot for short urgent calls and cut late waits of browsing requests

Ruled out: too little room for the calls, which need 0.3 slots of each backend server.

Change: where requests of a higher rank take less than half as long as those of a lower one, the lower rank leaves one slot free; browsing requests wait past their target for a fifth of their time instead of a third, and only urgent ones for the next free slot.

--- a/core/src/main/java/io/daisyhoist/core/admission/AdmissionGate.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/AdmissionGate.java
@@ -39,7 +39,8 @@
     private long reportExpiryNanos;
     private OptionalLong backendIncarnation = OptionalLong.empty();
     private Optional<Refusal> closed = Optional.empty();
-    private int reservedForInternal;
+    private Rank reservedFor = Rank.INTERNAL;
+    private int reservedSlots;
 
     /**
      * Creates an open gate.
@@ -66,11 +67,14 @@
     }
 
     /**
-     * Keeps some of the limit free for requests of the highest rank, which have short deadlines and hold up the requests
-     * that they are part of.
+     * Keeps some of the limit free for requests of a rank and those above it, when these are so short that they would spend
+     * most of their time behind requests of lower ranks.
+     *
+     * @param slots part of the limit that lower ranks leave free; zero ends the reservation
      */
-    public void reserveForInternal(int reserved) {
-        reservedForInternal = reserved;
+    public void reserve(Rank rank, int slots) {
+        reservedFor = rank;
+        reservedSlots = slots;
     }
 
     /** Returns the number of requests that may be in flight now. */
@@ -224,7 +228,7 @@
     }
 
     private int limitFor(Rank rank) {
-        return rank == Rank.INTERNAL ? limit() : Math.max(1, limit() - reservedForInternal);
+        return reservedFor.isAbove(rank) ? Math.max(1, limit() - reservedSlots) : limit();
     }
 
     private Permit admit(Ticket ticket) {
--- a/core/src/test/java/io/daisyhoist/core/admission/AdmissionGateTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/AdmissionGateTest.java
@@ -59,6 +59,17 @@
                     update.admitted().stream().map(GateUpdate.Admission::ticket).toList());
         }
 
+        /** Answers long browsing requests that fill all slots, behind which short calls wait until they fail. */
+        @Test
+        void offer_slotReservedForShortCalls_lowerRankLeavesItFree() {
+            AdmissionGate gate = gate(3, 10);
+            gate.reserve(Rank.NORMAL, 1);
+            admitted(gate.offer(Rank.BROWSE, LONG));
+            admitted(gate.offer(Rank.BROWSE, LONG));
+            assertTrue(gate.offer(Rank.BROWSE, LONG) instanceof Offer.Queued);
+            assertTrue(gate.offer(Rank.NORMAL, LONG) instanceof Offer.Admitted);
+        }
+
         @Test
         void complete_samePermitTwice_freesOneSlotOnly() {
             AdmissionGate gate = gate(2, 10);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
@@ -44,9 +44,12 @@
 public final class BackendGate {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int QUEUE_PER_SLOT = 4;
+    private static final int HIGHEST_PRIORITY = 0;
+    private static final int NORMAL_PRIORITY = 1;
+    private static final int LOWEST_PRIORITY = 2;
 
-    /** Slots kept for internal requests at backend servers that get some. */
-    private static final int RESERVED_FOR_INTERNAL = 1;
+    /** Slots kept for short urgent requests at backend servers that get some beside long ones. */
+    private static final int RESERVED_SLOTS = 1;
 
     /** Backend servers with fewer slots cannot spare one. */
     private static final int MIN_SLOTS_TO_RESERVE = 3;
@@ -135,13 +138,13 @@
         if (request.hasAlternative() && slowdown.isSlowNow()) {
             return Future.succeededFuture(refuse(request, NotRunReason.SLOW, Duration.ZERO));
         }
-        request.key().ifPresent(key -> onKeyRequest.onKeyWork(key, workTimes.expected(request.priority())));
+        request.key()
+                .ifPresent(key ->
+                        onKeyRequest.onKeyWork(key, workTimes.expected(Math.min(request.priority(), LOWEST_PRIORITY))));
         Promise<BackendAnswer> answer = Promise.promise();
         Waiting entry = new Waiting(request, cancelled, answer, time.monotonicNanos());
         Rank rank = rank(request.priority());
-        if (rank == Rank.INTERNAL && knownSlots >= MIN_SLOTS_TO_RESERVE) {
-            gate.reserveForInternal(RESERVED_FOR_INTERNAL);
-        }
+        reserveForShortRequests();
         Offer offer = gate.offer(rank, queueWait);
         if (offer instanceof Offer.Admitted admitted) {
             send(entry, admitted.permit());
@@ -155,6 +158,18 @@
         return answer.future();
     }
 
+    private void reserveForShortRequests() {
+        int reserved = knownSlots >= MIN_SLOTS_TO_RESERVE ? RESERVED_SLOTS : 0;
+        if (workTimes.areMuchShorter(NORMAL_PRIORITY, LOWEST_PRIORITY)) {
+            gate.reserve(Rank.NORMAL, reserved);
+        } else if (workTimes.areMuchShorter(HIGHEST_PRIORITY, NORMAL_PRIORITY)
+                || workTimes.areMuchShorter(HIGHEST_PRIORITY, LOWEST_PRIORITY)) {
+            gate.reserve(Rank.INTERNAL, reserved);
+        } else {
+            gate.reserve(Rank.INTERNAL, 0);
+        }
+    }
+
     private void enqueue(Ticket ticket, Waiting entry, Duration queueWait) {
         waiting.put(ticket.number(), entry);
         long timer = Vertx.currentContext()
@@ -181,8 +196,8 @@
 
     private static Rank rank(int priority) {
         return switch (priority) {
-            case 0 -> Rank.INTERNAL;
-            case 1 -> Rank.NORMAL;
+            case HIGHEST_PRIORITY -> Rank.INTERNAL;
+            case NORMAL_PRIORITY -> Rank.NORMAL;
             default -> Rank.BROWSE;
         };
     }
@@ -260,7 +275,7 @@
                 .onSuccess(answer -> {
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     log(entry, answer, sentNanos, latency);
-                    workTimes.onEnd(request.priority(), latency);
+                    workTimes.onEnd(Math.min(request.priority(), LOWEST_PRIORITY), latency);
                     onConnectionTrouble(answer);
                     entry.answer().complete(answer);
                     apply(gate.complete(permit, outcome(answer), latency));
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
@@ -39,7 +39,7 @@
     private static final int MAX_GATE_REFUSALS = 4;
 
     /** Share of the time until its deadline that a request may wait for a slot although its answer will be late. */
-    private static final double LATE_QUEUE_SHARE = 0.3;
+    private static final double LATE_QUEUE_SHARE = 0.2;
 
     /** A slot of a busy backend server usually becomes free within this time. */
     private static final Duration MIN_LATE_WAIT = Duration.ofMillis(150);
@@ -197,7 +197,8 @@
         Duration untilTarget = request.route().target().minus(elapsed).minus(usual);
         Duration untilDeadline = remaining().minus(usual);
         Duration late = Duration.ofNanos((long) (untilDeadline.toNanos() * LATE_QUEUE_SHARE));
-        Duration wait = longer(longer(untilTarget, late), shorter(MIN_LATE_WAIT, untilDeadline));
+        Duration nextSlot = shorter(MIN_LATE_WAIT, untilDeadline);
+        Duration wait = longer(longer(untilTarget, late), request.route().isUrgent() ? nextSlot : Duration.ZERO);
         return wait.isNegative() ? Duration.ZERO : wait;
     }
 
