Tell a late farewell of an earlier backend server process apart by its start

Cause: a backend server may start again under its id; a farewell of the earlier process that comes late marked the present one as leaving for good. Change: the start that the farewell states is compared.

--- a/core/src/main/java/io/daisyhoist/core/fleet/BackendLife.java
+++ b/core/src/main/java/io/daisyhoist/core/fleet/BackendLife.java
@@ -1,5 +1,7 @@
 package io.daisyhoist.core.fleet;
 
+import java.util.OptionalLong;
+
 /**
  * One process of a backend server; a restart gives another one, possibly under the same id. Immutable.
  *
@@ -12,6 +14,11 @@
         return startedMillis > other.startedMillis;
     }
 
+    /** Returns whether a process of the given name, started at the given Unix time if it is known, is this one. */
+    public boolean isNamed(String otherId, OptionalLong otherStartedMillis) {
+        return id.equals(otherId) && (otherStartedMillis.isEmpty() || otherStartedMillis.getAsLong() == startedMillis);
+    }
+
     @Override
     public String toString() {
         return id + "@" + startedMillis;
--- a/core/src/test/java/io/daisyhoist/core/fleet/LocalBackendTest.java
+++ b/core/src/test/java/io/daisyhoist/core/fleet/LocalBackendTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.daisyhoist.core.fleet.LocalBackend.Change;
 import io.daisyhoist.core.model.Endpoint;
@@ -67,4 +68,13 @@
         time.advance(Duration.ofMillis(1));
         assertFalse(cold.isCold(time));
     }
+
+    /** Guards against a late farewell of an earlier process under the same id, which would take the present one out. */
+    @Test
+    void isNamed_earlierProcessOfTheSameId_isFalse() {
+        BackendLife present = new BackendLife("b", 200);
+        assertFalse(present.isNamed("b", OptionalLong.of(100)));
+        assertTrue(present.isNamed("b", OptionalLong.of(200)));
+        assertTrue(present.isNamed("b", OptionalLong.empty()));
+    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/BackendReportHandler.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/BackendReportHandler.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.mesh.process;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 import io.daisyhoist.core.fleet.BackendHeartbeat;
@@ -19,6 +20,7 @@
      * Takes the statement of a backend server that it leaves.
      *
      * @param backendId name of its process
+     * @param startedMillis Unix time of the start of its process; empty if it was not stated
      */
-    CompletableFuture<Void> onLeaving(String backendId);
+    CompletableFuture<Void> onLeaving(String backendId, OptionalLong startedMillis);
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
@@ -364,10 +365,10 @@
     }
 
     @Override
-    public CompletableFuture<Void> onLeaving(String backendId) {
+    public CompletableFuture<Void> onLeaving(String backendId, OptionalLong startedMillis) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         control.execute(() -> {
-            backend = backend.map(known -> known.life().id().equals(backendId) ? known.left() : known);
+            backend = backend.map(known -> known.life().isNamed(backendId, startedMillis) ? known.left() : known);
             LOGGER.atInfo().log(
                     "event=backend_leaving backend=%s known=%s",
                     backendId,
