--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -1,13 +1,9 @@
 package io.daisyhoist.mesh.process;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.flogger.FluentLogger;
@@ -18,9 +14,7 @@
 import io.daisyhoist.core.keyrange.HoldRight;
 import io.daisyhoist.core.keyrange.KeyHolds;
 import io.daisyhoist.core.keyrange.KeyLoad;
-import io.daisyhoist.core.keyrange.RangeMove;
 import io.daisyhoist.core.keyrange.RangeTable;
-import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.route.ServicePolicy;
 import io.daisyhoist.core.time.ElapsedTimer;
@@ -58,15 +52,8 @@
     /** Backend servers wait a second for a reply; the rest is for a daemon that runs slowly. */
     private static final Duration MAX_REPLY_DELAY = Duration.ofMillis(700);
 
-    /** Time in which announced keys are usually assigned: a heartbeat of the giver and the end of its requests. */
-    private static final Duration KEYS_FOLLOW = Duration.ofMillis(2_500);
-
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration LOAD_REPORT_INTERVAL = Duration.ofMillis(500);
-    /** Daemons that hear of operators' changes from this one in each interval, whatever the size of the fleet. */
-    private static final int GOSSIP_FANOUT = 2;
-
-    private static final Duration LOAD_VALIDITY = Duration.ofSeconds(3);
 
     private final FleetSettings settings;
     private final long incarnation;
@@ -80,12 +67,9 @@
     private final KeyHolds holds;
     private final KeyLoad keyLoad;
     private final RangeKeeper ranges;
-    private final PeerSender peerSender;
-    private final SplittableRandom random;
-    private final Map<DaemonId, PeerLoad> peerLoads = new HashMap<>();
+    private final FleetGossip gossip;
     private Optional<LocalBackend> backend = Optional.empty();
     private Optional<DeferredReply> deferred = Optional.empty();
-    private long keysFollowUntilNanos;
     private long holdsEndNanos;
     private boolean operatorSynchronized;
     private boolean fleetSynchronized;
@@ -100,8 +84,6 @@
             Optional<FleetState.StoredTable> seen,
             CompletableFuture<Optional<KeyHolds.Reply>> reply) {}
 
-    private record PeerLoad(double busySlots, ElapsedTimer heardAt) {}
-
     /** Sends messages to other daemons, without waiting for a reply. */
     public interface PeerSender {
         /** Sends a message to each of the given daemons. */
@@ -119,14 +101,13 @@
             PeerSender peerSender) {
         this.settings = settings;
         this.incarnation = incarnation;
-        this.random = new SplittableRandom(incarnation);
-        this.keysFollowUntilNanos = time.monotonicNanos();
         this.time = time;
         this.control = control;
-        this.peerSender = peerSender;
         this.state = new FleetState(time, documents, ABSENCE_LIMIT, this::publishFleet);
         this.operatorFeed = new StoreFeed(documents.prefix(), store, control, time, new OperatorListener());
         this.fleetFeed = new StoreFeed("daisyhoist/", store, control, time, new FleetListener());
+        this.gossip = new FleetGossip(
+                settings.daemon(), time, incarnation, operatorFeed, this::fleet, this::ownKeyLoad, peerSender);
         this.registration = new Registration(
                 FleetState.memberKey(settings.daemon()),
                 member(),
@@ -154,7 +135,7 @@
                         settings.bounds().heartbeatInterval(),
                         registration::firstRevision,
                         right),
-                new KeyLoads());
+                gossip);
     }
 
     /** Begins to read the store and to register this daemon. */
@@ -199,45 +180,18 @@
 
     @Override
     public void onLoad(FleetLoad load) {
-        control.execute(() -> {
-            DaemonId sender = new DaemonId(load.getDaemon());
-            peerLoads.put(sender, new PeerLoad(load.getKeyBusySlots(), ElapsedTimer.start(time)));
-            if (load.getKeysFollow()) {
-                keysFollowUntilNanos = time.monotonicNanos() + KEYS_FOLLOW.toNanos();
-            }
-            compareOperatorRevisions(sender, load.getOperatorRevision());
-        });
-    }
-
-    /** The daemon that knows more sends it; the one that knows less says so. */
-    private void compareOperatorRevisions(DaemonId sender, long theirs) {
-        long ours = operatorFeed.lastChange();
-        List<FleetMember> receiver =
-                Optional.ofNullable(fleet.members().get(sender)).stream().toList();
-        if (theirs > ours) {
-            sendLoad(receiver, false);
-        } else if (theirs < ours) {
-            peerSender.send(receiver, PeerMessages.operatorItems(operatorFeed.items(), operatorFeed.asOf()));
-        }
+        control.execute(() -> gossip.onLoad(load));
     }
 
     @Override
     public void onOperatorItems(OperatorItems items) {
-        control.execute(() -> {
-            if (items.getAsOf() > operatorFeed.asOf()) {
-                LOGGER.atInfo().log(
-                        "event=operator_items_from_peer as_of=%d known_as_of=%d", items.getAsOf(), operatorFeed.asOf());
-                operatorFeed.applyCopy(PeerMessages.storedItems(items), items.getAsOf());
-            }
-        });
+        control.execute(() -> gossip.onOperatorItems(items));
     }
 
-    private void sendLoad(List<FleetMember> receivers, boolean keysFollow) {
-        double busySlots = state.table(member().service())
+    private double ownKeyLoad() {
+        return state.table(member().service())
                 .map(table -> ranges.ownLoad(table.table()))
                 .orElse(0.0);
-        peerSender.send(
-                receivers, PeerMessages.load(settings.daemon(), busySlots, keysFollow, operatorFeed.lastChange()));
     }
 
     @Override
@@ -274,7 +228,9 @@
         if (isKeyed(heartbeat.service())) {
             ranges.tick(heartbeat.service(), backend);
         }
-        if (!heartbeat.draining() && !holds.hasMoves() && (keysWereAnnounced() || isStarting(heartbeat.service()))) {
+        if (!heartbeat.draining()
+                && !holds.hasMoves()
+                && (gossip.keysWereAnnounced() || isStarting(heartbeat.service()))) {
             deferReply(new DeferredReply(heartbeat, state.table(heartbeat.service()), reply));
         } else {
             reply.complete(holdsFor(heartbeat));
@@ -282,10 +238,6 @@
         publishLocal();
     }
 
-    private boolean keysWereAnnounced() {
-        return keysFollowUntilNanos - time.monotonicNanos() > 0;
-    }
-
     /** Returns whether this process does not know yet what its backend server is to hold. */
     private boolean isStarting(ServiceName service) {
         if (fleet.config().isEmpty() || !fleetSynchronized) {
@@ -407,17 +359,7 @@
     private void reportLoad() {
         keyLoad.decay();
         ServiceName service = member().service();
-        boolean keyed = isKeyed(service);
-        List<FleetMember> others = fleet.members().values().stream()
-                .filter(member -> !member.daemon().equals(settings.daemon()))
-                .toList();
-        List<FleetMember> receivers = new ArrayList<>(others.stream()
-                .filter(member -> keyed && member.service().equals(service))
-                .toList());
-        for (int i = 0; i < GOSSIP_FANOUT && !others.isEmpty(); i++) {
-            receivers.add(others.get(random.nextInt(others.size())));
-        }
-        sendLoad(receivers.stream().distinct().toList(), false);
+        gossip.report(member -> isKeyed(service) && member.service().equals(service));
     }
 
     private void publishFleet(FleetSnapshot snapshot) {
@@ -500,28 +442,4 @@
             fleetFeed.reload();
         }
     }
-
-    /** Knows the loads of other daemons' keys and warns them of keys that follow. */
-    private final class KeyLoads implements RangeKeeper.PeerLoadView {
-        @Override
-        public Map<DaemonId, Double> busySlots() {
-            Map<DaemonId, Double> recent = new HashMap<>();
-            peerLoads.forEach((daemon, load) -> {
-                if (load.heardAt().elapsed(time).compareTo(LOAD_VALIDITY) < 0) {
-                    recent.put(daemon, load.busySlots());
-                }
-            });
-            return recent;
-        }
-
-        @Override
-        public void announceMoves(List<RangeMove> moves) {
-            List<FleetMember> receivers = moves.stream()
-                    .map(RangeMove::daemon)
-                    .distinct()
-                    .flatMap(daemon -> Optional.ofNullable(fleet.members().get(daemon)).stream())
-                    .toList();
-            sendLoad(receivers, true);
-        }
-    }
 }
