Use one mapping from priorities to ranks, and move replies to heartbeats out of FleetControl

No change of behaviour: HoldReplies and WorkTimes take over the code; OwnershipModelTest and the tests of the gate cover it.

--- a/core/src/main/java/io/daisyhoist/core/admission/Rank.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/Rank.java
@@ -22,6 +22,11 @@
                 .findFirst();
     }
 
+    /** Returns the rank of requests of a route's priority, 0 being the most urgent. */
+    public static Rank ofPriority(int priority) {
+        return values()[Math.min(priority, BROWSE.ordinal())];
+    }
+
     /** Returns whether this rank is served before the other. */
     public boolean isAbove(Rank other) {
         return compareTo(other) < 0;
--- a/core/src/main/java/io/daisyhoist/core/route/Route.java
+++ b/core/src/main/java/io/daisyhoist/core/route/Route.java
@@ -26,18 +26,11 @@
         int priority,
         List<WeightedService> services,
         int maxAttempts) {
-    private static final int BROWSING_PRIORITY = 2;
-
     /** Copies the list. */
     public Route {
         services = List.copyOf(services);
     }
 
-    /** Returns whether requests of this route go before ordinary browsing. */
-    public boolean isUrgent() {
-        return priority < BROWSING_PRIORITY;
-    }
-
     /** Returns whether a request may run more than once. */
     public boolean isIdempotent() {
         return kind == RouteKind.IDEMPOTENT;
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -14,7 +14,6 @@
 import io.daisyhoist.core.keyrange.HoldRight;
 import io.daisyhoist.core.keyrange.KeyHolds;
 import io.daisyhoist.core.keyrange.KeyLoad;
-import io.daisyhoist.core.keyrange.RangeTable;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.route.ServicePolicy;
 import io.daisyhoist.core.time.ElapsedTimer;
@@ -49,9 +48,6 @@
     /** Holds end soon after a backend server has fallen silent, so that its keys can move. */
     private static final Duration HOLD = Duration.ofMillis(5_000);
 
-    /** Backend servers wait a second for a reply; the rest is for a daemon that runs slowly. */
-    private static final Duration MAX_REPLY_DELAY = Duration.ofMillis(700);
-
     private static final Duration TICK = Duration.ofMillis(200);
     private static final Duration LOAD_REPORT_INTERVAL = Duration.ofMillis(500);
 
@@ -68,9 +64,8 @@
     private final KeyLoad keyLoad;
     private final RangeKeeper ranges;
     private final FleetGossip gossip;
+    private final HoldReplies replies;
     private Optional<LocalBackend> backend = Optional.empty();
-    private Optional<DeferredReply> deferred = Optional.empty();
-    private long holdsEndNanos;
     private boolean operatorSynchronized;
     private boolean fleetSynchronized;
     private boolean stopping;
@@ -78,12 +73,6 @@
     private volatile LocalView local = LocalView.EMPTY;
     private volatile boolean ready;
 
-    /** A heartbeat whose reply waits for keys that were announced. */
-    private record DeferredReply(
-            BackendHeartbeat heartbeat,
-            Optional<FleetState.StoredTable> seen,
-            CompletableFuture<Optional<KeyHolds.Reply>> reply) {}
-
     /** Sends messages to other daemons, without waiting for a reply. */
     public interface PeerSender {
         /** Sends a message to each of the given daemons. */
@@ -136,6 +125,14 @@
                         registration::firstRevision,
                         right),
                 gossip);
+        this.replies = new HoldReplies(
+                time,
+                control,
+                holds,
+                right,
+                service -> state.table(service).filter(table -> isKeyed(service)),
+                ranges,
+                this::publishLocal);
     }
 
     /** Begins to read the store and to register this daemon. */
@@ -209,7 +206,7 @@
     }
 
     private void takeHeartbeat(BackendHeartbeat heartbeat, CompletableFuture<Optional<KeyHolds.Reply>> reply) {
-        answerDeferred();
+        replies.endWait();
         LocalBackend.Change change = LocalBackend.classify(backend, heartbeat);
         if (change == LocalBackend.Change.STALE) {
             LOGGER.atInfo().log(
@@ -228,12 +225,11 @@
         if (isKeyed(heartbeat.service())) {
             ranges.tick(heartbeat.service(), backend);
         }
-        if (!heartbeat.draining()
-                && !holds.hasMoves()
-                && (gossip.keysWereAnnounced() || isStarting(heartbeat.service()))) {
-            deferReply(new DeferredReply(heartbeat, state.table(heartbeat.service()), reply));
+        boolean mayWait = !heartbeat.draining() && !holds.hasMoves();
+        if (mayWait && (gossip.keysWereAnnounced() || isStarting(heartbeat.service()))) {
+            replies.replyLater(heartbeat, reply);
         } else {
-            reply.complete(holdsFor(heartbeat));
+            replies.replyNow(heartbeat, reply);
         }
         publishLocal();
     }
@@ -249,48 +245,6 @@
                         .isPresent();
     }
 
-    private Optional<KeyHolds.Reply> holdsFor(BackendHeartbeat heartbeat) {
-        Optional<FleetState.StoredTable> stored = state.table(heartbeat.service());
-        if (!isKeyed(heartbeat.service()) || stored.filter(ranges::isOwnTime).isEmpty()) {
-            return Optional.empty();
-        }
-        RangeTable table = stored.get().table();
-        Optional<KeyHolds.Reply> reply = holds.reply(heartbeat, table);
-        reply.ifPresent(granted -> {
-            holdsEndNanos = time.monotonicNanos() + granted.hold().toNanos();
-        });
-        return reply;
-    }
-
-    /** Waits with the reply until keys that were announced are assigned, since the next heartbeat comes much later. */
-    private void deferReply(DeferredReply next) {
-        deferred = Optional.of(next);
-        control.scheduleOnce(
-                () -> {
-                    if (deferred.equals(Optional.of(next))) {
-                        answerDeferred();
-                    }
-                },
-                MAX_REPLY_DELAY);
-    }
-
-    private void answerDeferred() {
-        deferred.ifPresent(waiting -> {
-            deferred = Optional.empty();
-            waiting.reply().complete(holdsFor(waiting.heartbeat()));
-            publishLocal();
-        });
-    }
-
-    private void answerDeferredIfTableChanged() {
-        boolean changed = deferred.filter(waiting ->
-                        !waiting.seen().equals(state.table(waiting.heartbeat().service())))
-                .isPresent();
-        if (changed && right.hold().isPresent()) {
-            answerDeferred();
-        }
-    }
-
     private void logChange(LocalBackend before, LocalBackend.Change change) {
         LocalBackend now = backend.orElseThrow();
         boolean changed = change == LocalBackend.Change.NEW_PROCESS
@@ -364,7 +318,7 @@
 
     private void publishFleet(FleetSnapshot snapshot) {
         fleet = snapshot;
-        answerDeferredIfTableChanged();
+        replies.onChange();
     }
 
     private void publishLocal() {
@@ -372,7 +326,7 @@
         local = new LocalView(
                 backend,
                 granted,
-                holdsEndNanos,
+                replies.holdsEndNanos(),
                 isKeyed(member().service()) && right.hold().isPresent());
     }
 
@@ -414,7 +368,7 @@
             fleetSynchronized = true;
             if (registration.isRegistered()) {
                 right.onConfirmed(sentAt);
-                answerDeferredIfTableChanged();
+                replies.onChange();
             }
         }
     }
@@ -425,7 +379,7 @@
         public void onConfirmed(ElapsedTimer sentAt) {
             if (fleetSynchronized) {
                 right.onConfirmed(sentAt);
-                answerDeferredIfTableChanged();
+                replies.onChange();
             }
         }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendGate.java
@@ -44,9 +44,6 @@
 public final class BackendGate {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int QUEUE_PER_SLOT = 4;
-    private static final int HIGHEST_PRIORITY = 0;
-    private static final int NORMAL_PRIORITY = 1;
-    private static final int LOWEST_PRIORITY = 2;
 
     /** Slots kept for short urgent requests at backend servers that get some beside long ones. */
     private static final int RESERVED_SLOTS = 1;
@@ -138,12 +135,10 @@
         if (request.hasAlternative() && slowdown.isSlowNow()) {
             return Future.succeededFuture(refuse(request, NotRunReason.SLOW, Duration.ZERO));
         }
-        request.key()
-                .ifPresent(key ->
-                        onKeyRequest.onKeyWork(key, workTimes.expected(Math.min(request.priority(), LOWEST_PRIORITY))));
+        Rank rank = Rank.ofPriority(request.priority());
+        request.key().ifPresent(key -> onKeyRequest.onKeyWork(key, workTimes.expected(rank)));
         Promise<BackendAnswer> answer = Promise.promise();
         Waiting entry = new Waiting(request, cancelled, answer, time.monotonicNanos());
-        Rank rank = rank(request.priority());
         reserveForShortRequests();
         Offer offer = gate.offer(rank, queueWait);
         if (offer instanceof Offer.Admitted admitted) {
@@ -159,15 +154,8 @@
     }
 
     private void reserveForShortRequests() {
-        int reserved = knownSlots >= MIN_SLOTS_TO_RESERVE ? RESERVED_SLOTS : 0;
-        if (workTimes.areMuchShorter(NORMAL_PRIORITY, LOWEST_PRIORITY)) {
-            gate.reserve(Rank.NORMAL, reserved);
-        } else if (workTimes.areMuchShorter(HIGHEST_PRIORITY, NORMAL_PRIORITY)
-                || workTimes.areMuchShorter(HIGHEST_PRIORITY, LOWEST_PRIORITY)) {
-            gate.reserve(Rank.INTERNAL, reserved);
-        } else {
-            gate.reserve(Rank.INTERNAL, 0);
-        }
+        Optional<Rank> shortRank = knownSlots >= MIN_SLOTS_TO_RESERVE ? workTimes.shortBesideLong() : Optional.empty();
+        gate.reserve(shortRank.orElse(Rank.INTERNAL), shortRank.isPresent() ? RESERVED_SLOTS : 0);
     }
 
     private void enqueue(Ticket ticket, Waiting entry, Duration queueWait) {
@@ -194,14 +182,6 @@
         }
     }
 
-    private static Rank rank(int priority) {
-        return switch (priority) {
-            case HIGHEST_PRIORITY -> Rank.INTERNAL;
-            case NORMAL_PRIORITY -> Rank.NORMAL;
-            default -> Rank.BROWSE;
-        };
-    }
-
     private Optional<ServicePolicy> policy(BackendRequestData request) {
         return fleet.get().config().flatMap(config -> config.service(request.service()));
     }
@@ -275,7 +255,7 @@
                 .onSuccess(answer -> {
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     log(entry, answer, sentNanos, latency);
-                    workTimes.onEnd(Math.min(request.priority(), LOWEST_PRIORITY), latency);
+                    workTimes.onEnd(Rank.ofPriority(request.priority()), latency);
                     onConnectionTrouble(answer);
                     entry.answer().complete(answer);
                     apply(gate.complete(permit, outcome(answer), latency));
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.keyrange.RangeAssignment;
 import io.daisyhoist.core.model.DaemonId;
@@ -198,10 +199,14 @@
         Duration untilDeadline = remaining().minus(usual);
         Duration late = Duration.ofNanos((long) (untilDeadline.toNanos() * LATE_QUEUE_SHARE));
         Duration nextSlot = shorter(MIN_LATE_WAIT, untilDeadline);
-        Duration wait = longer(longer(untilTarget, late), request.route().isUrgent() ? nextSlot : Duration.ZERO);
+        Duration wait = longer(longer(untilTarget, late), isUrgent() ? nextSlot : Duration.ZERO);
         return wait.isNegative() ? Duration.ZERO : wait;
     }
 
+    private boolean isUrgent() {
+        return Rank.ofPriority(request.route().priority()).isAbove(Rank.BROWSE);
+    }
+
     private static Duration longer(Duration one, Duration other) {
         return one.compareTo(other) > 0 ? one : other;
     }
