Return to the slow backend server also after several full gates

Cause: the search for a backend server ends after four refusals; the refusal as slow counted as one of them, so that with five or more backend servers a request was refused although the slow one might have had room. The limit is now part of the choice, after which the slow one is still asked.

Test: RequestRunTest.start_manyOthersAreFull_returnsToTheSlowOne was red before (503 instead of 200).

--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestRun.java
@@ -119,6 +119,9 @@
     }
 
     private Optional<FleetMember> choose(FleetSnapshot fleet) {
+        if (gateRefusals >= MAX_GATE_REFUSALS) {
+            return Optional.empty();
+        }
         if (key(fleet).isPresent()) {
             return owner(fleet);
         }
@@ -264,7 +267,7 @@
             slow = Optional.of(daemon);
         }
         gateRefusals++;
-        if (gateRefusals >= MAX_GATE_REFUSALS || remaining().compareTo(MIN_SEND_TIME) < 0) {
+        if (remaining().compareTo(MIN_SEND_TIME) < 0) {
             finish(giveUp());
             return;
         }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestRunTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestRunTest.java
@@ -62,6 +62,7 @@
     private final List<DaemonId> sentTo = new ArrayList<>();
     private final List<Duration> queueWaits = new ArrayList<>();
     private final List<Boolean> alternatives = new ArrayList<>();
+    private int backends = 3;
 
     @AfterEach
     void close() {
@@ -94,7 +95,7 @@
 
     private FleetSnapshot fleet() {
         Map<DaemonId, FleetMember> members = new HashMap<>();
-        for (int i = 1; i <= 3; i++) {
+        for (int i = 1; i <= backends; i++) {
             members.put(member(i).daemon(), member(i));
         }
         FleetConfig config = new FleetConfig(1, new RouteTable(List.of()), Map.of(), ClientLimits.DEFAULT);
@@ -222,6 +223,15 @@
             assertEquals(200, run(RouteKind.IDEMPOTENT, SLOW, FULL, FULL, OK).status());
             assertEquals(sentTo.get(0), sentTo.get(3));
         }
+
+        /** Guards against a refusal after several full gates although the slow backend server has not been asked to run it. */
+        @Test
+        void start_manyOthersAreFull_returnsToTheSlowOne() {
+            backends = 8;
+            assertEquals(
+                    200, run(RouteKind.IDEMPOTENT, SLOW, FULL, FULL, FULL, OK).status());
+            assertEquals(sentTo.get(0), sentTo.get(4));
+        }
     }
 
     @Nested
