--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.FleetMember;
@@ -11,6 +13,7 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.store.MetadataStore;
+import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.store.Transaction;
 import io.daisyhoist.mesh.store.TransactionResult;
 
@@ -162,35 +165,37 @@
         }
     }
 
+    /** Goes on with the answer of a call to the store, or tries again later. */
+    private <T> void onAnswer(String call, CompletableFuture<T> pending, Consumer<T> next) {
+        pending.whenCompleteAsync(
+                (result, failure) -> {
+                    if (failure != null) {
+                        failed(call, failure);
+                        return;
+                    }
+                    answered();
+                    next.accept(result);
+                },
+                control);
+    }
+
     private void createLease() {
-        store.createLease(leaseTtl)
-                .whenCompleteAsync(
-                        (created, failure) -> {
-                            if (failure != null) {
-                                failed("lease_create", failure);
-                                return;
-                            }
-                            answered();
-                            lease = created.id();
-                            registered = false;
-                            readRevision();
-                        },
-                        control);
+        onAnswer("lease_create", store.createLease(leaseTtl), created -> {
+            lease = created.id();
+            registered = false;
+            readRevision();
+        });
     }
 
     private void readRevision() {
-        store.get(key)
-                .whenCompleteAsync(
-                        (item, failure) -> {
-                            if (failure != null) {
-                                failed("entry_read", failure);
-                                return;
-                            }
-                            answered();
-                            revision = item.map(found -> found.revision()).orElse(Transaction.ABSENT);
-                            write();
-                        },
-                        control);
+        onAnswer("entry_read", store.get(key), item -> {
+            revision = revisionOf(item);
+            write();
+        });
+    }
+
+    private static long revisionOf(Optional<StoredItem> item) {
+        return item.map(StoredItem::revision).orElse(Transaction.ABSENT);
     }
 
     private void write() {
@@ -199,17 +204,7 @@
                 List.of(new Transaction.Condition(key, revision)),
                 List.of(new Transaction.Write(key, FleetJson.write(written), lease)),
                 List.of());
-        store.commit(entry)
-                .whenCompleteAsync(
-                        (result, failure) -> {
-                            if (failure != null) {
-                                failed("entry_write", failure);
-                                return;
-                            }
-                            answered();
-                            onWritten(written, result);
-                        },
-                        control);
+        onAnswer("entry_write", store.commit(entry), result -> onWritten(written, result));
     }
 
     private void onWritten(FleetMember written, TransactionResult result) {
@@ -238,51 +233,36 @@
 
     private void verify() {
         ElapsedTimer sentAt = ElapsedTimer.start(time);
-        store.get(key)
-                .whenCompleteAsync(
-                        (item, failure) -> {
-                            if (failure != null) {
-                                failed("entry_read", failure);
-                                return;
-                            }
-                            answered();
-                            long found = item.map(entry -> entry.revision()).orElse(Transaction.ABSENT);
-                            if (found != revision) {
-                                registered = false;
-                                revision = found;
-                                next(Duration.ZERO);
-                                return;
-                            }
-                            verifyFirst = false;
-                            listener.onConfirmed(sentAt);
-                            next(Duration.ZERO);
-                        },
-                        control);
+        onAnswer("entry_read", store.get(key), item -> {
+            long found = revisionOf(item);
+            if (found != revision) {
+                registered = false;
+                revision = found;
+                next(Duration.ZERO);
+                return;
+            }
+            verifyFirst = false;
+            listener.onConfirmed(sentAt);
+            next(Duration.ZERO);
+        });
     }
 
     private void renew() {
         ElapsedTimer sentAt = ElapsedTimer.start(time);
-        store.renewLease(lease)
-                .whenCompleteAsync(
-                        (alive, failure) -> {
-                            if (failure != null) {
-                                failed("lease_renew", failure);
-                                return;
-                            }
-                            answered();
-                            if (!alive) {
-                                LOGGER.atWarning().log(
-                                        "event=lease_ended key=%s lease=%d outcome=register_again", key, lease);
-                                lease = Transaction.NO_LEASE;
-                                registered = false;
-                                next(Duration.ZERO);
-                                return;
-                            }
-                            if (registered) {
-                                listener.onConfirmed(sentAt);
-                            }
-                            next(dirty || !registered ? Duration.ZERO : RENEWAL_INTERVAL);
-                        },
-                        control);
+        onAnswer("lease_renew", store.renewLease(lease), alive -> onRenewed(sentAt, alive));
+    }
+
+    private void onRenewed(ElapsedTimer sentAt, boolean alive) {
+        if (!alive) {
+            LOGGER.atWarning().log("event=lease_ended key=%s lease=%d outcome=register_again", key, lease);
+            lease = Transaction.NO_LEASE;
+            registered = false;
+            next(Duration.ZERO);
+            return;
+        }
+        if (registered) {
+            listener.onConfirmed(sentAt);
+        }
+        next(dirty || !registered ? Duration.ZERO : RENEWAL_INTERVAL);
     }
 }
