--- a/core/src/main/java/io/daisyhoist/core/admission/SlotLimit.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/SlotLimit.java
@@ -4,7 +4,7 @@
 import java.util.Collection;
 
 /**
- * As many requests at once as the backend server has slots. Confined to one thread.
+ * As many requests at once as the backend server has slots; outcomes do not change it. Confined to one thread.
  */
 public final class SlotLimit implements ConcurrencyLimit {
     private int slots;
--- a/core/src/test/java/io/daisyhoist/core/admission/AdmissionGateTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/AdmissionGateTest.java
@@ -23,7 +23,7 @@
     private final ManualTime time = new ManualTime();
 
     private AdmissionGate gate(int limit, int queueBound) {
-        return new AdmissionGate(time, new FixedLimit(limit), queueBound);
+        return new AdmissionGate(time, new SlotLimit(limit), queueBound);
     }
 
     private static Permit admitted(Offer offer) {
--- a/core/src/test/java/io/daisyhoist/core/routing/BaselineComparisonTest.java
+++ b/core/src/test/java/io/daisyhoist/core/routing/BaselineComparisonTest.java
@@ -9,7 +9,7 @@
 
 import io.daisyhoist.core.admission.AdaptiveLimit;
 import io.daisyhoist.core.admission.ConcurrencyLimit;
-import io.daisyhoist.core.admission.FixedLimit;
+import io.daisyhoist.core.admission.SlotLimit;
 import io.daisyhoist.core.model.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
@@ -113,7 +113,7 @@
     void adaptiveLimit_underAnUnannouncedColdStart_keepsTheServerAlive() {
         print("%-9s %5s %9s %7s %9s %12s", "limit", "seed", "answered", "failed", "failures", "overload ms");
         for (long seed = 0; seed < 6; seed++) {
-            ColdStart fixed = coldStart(seed, 5_000, 2_000, time -> new FixedLimit(9));
+            ColdStart fixed = coldStart(seed, 5_000, 2_000, time -> new SlotLimit(9));
             ColdStart adaptive = coldStart(seed, 5_000, 2_000, time -> new AdaptiveLimit(time, 2, 9));
             print("%-9s %5d %s", "fixed", seed, fixed.row());
             print("%-9s %5d %s", "adaptive", seed, adaptive.row());
--- a/core/src/test/java/io/daisyhoist/core/routing/SimulatedFleet.java
+++ b/core/src/test/java/io/daisyhoist/core/routing/SimulatedFleet.java
@@ -8,7 +8,7 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
-import io.daisyhoist.core.admission.FixedLimit;
+import io.daisyhoist.core.admission.SlotLimit;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.retry.HedgePolicy;
@@ -156,7 +156,7 @@
         gapMillis = SERVICE_MILLIS / (load * servers * slots);
         this.hedging = hedging;
         for (int i = 0; i < servers; i++) {
-            backends.add(new SimulatedBackend(time, random, new FixedLimit(slots), slots, SERVICE_MILLIS));
+            backends.add(new SimulatedBackend(time, random, new SlotLimit(slots), slots, SERVICE_MILLIS));
             ids.add(new DaemonId("d" + i));
             edges.add(new Edge(selector.apply(random), servers));
         }
