Admit requests to a free slot although they may not queue

Cause: the sender derives the time that a request may queue from its estimate of the route's latency. Slow answers just after a start push the estimate above the time left, the queue time becomes zero, and admission control refused a request with zero queue time before it looked at the slots. Refused requests don't run, so nothing corrected the estimate: a feedback loop that holds itself closed.

Change: the queue time bounds queueing only; a request that can start at once starts. BackendAdmissionTest.run_noTimeToQueueAndSlotFree_isSent failed before.

--- a/core/src/main/java/io/daisyhoist/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/AdmissionController.java
@@ -111,21 +111,37 @@
      * @param exclusive whether it may run only while no other request is in flight
      */
     public AdmissionDecision offer(Rank rank, Duration remaining, boolean exclusive) {
+        if (remaining.isZero() || remaining.isNegative()) {
+            return new AdmissionDecision.Refused(closedBy.orElseGet(AdmissionController::deadlineExceeded));
+        }
+        return admitOrQueue(rank, remaining, exclusive);
+    }
+
+    /**
+     * Offers a request that may be queued for a limited time only.
+     *
+     * <p>The limit does not apply to a request that can start at once. Callers derive it from an estimate of the latency,
+     * and an estimate that is too high is corrected only by requests that run.
+     *
+     * @param maxWait maximum time in the queue; may be zero
+     */
+    public AdmissionDecision offerWithMaxWait(Rank rank, Duration maxWait) {
+        return admitOrQueue(rank, maxWait, false);
+    }
+
+    private AdmissionDecision admitOrQueue(Rank rank, Duration maxWait, boolean exclusive) {
         if (closedBy.isPresent()) {
             return new AdmissionDecision.Refused(closedBy.get());
         }
         concurrencyLimit.onInFlight(inFlight);
-        if (remaining.isZero() || remaining.isNegative()) {
-            return new AdmissionDecision.Refused(deadlineExceeded());
-        }
-        long now = time.monotonicNanos();
-        QueueEntry entry = new QueueEntry(nextRequestNumber++, rank, now + remaining.toNanos(), exclusive);
+        long expiryNanos = time.monotonicNanos() + maxWait.toNanos();
+        QueueEntry entry = new QueueEntry(nextRequestNumber++, rank, expiryNanos, exclusive);
         if (!queue.hasEntryAtOrAbove(rank) && isAdmissible(entry)) {
             return new AdmissionDecision.Admitted(admit(entry));
         }
         Duration wait = expectedWait(rank);
-        if (wait.compareTo(remaining) > 0) {
-            return new AdmissionDecision.Refused(overloaded("expected wait exceeds the deadline", wait));
+        if (wait.compareTo(maxWait) > 0) {
+            return new AdmissionDecision.Refused(overloaded("expected wait exceeds the time left", wait));
         }
         return enqueue(entry, wait);
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -125,7 +125,7 @@
     /**
      * Runs a request.
      *
-     * @param queueWait maximum time in the queue
+     * @param queueWait maximum time in the queue; with zero, the request runs only if a slot is free
      * @param cancelled completes when the caller no longer needs the response
      */
     public Future<BackendOutcome> run(BackendRequestData request, Duration queueWait, Future<Void> cancelled) {
@@ -146,7 +146,7 @@
         Promise<BackendOutcome> outcome = Promise.promise();
         PendingRequest pendingRequest = new PendingRequest(request, cancelled, outcome, time.monotonicNanos());
         reserveForShortRequests();
-        AdmissionDecision decision = admissionController.offer(rank, queueWait);
+        AdmissionDecision decision = admissionController.offerWithMaxWait(rank, queueWait);
         if (decision instanceof AdmissionDecision.Admitted admitted) {
             send(pendingRequest, admitted.permit());
         } else if (decision instanceof AdmissionDecision.Queued queued) {
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
@@ -0,0 +1,56 @@
+package io.daisyhoist.mesh.request;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.daisyhoist.mesh.connection.BackendOutcome;
+import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
+import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Tests against a backend server that reads requests and never responds. */
+class BackendAdmissionTest {
+    private final AtomicInteger arrivals = new AtomicInteger();
+    private final AdmissionFixture fixture =
+            new AdmissionFixture(2, socket -> socket.handler(request -> arrivals.incrementAndGet()));
+
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    private Future<BackendOutcome> run(String id, Duration queueWait) {
+        Promise<BackendOutcome> outcome = Promise.promise();
+        Future<Void> cancelled = Promise.<Void>promise().future();
+        fixture.context.runOnContext(run ->
+                fixture.admission.run(fixture.request(id), queueWait, cancelled).onComplete(outcome));
+        return outcome.future();
+    }
+
+    /**
+     * Guards against refusing all requests of a route with slots free: the sender's latency estimate from a slow start
+     * left no time to queue, and no request ran that could correct the estimate.
+     */
+    @Test
+    void run_noTimeToQueueAndSlotFree_isSent() {
+        run("1", Duration.ZERO);
+        await().untilAsserted(() -> assertEquals(1, arrivals.get()));
+    }
+
+    @Test
+    void run_noTimeToQueueAndSlotsBusy_isRefusedAsNotRun() {
+        run("1", Duration.ZERO);
+        run("2", Duration.ZERO);
+        await().until(() -> arrivals.get() == 2);
+        NotRun refused = assertInstanceOf(NotRun.class, AdmissionFixture.result(run("3", Duration.ZERO)));
+        assertEquals(NotRunReason.OVERLOADED, refused.reason());
+        assertEquals(2, arrivals.get());
+    }
+}
