Cancel forwarded requests whose connection has closed

Callers saw: work went on for callers that had left (GONE).

Cause: the daemon beside a backend server ended a forwarded request only by its reply or by a cancellation. When the connection to the sender closed, because the sender took a daemon with a late event loop for silent, or was killed, nobody could cancel its requests any more: the running ones went on until their deadline, and those that lay unread in the connection were still started.

Change: a reply tells whether its connection is open. A request whose connection has closed is not started; a running one is cancelled if its route allows repeats. A request that must not be repeated goes on, since an interrupted one may have taken effect in part. The product's own request path is left as it is: there a finished run is recorded and answers the retry.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerHandler.java
@@ -1,7 +1,5 @@
 package io.daisyhoist.daemon.connection;
 
-import java.util.function.Consumer;
-
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.wire.proto.Envelope;
 
@@ -23,5 +21,14 @@
      * @param reply sends the reply from any thread, at most once; the request id is set automatically, and the reply is
      *     dropped if the connection is closed
      */
-    void handle(ProcessId from, Envelope message, Consumer<Envelope> reply);
+    void handle(ProcessId from, Envelope message, PeerReply reply);
+
+    /**
+     * Handles the end of a connection, after its last message.
+     *
+     * <p>Replies to messages of the connection are no longer deliverable. The process may have other open connections.
+     *
+     * @param from process that opened the connection
+     */
+    default void onDisconnected(ProcessId from) {}
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServerConnection.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServerConnection.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.model.ProcessId;
@@ -48,7 +47,7 @@
         dispatch(peer.get(), message, replyTo(context.channel(), message.getRequestId()));
     }
 
-    private void dispatch(ProcessId from, Envelope message, Consumer<Envelope> reply) {
+    private void dispatch(ProcessId from, Envelope message, PeerReply reply) {
         try {
             handler.handle(from, message, reply);
         } catch (RuntimeException e) {
@@ -67,23 +66,39 @@
         context.writeAndFlush(identity.hello());
     }
 
-    private Consumer<Envelope> replyTo(Channel channel, long requestId) {
+    private PeerReply replyTo(Channel channel, long requestId) {
         AtomicBoolean replied = new AtomicBoolean();
-        return reply -> {
-            if (requestId == 0 || !replied.compareAndSet(false, true)) {
-                return;
+        return new PeerReply() {
+            @Override
+            public void accept(Envelope reply) {
+                if (requestId != 0 && replied.compareAndSet(false, true)) {
+                    write(channel, reply.toBuilder().setRequestId(requestId).build());
+                }
             }
-            Envelope replyWithId = reply.toBuilder().setRequestId(requestId).build();
-            if (replyWithId.getSerializedSize() > limits.maxFrameBytes()) {
-                LOGGER.atWarning().log(
-                        "event=peer_reply_dropped reason=too_large bytes=%d body=%s",
-                        replyWithId.getSerializedSize(), replyWithId.getBodyCase());
-                return;
+
+            @Override
+            public boolean isDeliverable() {
+                return channel.isActive();
             }
-            channel.writeAndFlush(replyWithId, channel.voidPromise());
         };
     }
 
+    private void write(Channel channel, Envelope reply) {
+        if (reply.getSerializedSize() > limits.maxFrameBytes()) {
+            LOGGER.atWarning().log(
+                    "event=peer_reply_dropped reason=too_large bytes=%d body=%s",
+                    reply.getSerializedSize(), reply.getBodyCase());
+            return;
+        }
+        channel.writeAndFlush(reply, channel.voidPromise());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        peer.ifPresent(handler::onDisconnected);
+        super.channelInactive(context);
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
         context.channel().config().setAutoRead(context.channel().isWritable());
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/ControlMessageHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/ControlMessageHandler.java
@@ -8,6 +8,7 @@
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.model.SessionId;
 import io.daisyhoist.daemon.connection.PeerHandler;
+import io.daisyhoist.daemon.connection.PeerReply;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FenceRequest;
 import io.daisyhoist.wire.proto.Heartbeat;
@@ -42,7 +43,7 @@
     }
 
     @Override
-    public void handle(ProcessId from, Envelope message, Consumer<Envelope> reply) {
+    public void handle(ProcessId from, Envelope message, PeerReply reply) {
         if (!isControl(message)) {
             trafficHandler.handle(from, message, reply);
             return;
@@ -59,6 +60,11 @@
         });
     }
 
+    @Override
+    public void onDisconnected(ProcessId from) {
+        trafficHandler.onDisconnected(from);
+    }
+
     private static boolean isControl(Envelope message) {
         return switch (message.getBodyCase()) {
             case HEARTBEAT, FENCE_REQUEST, GROUP_UPDATE, GROUP_FETCH, CONFIG_FETCH, CONFIG_UPDATE, MOVE_REQUEST -> true;
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/TrafficMessageHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/TrafficMessageHandler.java
@@ -13,6 +13,7 @@
 import io.daisyhoist.core.retry.BackendLoss;
 import io.daisyhoist.core.retry.Fingerprint;
 import io.daisyhoist.daemon.connection.PeerHandler;
+import io.daisyhoist.daemon.connection.PeerReply;
 import io.daisyhoist.daemon.telemetry.Hop;
 import io.daisyhoist.daemon.telemetry.HopSpan;
 import io.daisyhoist.wire.proto.CrashReport;
@@ -47,7 +48,7 @@
     }
 
     @Override
-    public void handle(ProcessId from, Envelope message, Consumer<Envelope> reply) {
+    public void handle(ProcessId from, Envelope message, PeerReply reply) {
         switch (message.getBodyCase()) {
             case FORWARD_REQUEST -> traffic.execute(() -> onForwardRequest(from, message, reply));
             case CANCEL_REQUEST ->
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
@@ -37,4 +37,19 @@
         Deadline deadline,
         String callerService,
         BackendProcessId expectedProcess,
-        boolean hasAlternative) {}
+        boolean hasAlternative) {
+    /** Returns the host that the client addressed; empty if the request has no host header. */
+    public String host() {
+        return headers.stream()
+                .filter(field -> field.name().equalsIgnoreCase("host"))
+                .map(HttpField::value)
+                .findFirst()
+                .orElse("");
+    }
+
+    /** Returns the path without the query string. */
+    public String path() {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+}
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -14,6 +14,7 @@
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.retry.FleetRetryBudget;
 import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.core.route.Route;
 import io.daisyhoist.core.routing.LoadBalancer;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
@@ -24,6 +25,7 @@
 import io.daisyhoist.daemon.connection.PeerServer;
 import io.daisyhoist.daemon.process.ControlThread;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
+import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.daisyhoist.mesh.request.BackendAdmission;
 import io.daisyhoist.mesh.request.ClientServer;
@@ -106,7 +108,10 @@
                 fleetControl::onKeyRequest,
                 metrics);
         this.peerServer = new PeerServer(
-                peerLoops, identity, PEER_LIMITS, new ForwardReceiver(context, admission, time, fleetControl));
+                peerLoops,
+                identity,
+                PEER_LIMITS,
+                new ForwardReceiver(context, admission, time, fleetControl, this::isIdempotent));
         LoadBalancer loadBalancer = new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone());
         RequestContext requestContext = new RequestContext(
                 vertx,
@@ -125,6 +130,15 @@
         addGauges();
     }
 
+    private boolean isIdempotent(BackendRequestData request) {
+        return fleetControl
+                .fleet()
+                .config()
+                .flatMap(config -> config.routes().find(request.host(), request.path()))
+                .filter(Route::isIdempotent)
+                .isPresent();
+    }
+
     private void addGauges() {
         metrics.gauge("daisyhoist.fleet.in.flight", "Requests of clients without an answer", clientServer::inFlight);
         metrics.gauge(
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -2,15 +2,17 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.PeerHandler;
+import io.daisyhoist.daemon.connection.PeerReply;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.ForwardCodec;
@@ -23,7 +25,9 @@
 /**
  * Handles messages of other daemons.
  *
- * <p>May be called from any event loop; requests run on the traffic event loop.
+ * <p>Invariants: no request starts after the connection that carried it has closed, and a running idempotent request is
+ * cancelled then, because its response cannot be delivered. May be called from any event loop; requests run on the traffic
+ * event loop.
  */
 public final class ForwardReceiver implements PeerHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -33,13 +37,16 @@
     private final BackendAdmission admission;
     private final TimeSource time;
     private final PeerMessageListener messageListener;
-    private final Map<CallId, Promise<Void>> running = new HashMap<>();
+    private final Predicate<BackendRequestData> idempotent;
+    private final Map<CallId, RunningForward> running = new HashMap<>();
 
     /** Calls that were cancelled before they were started, which happens when messages are delayed and arrive together. */
     private final Set<CallId> cancelledBeforeStart = ConcurrentHashMap.newKeySet();
 
     private record CallId(ProcessId from, long number) {}
 
+    private record RunningForward(BackendRequestData request, PeerReply reply, Promise<Void> cancelled) {}
+
     /** Handles control messages of other daemons. Implementations are thread-safe. */
     public interface PeerMessageListener {
         /** Called with the load report of a daemon. */
@@ -49,16 +56,26 @@
         void onOperatorItems(OperatorItems items);
     }
 
+    /**
+     * Creates a receiver.
+     *
+     * @param idempotent whether a request may be interrupted and repeated, according to its route
+     */
     public ForwardReceiver(
-            Context context, BackendAdmission admission, TimeSource time, PeerMessageListener messageListener) {
+            Context context,
+            BackendAdmission admission,
+            TimeSource time,
+            PeerMessageListener messageListener,
+            Predicate<BackendRequestData> idempotent) {
         this.context = context;
         this.admission = admission;
         this.time = time;
         this.messageListener = messageListener;
+        this.idempotent = idempotent;
     }
 
     @Override
-    public void handle(ProcessId from, Envelope message, Consumer<Envelope> reply) {
+    public void handle(ProcessId from, Envelope message, PeerReply reply) {
         switch (message.getBodyCase()) {
             case FORWARD_REQUEST -> context.runOnContext(run -> forward(from, message, reply));
             case CANCEL_REQUEST ->
@@ -70,17 +87,19 @@
         }
     }
 
-    private void forward(ProcessId from, Envelope message, Consumer<Envelope> reply) {
+    private void forward(ProcessId from, Envelope message, PeerReply reply) {
         CallId id = new CallId(from, message.getRequestId());
         if (cancelledBeforeStart.remove(id)) {
-            LOGGER.atInfo().log(
-                    "event=forward_dropped request=%s reason=cancelled_before_start",
-                    message.getForwardRequest().getRequestId());
+            logDropped(message.getForwardRequest().getRequestId(), "cancelled_before_start");
+            return;
+        }
+        if (!reply.isDeliverable()) {
+            logDropped(message.getForwardRequest().getRequestId(), "connection_closed");
             return;
         }
         BackendRequestData request = ForwardCodec.decode(message.getForwardRequest(), time);
         Promise<Void> cancelled = Promise.promise();
-        running.put(id, cancelled);
+        running.put(id, new RunningForward(request, reply, cancelled));
         Duration queueWait = Duration.ofMillis(message.getForwardRequest().getQueueWaitMs());
         admission.run(request, queueWait, cancelled.future()).onComplete(done -> {
             running.remove(id);
@@ -94,6 +113,10 @@
         });
     }
 
+    private static void logDropped(String requestId, String reason) {
+        LOGGER.atInfo().log("event=forward_dropped request=%s reason=%s", requestId, reason);
+    }
+
     private void onCancel(CallId id) {
         if (cancelledBeforeStart.size() < MAX_CANCELLED_BEFORE_START) {
             cancelledBeforeStart.add(id);
@@ -103,9 +126,28 @@
 
     private void cancel(CallId id) {
         cancelledBeforeStart.remove(id);
-        Promise<Void> cancelled = running.get(id);
-        if (cancelled != null) {
-            cancelled.tryComplete();
+        RunningForward forward = running.get(id);
+        if (forward != null) {
+            forward.cancelled().tryComplete();
         }
     }
+
+    @Override
+    public void onDisconnected(ProcessId from) {
+        context.runOnContext(run -> cancelUndeliverable());
+    }
+
+    /** A non-idempotent request continues, because an interrupted one may have taken effect in part. */
+    private void cancelUndeliverable() {
+        List<RunningForward> undeliverable = running.values().stream()
+                .filter(forward -> !forward.reply().isDeliverable())
+                .filter(forward -> idempotent.test(forward.request()))
+                .toList();
+        undeliverable.forEach(forward -> {
+            LOGGER.atInfo().log(
+                    "event=forward_cancelled request=%s reason=connection_closed",
+                    forward.request().id());
+            forward.cancelled().tryComplete();
+        });
+    }
 }
