Send a request to no further backend server after its client has left

Callers saw: work went on for callers that had left (GONE).

Cause: RequestDispatch asks whether the client is still there on one of its three ways to the next backend server. After a refusal by admission control, and after each of up to 24 waits for a key move, it sent the request again and relied on the cancellation that followed to overtake it.

Change: the check stands where the next backend server is selected.

Measured: RequestDispatchTest.Disconnect, both tests failed before (2 sends instead of 1).

--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -30,8 +30,8 @@
  * Executes one request: selects a backend server, and retries on others while that is allowed.
  *
  * <p>Invariants: the client gets one response, by its deadline; a non-idempotent request is retried only after an outcome
- * that states that it did not run; a response states "not run" only if every attempt was refused as not run. Confined to
- * the traffic event loop.
+ * that states that it did not run; a response states "not run" only if every attempt was refused as not run; nothing is sent
+ * after the client has disconnected. Confined to the traffic event loop.
  */
 final class RequestDispatch {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -110,6 +110,10 @@
     }
 
     private void tryNextBackend() {
+        if (request.cancelled().isComplete()) {
+            finish(failureResponse());
+            return;
+        }
         FleetSnapshot fleet = context.fleet().get();
         Optional<FleetMember> member = selectMember(fleet).or(() -> slowMember(fleet));
         if (member.isEmpty()) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
@@ -62,7 +62,9 @@
     private final List<DaemonId> sentTo = new ArrayList<>();
     private final List<Duration> queueWaits = new ArrayList<>();
     private final List<Boolean> alternativeFlags = new ArrayList<>();
+    private final Promise<Void> disconnected = Promise.promise();
     private int backends = 3;
+    private boolean disconnectAfterSend;
 
     @AfterEach
     void close() {
@@ -116,6 +118,9 @@
                     sentTo.add(member.daemon());
                     queueWaits.add(queueWait);
                     alternativeFlags.add(request.hasAlternative());
+                    if (disconnectAfterSend) {
+                        disconnected.tryComplete();
+                    }
                     return plannedOutcomes.isEmpty()
                             ? Promise.<BackendOutcome>promise().future()
                             : plannedOutcomes.poll();
@@ -134,7 +139,7 @@
                 Buffer.buffer(),
                 time.monotonicNanos(),
                 Deadline.after(time, deadline),
-                Promise.<Void>promise().future());
+                disconnected.future());
         try {
             Promise<ClientResponse> result = Promise.promise();
             vertx.getOrCreateContext()
@@ -151,6 +156,25 @@
         return run(kind, Duration.ofSeconds(2), planned);
     }
 
+    @Nested
+    class Disconnect {
+        /** Guards against sending a refused request to another backend server after its client has disconnected. */
+        @Test
+        void start_clientDisconnectedBeforeRefusal_isNotSentAgain() {
+            disconnectAfterSend = true;
+            run(RouteKind.IDEMPOTENT, FULL, OK);
+            assertEquals(1, sentTo.size());
+        }
+
+        /** Guards against waiting for a key move, and sending again, after the client has disconnected. */
+        @Test
+        void start_clientDisconnectedWhileKeyMoves_isNotSentAgain() {
+            disconnectAfterSend = true;
+            run(RouteKind.IDEMPOTENT, new NotRun(NotRunReason.KEY_MOVING, false, Duration.ZERO), OK);
+            assertEquals(1, sentTo.size());
+        }
+    }
+
     @Nested
     class NonIdempotent {
         /** Guards against running a request again that may have run. */
