Drop requests whose clients left before a late event loop read them

Callers saw: requests reached backend servers half a second and more after their callers had left (GONE), in the seconds after processes were started again.

Cause: an event loop that is late finds a request and the disconnect that follows it on the same connection at once, but reads the request first and sends it on before it polls again.

Change: a request is routed after the event loop has polled its connections once more, and not if its client has disconnected by then. All requests that were read together share that wait, which is one turn of the event loop.

Measured: ClientServerTest.request_disconnectedBeforeItIsRead_isNotSent failed before (3 sends instead of 2).

--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -29,8 +29,9 @@
 /**
  * HTTP server for requests of clients and of the local backend server.
  *
- * <p>Invariants: each request that was read gets one response unless its client has disconnected; a request is routed by the
- * newest configuration known when its body has been read. Confined to the traffic event loop.
+ * <p>Invariants: each request that was read gets one response unless its client has disconnected; a request whose client has
+ * disconnected before it is routed is not sent; a request is routed by the newest configuration known when its body has been
+ * read. Confined to the traffic event loop.
  */
 public final class ClientServer {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -46,6 +47,7 @@
     private final HeaderNames headerNames;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final HttpServer server;
+    private final PollBarrier pollBarrier;
     private int inFlight;
     private boolean closing;
     private boolean refusing;
@@ -54,6 +56,7 @@
     public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames) {
         this.context = context;
         this.headerNames = headerNames;
+        this.pollBarrier = new PollBarrier(vertx);
         this.server = vertx.createHttpServer(new HttpServerOptions()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setMaxInitialLineLength(MAX_HEADER_BYTES)
@@ -101,7 +104,12 @@
     private Future<ClientResponse> handle(HttpServerRequest http, long arrivedNanos, Future<Void> clientClosed) {
         ClientLimits limits =
                 context.fleet().get().config().map(FleetConfig::limits).orElse(ClientLimits.DEFAULT);
-        return readBody(http, limits.maxBodyBytes()).compose(body -> {
+        Future<Optional<Buffer>> read = readBody(http, limits.maxBodyBytes())
+                .compose(body -> pollBarrier.afterNextPoll().map(polled -> body));
+        return read.compose(body -> {
+            if (clientClosed.isComplete()) {
+                return refuse(http, "client_disconnected", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
+            }
             if (body.isEmpty()) {
                 return Future.succeededFuture(ClientResponse.tooLarge());
             }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -9,28 +11,39 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.retry.FleetRetryBudget;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.core.route.Route;
+import io.daisyhoist.core.route.RouteKind;
 import io.daisyhoist.core.route.RouteTable;
+import io.daisyhoist.core.route.WeightedService;
 import io.daisyhoist.core.routing.LoadBalancer;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 class ClientServerTest {
@@ -51,11 +64,15 @@
             Map.of(),
             Map.of());
 
-    private final Vertx vertx = Vertx.vertx();
+    private static final ServiceName SERVICE = new ServiceName("s");
+    private static final Duration PAUSE = Duration.ofMillis(300);
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final AtomicInteger sends = new AtomicInteger();
     private FleetSnapshot fleet = WITHOUT_ROUTES;
     private final ClientServer server = new ClientServer(vertx, context(), NAMES);
     private final int port =
-            await(server.listen(new Endpoint("127.0.0.1", freePort()))).actualPort();
+            result(server.listen(new Endpoint("127.0.0.1", freePort()))).actualPort();
 
     private static int freePort() {
         try (ServerSocket socket = new ServerSocket(0)) {
@@ -71,8 +88,11 @@
                 vertx,
                 time,
                 () -> fleet,
-                new ServiceName("s"),
-                (member, request, queueWait, cancelled) -> Future.failedFuture("not used"),
+                SERVICE,
+                (member, request, queueWait, cancelled) -> {
+                    sends.incrementAndGet();
+                    return Future.succeededFuture(new Answered(200, List.of(), Buffer.buffer("body")));
+                },
                 new LoadBalancer(time, new SplittableRandom(1), new AvailabilityZone("z")),
                 new FleetRetryBudget(time, 0.2, 50, Duration.ofSeconds(10)),
                 new FleetMetrics());
@@ -83,7 +103,7 @@
         vertx.close();
     }
 
-    private static <T> T await(Future<T> future) {
+    private static <T> T result(Future<T> future) {
         try {
             return future.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
         } catch (Exception e) {
@@ -92,11 +112,69 @@
     }
 
     private HttpClientResponse get() {
-        return await(vertx.createHttpClient()
+        return result(vertx.createHttpClient()
                 .request(HttpMethod.GET, port, "127.0.0.1", "/x/")
                 .compose(request -> request.putHeader("Id", "1").send()));
     }
 
+    private static FleetSnapshot withRoute() {
+        Route route = new Route(
+                "r",
+                "h",
+                "/x/",
+                RouteKind.IDEMPOTENT,
+                Duration.ofSeconds(5),
+                Duration.ofMillis(200),
+                1,
+                List.of(new WeightedService(SERVICE, 1)),
+                2);
+        FleetConfig config = new FleetConfig(1, new RouteTable(List.of(route)), Map.of(), ClientLimits.DEFAULT);
+        FleetMember member = new FleetMember(
+                new DaemonId("d"),
+                1,
+                new AvailabilityZone("z"),
+                "127.0.0.1",
+                1,
+                SERVICE,
+                Optional.of(new FleetMember.MemberBackend("b", 1, 6, true)));
+        return new FleetSnapshot(Optional.of(config), Set.of(), Map.of(member.daemon(), member), Map.of());
+    }
+
+    private void pauseEventLoop(CountDownLatch end) {
+        vertx.runOnContext(run -> {
+            try {
+                end.await(5, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    private Socket sendRequest(String id) throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.getOutputStream()
+                .write(("GET /x/ HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
+    /** Guards against work for clients that have disconnected while a late event loop had not read their requests. */
+    @Test
+    void request_disconnectedBeforeItIsRead_isNotSent() throws Exception {
+        fleet = withRoute();
+        Socket patient = sendRequest("warm-up");
+        await().untilAsserted(() -> assertEquals(1, sends.get()));
+        CountDownLatch end = new CountDownLatch(1);
+        pauseEventLoop(end);
+        sendRequest("left").close();
+        Socket waiting = sendRequest("waiting");
+        Thread.sleep(PAUSE.toMillis());
+        end.countDown();
+        await().untilAsserted(() -> assertEquals(2, sends.get()));
+        await().during(PAUSE).until(() -> sends.get() == 2);
+        patient.close();
+        waiting.close();
+    }
+
     @Test
     void request_withoutRoute_isNotFoundOnlyWithConfiguration() {
         assertEquals(404, get().statusCode());
