Cut off response bodies that do not end

Callers would see: a daemon without memory, since a backend server in trouble may send bytes without end.

Cause: the body of a response was collected without a bound until the deadline of the request. Endless heads were bounded already: by the size of the head, and where the decoder skips line breaks, by the deadline.

Change: a body of more than 4 MiB ends the exchange as a damaged answer and closes the connection; with a head that says so, as not run. The bounded read that the product's own exchange and the client server each had is now one class.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
@@ -17,7 +17,6 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.ConnectionPoolTooBusyException;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -151,27 +150,12 @@
         boolean staleFence = response.statusCode() == PRECONDITION_FAILED
                 && "true".equalsIgnoreCase(response.getHeader(DaisyhoistHeaders.STALE_FENCE));
         List<HttpField> headers = HopByHopHeaders.endToEnd(response.headers());
-        return readBody(response)
+        return BoundedBody.read(response, MAX_RESPONSE_BYTES)
                 .map(body -> staleFence ? new StaleFence() : new Answered(response.statusCode(), headers, body));
     }
 
-    private static Future<Buffer> readBody(HttpClientResponse response) {
-        Promise<Buffer> bodyPromise = Promise.promise();
-        Buffer body = Buffer.buffer();
-        response.handler(chunk -> {
-            if (body.length() + chunk.length() > MAX_RESPONSE_BYTES) {
-                bodyPromise.tryFail(new ResponseTooLargeException());
-                return;
-            }
-            body.appendBuffer(chunk);
-        });
-        response.exceptionHandler(bodyPromise::tryFail);
-        response.endHandler(end -> bodyPromise.tryComplete(body));
-        return bodyPromise.future();
-    }
-
     private static UnknownReason unknownReasonOf(Throwable failure) {
-        if (failure instanceof ResponseTooLargeException) {
+        if (failure instanceof BoundedBody.TooLargeException) {
             return UnknownReason.RESPONSE_TOO_LARGE;
         }
         return failure instanceof TimeoutException ? UnknownReason.DEADLINE : UnknownReason.CONNECTION_LOST;
@@ -195,13 +179,4 @@
             result.complete(new Unknown(reason, message));
         }
     }
-
-    /** The response exceeds {@link #MAX_RESPONSE_BYTES}. */
-    private static final class ResponseTooLargeException extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-
-        ResponseTooLargeException() {
-            super("response exceeds " + MAX_RESPONSE_BYTES + " bytes", null, false, false);
-        }
-    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -5,6 +5,7 @@
 
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.connection.BoundedBody;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
@@ -30,6 +31,9 @@
  * {@code ENDED} without a write. Confined to the traffic event loop.
  */
 final class BackendHttpExchange {
+    /** With its headers and those of other responses that are read meanwhile, a body has to fit into the heap. */
+    static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
+
     private static final int MISDIRECTED_REQUEST = 421;
 
     private enum Phase {
@@ -116,7 +120,13 @@
         observer.onWrite();
         Future<HttpClientResponse> responseFuture =
                 hasBody() ? connectedRequest.send(request.body()) : connectedRequest.send();
-        responseFuture.compose(this::read).onFailure(failure -> completeUnknown(UnknownReason.CONNECTION_LOST));
+        responseFuture.compose(this::read).onFailure(failure -> completeUnknown(unknownReason(failure)));
+    }
+
+    private static UnknownReason unknownReason(Throwable failure) {
+        return failure instanceof BoundedBody.TooLargeException
+                ? UnknownReason.DAMAGED_ANSWER
+                : UnknownReason.CONNECTION_LOST;
     }
 
     private boolean hasBody() {
@@ -147,17 +157,24 @@
             return Future.succeededFuture();
         }
         if (response.getHeader(headerNames.notRun()) != null || response.statusCode() == MISDIRECTED_REQUEST) {
-            return response.body().transform(read -> {
+            return readBody(response).transform(read -> {
                 complete(new NotRun(NotRunReason.REJECTED, true, Duration.ZERO));
+                if (read.failed()) {
+                    response.request().reset();
+                }
                 return Future.succeededFuture();
             });
         }
-        return response.body().compose(body -> {
+        return readBody(response).compose(body -> {
             complete(response, body);
             return Future.succeededFuture();
         });
     }
 
+    private static Future<Buffer> readBody(HttpClientResponse response) {
+        return BoundedBody.read(response, MAX_RESPONSE_BODY_BYTES);
+    }
+
     /** Accepts a response without a request id only if it states that the request did not run. */
     private boolean isResponseToRequest(HttpClientResponse response) {
         String id = response.getHeader(headerNames.requestId());
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -14,6 +14,7 @@
 import io.daisyhoist.core.route.Route;
 import io.daisyhoist.core.route.WeightedServiceSelector;
 import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.daemon.connection.BoundedBody;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
 import io.daisyhoist.mesh.connection.HeaderNames;
@@ -121,18 +122,11 @@
     }
 
     private static Future<Optional<Buffer>> readBody(HttpServerRequest http, long maxBytes) {
-        Promise<Optional<Buffer>> result = Promise.promise();
-        Buffer body = Buffer.buffer();
-        http.handler(chunk -> {
-            if (body.length() + chunk.length() > maxBytes) {
-                result.tryComplete(Optional.empty());
-                return;
-            }
-            body.appendBuffer(chunk);
-        });
-        http.exceptionHandler(result::tryFail);
-        http.endHandler(end -> result.tryComplete(Optional.of(body)));
-        return result.future();
+        return BoundedBody.read(http, maxBytes)
+                .map(Optional::of)
+                .recover(failure -> failure instanceof BoundedBody.TooLargeException
+                        ? Future.succeededFuture(Optional.empty())
+                        : Future.failedFuture(failure));
     }
 
     private Future<ClientResponse> route(
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.model.Endpoint;
@@ -23,6 +24,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -176,6 +178,74 @@
         }
     }
 
+    /** Guards against memory and work for bytes that are not a response and do not end. */
+    @Nested
+    class EndlessBytes {
+        private static final Duration DEADLINE = Duration.ofSeconds(20);
+        private static final int BLOCK_BYTES = 65_536;
+
+        private final AtomicBoolean closedByClient = new AtomicBoolean();
+
+        /** Writes a first block and then the same block again and again, as fast as the client reads. */
+        private Endpoint startEndlessServer(String first, String repeated) {
+            Buffer block = Buffer.buffer(repeated.repeat(Math.max(1, BLOCK_BYTES / repeated.length())));
+            NetServer server = vertx.createNetServer().connectHandler(socket -> {
+                socket.closeHandler(closed -> closedByClient.set(true));
+                socket.handler(request -> {
+                    socket.write(first);
+                    vertx.setPeriodic(1, timer -> {
+                        if (closedByClient.get()) {
+                            vertx.cancelTimer(timer);
+                        } else if (!socket.writeQueueFull()) {
+                            socket.write(block);
+                        }
+                    });
+                });
+            });
+            await(server.listen(0, "127.0.0.1"));
+            return new Endpoint("127.0.0.1", server.actualPort());
+        }
+
+        private void assertClosedByClient() {
+            Awaitility.await().untilTrue(closedByClient);
+        }
+
+        @Test
+        void send_endlessBody_isCutOff() {
+            Endpoint backend =
+                    startEndlessServer("HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\n\r\n", "x".repeat(BLOCK_BYTES));
+            assertEquals(new Unknown(UnknownReason.DAMAGED_ANSWER), send(backend, DEADLINE));
+            assertClosedByClient();
+        }
+
+        @Test
+        void send_endlessBodyOfRejection_isNotRun() {
+            Endpoint backend = startEndlessServer("HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n", "x".repeat(BLOCK_BYTES));
+            assertEquals(new NotRun(NotRunReason.REJECTED, true, Duration.ZERO), send(backend, DEADLINE));
+            assertClosedByClient();
+        }
+
+        @Test
+        void send_endlessHeaders_isCutOff() {
+            Endpoint backend = startEndlessServer("HTTP/1.1 200 OK\r\n", "Name: value\r\n");
+            assertInstanceOf(Unknown.class, send(backend, DEADLINE));
+            assertClosedByClient();
+        }
+
+        @Test
+        void send_endlessFirstLine_isCutOff() {
+            assertInstanceOf(Unknown.class, send(startEndlessServer("HTTP/1.1 ", "x"), DEADLINE));
+            assertClosedByClient();
+        }
+
+        /** The HTTP decoder skips line breaks before a response, so that only the deadline ends the exchange. */
+        @Test
+        void send_endlessLineBreaks_endsAtDeadline() {
+            assertInstanceOf(Unknown.class, send(startEndlessServer("", "\r\n"), Duration.ofMillis(500)));
+            assertClosedByClient();
+        }
+    }
+
     @Nested
     class Failures {
         /** Guards against reporting "not run" for a request that was written. */
