--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -335,6 +335,11 @@
 
     /** Receives changes of operator items. */
     private final class OperatorListener implements StoreCache.Listener {
+        @Override
+        public void onBatch(Runnable changes) {
+            state.applyBatch(changes);
+        }
+
         @Override
         public void onItem(StoredItem item) {
             state.onOperatorItem(item);
@@ -353,6 +358,11 @@
 
     /** Receives changes of items that daemons write. */
     private final class FleetListener implements StoreCache.Listener {
+        @Override
+        public void onBatch(Runnable changes) {
+            state.applyBatch(changes);
+        }
+
         @Override
         public void onItem(StoredItem item) {
             state.onFleetItem(item);
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
@@ -41,6 +41,8 @@
     private final Set<AvailabilityZone> evacuatedZones = new HashSet<>();
     private final Map<DaemonId, MemberEntry> members = new TreeMap<>();
     private final Map<ServiceName, StoredTable> tables = new HashMap<>();
+    private boolean inBatch;
+    private boolean changedInBatch;
 
     private static final class MemberEntry {
         private final FleetMember member;
@@ -226,7 +228,25 @@
         return RANGE_PREFIX + service;
     }
 
+    /** Applies several changes and publishes one snapshot for all of them, because its cost grows with the fleet. */
+    void applyBatch(Runnable changes) {
+        inBatch = true;
+        try {
+            changes.run();
+        } finally {
+            inBatch = false;
+            if (changedInBatch) {
+                changedInBatch = false;
+                publish();
+            }
+        }
+    }
+
     private void publish() {
+        if (inBatch) {
+            changedInBatch = true;
+            return;
+        }
         publisher.accept(snapshot());
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -36,7 +36,13 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
     /** Batches changes in quick succession into one call. */
-    private static final Duration BATCH_DELAY = Duration.ofMillis(20);
+    private static final Duration MIN_BATCH_DELAY = Duration.ofMillis(20);
+
+    /**
+     * Limits the calls while items change continuously, for example when a fleet starts and each daemon watches the
+     * registrations of all others. Small against the time in which a configuration has to be in force.
+     */
+    private static final Duration MAX_BATCH_DELAY = Duration.ofMillis(160);
 
     private final String prefix;
     private final MetadataStore store;
@@ -48,6 +54,8 @@
     private long asOf;
     private boolean connected = true;
     private long generation;
+    private Duration batchDelay = MIN_BATCH_DELAY;
+    private ElapsedTimer watchSentAt;
 
     /** Receives changes, on the control thread. */
     interface Listener {
@@ -57,6 +65,11 @@
         /** Called when a key was deleted. */
         void onDeleted(String key);
 
+        /** Applies the changes of one response of the store, which are reported by the other methods. */
+        default void onBatch(Runnable changes) {
+            changes.run();
+        }
+
         /** Called when all items of a listing that was requested at the given time have been reported. */
         void onSynchronized(ElapsedTimer sentAt);
     }
@@ -67,6 +80,7 @@
         this.control = control;
         this.time = time;
         this.listener = listener;
+        this.watchSentAt = ElapsedTimer.start(time);
     }
 
     /** Lists all items, then watches for changes; cancels a listing or watch that is in progress. */
@@ -91,7 +105,7 @@
                                 return;
                             }
                             onStoreRecovered();
-                            apply(listing);
+                            listener.onBatch(() -> apply(listing));
                             listener.onSynchronized(sentAt);
                             watch(startedGeneration);
                         },
@@ -118,7 +132,7 @@
 
     /** Applies a listing that another daemon has read, as if this daemon had read it. */
     void applyListing(List<StoredItem> listedItems, long listedAsOf) {
-        apply(new Listing(listedItems, listedAsOf));
+        listener.onBatch(() -> apply(new Listing(listedItems, listedAsOf)));
     }
 
     List<StoredItem> items() {
@@ -162,6 +176,7 @@
     }
 
     private void watch(long startedGeneration) {
+        watchSentAt = ElapsedTimer.start(time);
         store.watch(prefix, asOf, WATCH_DURATION)
                 .orTimeout(WATCH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .whenCompleteAsync(
@@ -184,13 +199,13 @@
 
     private void onWatched(long startedGeneration, WatchResult result) {
         if (result instanceof WatchResult.Changes changes) {
-            changes.events().forEach(this::onEvent);
+            listener.onBatch(() -> changes.events().forEach(this::onEvent));
             asOf = Math.max(asOf, changes.asOf());
             if (changes.events().isEmpty()) {
                 watch(startedGeneration);
             } else {
                 control.scheduleOnce(
-                        () -> runIfCurrent(startedGeneration, () -> watch(startedGeneration)), BATCH_DELAY);
+                        () -> runIfCurrent(startedGeneration, () -> watch(startedGeneration)), nextBatchDelay());
             }
             return;
         }
@@ -198,6 +213,14 @@
         listAll(startedGeneration);
     }
 
+    /** Doubles while each watch returns sooner than after the longest delay. */
+    private Duration nextBatchDelay() {
+        boolean quiet = watchSentAt.elapsed(time).compareTo(MAX_BATCH_DELAY) > 0;
+        Duration doubled = batchDelay.multipliedBy(2);
+        batchDelay = quiet ? MIN_BATCH_DELAY : doubled.compareTo(MAX_BATCH_DELAY) < 0 ? doubled : MAX_BATCH_DELAY;
+        return batchDelay;
+    }
+
     private void onEvent(StoreEvent event) {
         // A listing from another daemon may have been applied while the watch was waiting.
         if (event.revision() <= asOf) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
@@ -29,8 +29,13 @@
 
     private final ManualTimeSource time = new ManualTimeSource();
     private FleetSnapshot published = FleetSnapshot.EMPTY;
-    private final FleetState state =
-            new FleetState(time, new Documents(), MEMBER_EXPIRY, snapshot -> published = snapshot);
+    private int publications;
+    private final FleetState state = new FleetState(time, new Documents(), MEMBER_EXPIRY, this::onPublish);
+
+    private void onPublish(FleetSnapshot snapshot) {
+        published = snapshot;
+        publications++;
+    }
 
     /** Reads the value of a configuration item as its version, and all other keys as evacuated availability zones. */
     private static final class Documents implements OperatorDocuments {
@@ -132,6 +137,18 @@
             assertTrue(isMember("new"));
         }
 
+        /** Guards against work that grows with the square of the fleet when all daemons register at once. */
+        @Test
+        void applyBatch_manyMembers_publishesOnce() {
+            state.applyBatch(() -> {
+                for (int i = 0; i < 60; i++) {
+                    state.onFleetItem(memberItem("d" + i, "10.0.0." + i));
+                }
+            });
+            assertEquals(60, published.members().size());
+            assertEquals(1, publications);
+        }
+
         /** Guards against a malformed item that terminates the process or removes known state. */
         @Test
         void onFleetItem_unreadable_changesNothing() {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
@@ -2,9 +2,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 
 import io.daisyhoist.core.time.ElapsedTimer;
@@ -12,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class StoreCacheTest {
     private final Simulation simulation = new Simulation();
@@ -19,10 +22,12 @@
     private final SimulatedStore.Client client = store.client();
     private final Simulation.Process process = simulation.process();
     private final Map<String, String> reportedItems = new TreeMap<>();
+    private final Set<Long> responseTimes = new HashSet<>();
     private final StoreCache cache = new StoreCache("p/", client, process, process, new StoreCache.Listener() {
         @Override
         public void onItem(StoredItem item) {
             reportedItems.put(item.key(), new String(item.value(), StandardCharsets.UTF_8));
+            responseTimes.add(simulation.nowNanos());
         }
 
         @Override
@@ -59,6 +64,34 @@
         assertEquals(Map.of("p/a", "2"), reportedItems);
     }
 
+    /** Guards against a call for each change while a large fleet starts, which costs each daemon its first seconds. */
+    @Test
+    void continuousChanges_arriveInFewResponses() {
+        start();
+        int changes = 200;
+        for (int i = 1; i <= changes; i++) {
+            String value = Integer.toString(i);
+            simulation.at(Duration.ofMillis(10 * i), () -> put("p/a", value));
+        }
+        runFor(3);
+        assertEquals(Map.of("p/a", Integer.toString(changes)), reportedItems);
+        int expectedResponses = 2_000 / 160;
+        assertTrue(responseTimes.size() <= expectedResponses + 5, responseTimes.size() + " responses");
+    }
+
+    /** Guards against late changes after a time with many. */
+    @Test
+    void changeAfterContinuousChanges_arrivesAtOnce() {
+        start();
+        for (int i = 1; i <= 100; i++) {
+            simulation.at(Duration.ofMillis(10 * i), () -> put("p/a", "1"));
+        }
+        runFor(2);
+        put("p/a", "2");
+        simulation.runFor(Duration.ofMillis(100));
+        assertEquals(Map.of("p/a", "2"), reportedItems);
+    }
+
     /** Guards against missed changes when the store has discarded its history. */
     @Test
     void historyLost_itemsAreListedAgain() {
