Bound the connections and messages of the exchange between daemons

Change: reports go to neighbours at distances 1, 2, 4, ... in the ring of members, and to at most 8 daemons of the service in turn, over the connections of the request path. In services of up to 9 daemons everybody hears from everybody as before; in one of 30, every 2 s instead of every 0.5 s.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -232,8 +232,9 @@
         }
     }
 
+    /** Uses the connections of the request path, so that a large fleet does not need twice as many. */
     private void sendToPeers(List<FleetMember> receivers, Envelope message) {
         receivers.forEach(member ->
-                peerClient.send(new Endpoint(member.peerHost(), member.peerPort()), PeerChannel.CONTROL, message));
+                peerClient.send(new Endpoint(member.peerHost(), member.peerPort()), PeerChannel.TRAFFIC, message));
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetGossip.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetGossip.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +27,7 @@
  * reach daemons whose calls the store refuses.
  *
  * <p>Invariants: operator items are accepted from a peer only if they are newer than the local copy; each report is sent to
- * a number of daemons that does not depend on the size of the fleet, and to those that hold keys of the same service.
+ * a number of daemons that does not depend on the size of the fleet or of the service.
  * Confined to the control thread.
  */
 final class FleetGossip implements RangeAssigner.PeerLoadExchange {
@@ -35,11 +36,14 @@
     /** An announced move usually completes in this time: a heartbeat of the source and the end of its requests. */
     private static final Duration ANNOUNCED_MOVE_DURATION = Duration.ofMillis(2_500);
 
-    /** Randomly chosen receivers of each report. */
+    /** Randomly chosen neighbours that receive each report. */
     private static final int FANOUT = 2;
 
-    /** Several report intervals, so that a lost report does not remove the load of a peer. */
-    private static final Duration LOAD_VALIDITY = Duration.ofSeconds(3);
+    /** Bounds the messages of a daemon in a large service, whose daemons receive its reports in turn. */
+    private static final int MAX_SERVICE_RECEIVERS = 8;
+
+    /** Several turns of a service of a few dozen daemons, so that a lost report does not remove the load of a peer. */
+    private static final Duration LOAD_VALIDITY = Duration.ofSeconds(6);
 
     private final DaemonId self;
     private final TimeSource time;
@@ -50,6 +54,7 @@
     private final FleetControl.PeerSender sender;
     private final Map<DaemonId, PeerLoad> peerLoads = new HashMap<>();
     private long moveAnnouncedUntilNanos;
+    private int turn;
 
     private record PeerLoad(double busySlots, ElapsedTimer receivedAt) {}
 
@@ -71,19 +76,50 @@
         this.moveAnnouncedUntilNanos = time.monotonicNanos();
     }
 
-    /** Sends a load report to randomly chosen daemons and to those that match the predicate. */
-    void report(Predicate<FleetMember> alwaysIncluded) {
-        List<FleetMember> others = fleet.get().members().values().stream()
-                .filter(member -> !member.daemon().equals(self))
+    /** Sends a load report to two neighbours and to some of the daemons that match the predicate, all of them in turn. */
+    void report(Predicate<FleetMember> sameService) {
+        List<FleetMember> members = fleet.get().members().values().stream()
+                .sorted(Comparator.comparing(FleetMember::daemon))
                 .toList();
-        List<FleetMember> receivers =
-                new ArrayList<>(others.stream().filter(alwaysIncluded).toList());
-        for (int i = 0; i < FANOUT && !others.isEmpty(); i++) {
-            receivers.add(others.get(random.nextInt(others.size())));
+        List<FleetMember> receivers = new ArrayList<>(inTurn(members.stream()
+                .filter(member -> !member.daemon().equals(self))
+                .filter(sameService)
+                .toList()));
+        List<FleetMember> neighbours = neighbours(members);
+        for (int i = 0; i < FANOUT && !neighbours.isEmpty(); i++) {
+            receivers.add(neighbours.get(random.nextInt(neighbours.size())));
         }
         sendLoad(receivers.stream().distinct().toList(), false);
     }
 
+    private List<FleetMember> inTurn(List<FleetMember> serviceMembers) {
+        int count = Math.min(MAX_SERVICE_RECEIVERS, serviceMembers.size());
+        List<FleetMember> receivers = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            receivers.add(serviceMembers.get(Math.floorMod(turn++, serviceMembers.size())));
+        }
+        return receivers;
+    }
+
+    /**
+     * Returns the daemons at distances 1, 2, 4, ... in the ring of all members. Reports reach the whole fleet in a few
+     * steps, over a number of connections for each daemon that grows with the logarithm of the fleet only.
+     */
+    private List<FleetMember> neighbours(List<FleetMember> ring) {
+        int position = 0;
+        while (position < ring.size() && ring.get(position).daemon().compareTo(self) < 0) {
+            position++;
+        }
+        List<FleetMember> neighbours = new ArrayList<>();
+        for (int distance = 1; distance < ring.size(); distance *= 2) {
+            FleetMember neighbour = ring.get((position + distance) % ring.size());
+            if (!neighbour.daemon().equals(self)) {
+                neighbours.add(neighbour);
+            }
+        }
+        return neighbours;
+    }
+
     /** Handles a load report of another daemon. */
     void onLoad(FleetLoad load) {
         DaemonId from = new DaemonId(load.getDaemon());
