Keep the timers of the request path instead of looking them up

Cause: each answer and each run built a timer with its tags and buckets anew, only to find the one that was registered.

Change: timers are kept by the values of their labels, which come from the configuration and from fixed sets.

--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -1,6 +1,8 @@
 package io.daisyhoist.mesh.telemetry;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
 import io.daisyhoist.core.model.ServiceName;
@@ -29,25 +31,44 @@
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+    /** Looking up a registered timer by its tags costs more than recording a value. */
+    private final Map<ResponseSeries, Timer> responseTimers = new ConcurrentHashMap<>();
+
+    private final Map<RunSeries, Timer> runTimers = new ConcurrentHashMap<>();
+
+    private record ResponseSeries(String route, ServiceName service, int status) {}
+
+    private record RunSeries(ServiceName service, String outcome) {}
+
     /** Records a response to a client. */
     public void onResponse(String route, ServiceName service, int status, Duration latency) {
-        timer("daisyhoist.fleet.request", "Time from the arrival of a request to its answer")
-                .tag("route", route)
-                .tag("service", service.name())
-                .tag("status", Integer.toString(status))
-                .register(registry)
+        responseTimers
+                .computeIfAbsent(new ResponseSeries(route, service, status), this::register)
                 .record(latency);
     }
 
     /** Records a request that was sent to the local backend server. */
     public void onRun(ServiceName service, String outcome, Duration latency) {
-        timer("daisyhoist.fleet.run", "Time from sending a request to the backend server to its end")
-                .tag("service", service.name())
-                .tag("outcome", outcome)
-                .register(registry)
+        runTimers
+                .computeIfAbsent(new RunSeries(service, outcome), this::register)
                 .record(latency);
     }
 
+    private Timer register(ResponseSeries series) {
+        return timer("daisyhoist.fleet.request", "Time from the arrival of a request to its answer")
+                .tag("route", series.route())
+                .tag("service", series.service().name())
+                .tag("status", Integer.toString(series.status()))
+                .register(registry);
+    }
+
+    private Timer register(RunSeries series) {
+        return timer("daisyhoist.fleet.run", "Time from sending a request to the backend server to its end")
+                .tag("service", series.service().name())
+                .tag("outcome", series.outcome())
+                .register(registry);
+    }
+
     /** Counts a request that admission control refused. */
     public void onRefusal(String reason) {
         registry.counter("daisyhoist.fleet.refusals", "reason", reason).increment();
