Train the class archive with the whole request path

Callers saw: hardly anything served for four seconds after all processes were started again, and requests that were worked on for nobody (SHORT, GONE).

Cause: the run that records the class archive asked for a route that does not exist. The classes of forwarding, admission, the backend client, the peer protocol and logging were not in the archive and were read, checked and linked while the first requests waited; string concatenation was linked at run time as well.

Change: the training run sends 120 requests through a private request path on loopback, with a backend server and a peer of its own, and logs them to nowhere.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -41,6 +41,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 
 /**
@@ -71,6 +72,7 @@
     private final FleetSettings settings;
     private final Vertx vertx;
     private final Context context;
+    private final HeaderNames headerNames;
     private final TimeSource time = new SystemTimeSource();
     private final ControlThread control = new ControlThread();
     private final FleetMetrics metrics = new FleetMetrics();
@@ -93,6 +95,7 @@
         this.settings = settings;
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
+        this.headerNames = headerNames;
         long incarnation = new SecureRandom().nextLong() >>> 1;
         PeerIdentity identity = new PeerIdentity(CLUSTER, new ProcessId(settings.daemon(), incarnation));
         this.peerClient = new PeerClient(peerLoops, identity, PEER_LIMITS, ThreadLocalRandom.current());
@@ -175,6 +178,15 @@
                 run -> clientServer.listen(settings.clientAddress()).onFailure(this::failIfPresent));
     }
 
+    /** Loads and compiles the code of the request path; the future completes when that has ended. */
+    public Future<Void> warmUp() {
+        Promise<Void> done = Promise.promise();
+        context.runOnContext(run -> new RequestPathWarmUp(vertx, context, time, headerNames, peerLoops)
+                .run()
+                .onComplete(done));
+        return done.future();
+    }
+
     /** Returns the handler of heartbeats and leave notifications of the local backend server. */
     public BackendReportHandler backendReportHandler() {
         return fleetControl;
--- /dev/null
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathWarmUp.java
@@ -0,0 +1,254 @@
+package io.daisyhoist.mesh.process;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+
+import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.fleet.BackendHeartbeat;
+import io.daisyhoist.core.fleet.BackendProcessId;
+import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.fleet.LocalBackend;
+import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.retry.FleetRetryBudget;
+import io.daisyhoist.core.route.ClientLimits;
+import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.core.route.Route;
+import io.daisyhoist.core.route.RouteKind;
+import io.daisyhoist.core.route.RouteTable;
+import io.daisyhoist.core.route.WeightedService;
+import io.daisyhoist.core.routing.LoadBalancer;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.connection.PeerClient;
+import io.daisyhoist.daemon.connection.PeerIdentity;
+import io.daisyhoist.daemon.connection.PeerLimits;
+import io.daisyhoist.daemon.connection.PeerServer;
+import io.daisyhoist.mesh.connection.BackendHttpClient;
+import io.daisyhoist.mesh.connection.HeaderNames;
+import io.daisyhoist.mesh.request.BackendAdmission;
+import io.daisyhoist.mesh.request.ClientServer;
+import io.daisyhoist.mesh.request.ForwardReceiver;
+import io.daisyhoist.mesh.request.Forwarder;
+import io.daisyhoist.mesh.request.RequestContext;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
+import io.daisyhoist.mesh.version.FleetSnapshot;
+import io.daisyhoist.mesh.version.LocalBackendSnapshot;
+import io.daisyhoist.wire.proto.FleetLoad;
+import io.daisyhoist.wire.proto.OperatorItems;
+import io.netty.channel.EventLoopGroup;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+
+/**
+ * Sends requests through a private request path on loopback, so that its code is loaded and compiled before clients need it.
+ *
+ * <p>An interpreted request path takes many times the processor time of a compiled one; on a small instance, the first
+ * requests of clients would make the event loop late. Invariant: nothing of this request path is visible outside the process
+ * except log lines, whose request ids begin with {@code warm-up}. Confined to the traffic event loop.
+ */
+public final class RequestPathWarmUp {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** The compiler translates a method after 200 calls; most methods are called several times for each request. */
+    private static final int REQUESTS = 120;
+
+    private static final int CONCURRENT_REQUESTS = 2;
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String NAME = "warm-up";
+    private static final ServiceName SERVICE = new ServiceName(NAME);
+    private static final AvailabilityZone ZONE = new AvailabilityZone(NAME);
+    private static final DaemonId SELF = new DaemonId(NAME + "-local");
+    private static final DaemonId PEER = new DaemonId(NAME + "-peer");
+    private static final BackendProcessId BACKEND = new BackendProcessId(NAME, 1);
+    private static final int SLOTS = 2 * CONCURRENT_REQUESTS;
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final Buffer BODY = Buffer.buffer("x".repeat(512));
+
+    private final Vertx vertx;
+    private final Context context;
+    private final TimeSource time;
+    private final HeaderNames headerNames;
+    private final FleetMetrics metrics = new FleetMetrics();
+    private final BackendHttpClient backendClient;
+    private final PeerClient peerClient;
+    private final PeerServer peerServer;
+    private final HttpServer backend;
+    private final HttpClient client;
+    private final ClientServer clientServer;
+    private FleetSnapshot fleet = FleetSnapshot.EMPTY;
+    private LocalBackendSnapshot localBackend = LocalBackendSnapshot.EMPTY;
+    private int clientPort;
+    private int started;
+
+    public RequestPathWarmUp(
+            Vertx vertx, Context context, TimeSource time, HeaderNames headerNames, EventLoopGroup peerLoops) {
+        this.vertx = vertx;
+        this.context = context;
+        this.time = time;
+        this.headerNames = headerNames;
+        this.backendClient = new BackendHttpClient(vertx, context, headerNames, SLOTS, time);
+        BackendAdmission admission = new BackendAdmission(
+                time, ZONE, () -> fleet, () -> localBackend, backendClient, (key, duration) -> {}, metrics);
+        PeerIdentity identity = new PeerIdentity(NAME, new ProcessId(SELF, 1));
+        this.peerClient = new PeerClient(peerLoops, identity, PeerLimits.DEFAULT, ThreadLocalRandom.current());
+        this.peerServer = new PeerServer(
+                peerLoops,
+                identity,
+                PeerLimits.DEFAULT,
+                new ForwardReceiver(context, admission, time, new NoControlMessages(), request -> true));
+        this.clientServer = new ClientServer(vertx, requestContext(admission), headerNames);
+        this.backend = vertx.createHttpServer().requestHandler(this::respond);
+        this.client = vertx.createHttpClient();
+    }
+
+    private RequestContext requestContext(BackendAdmission admission) {
+        LoadBalancer loadBalancer = new LoadBalancer(time, new SplittableRandom(1), ZONE);
+        return new RequestContext(
+                vertx,
+                time,
+                () -> fleet,
+                SERVICE,
+                new Forwarder(context, SELF, admission, peerClient, loadBalancer, time),
+                loadBalancer,
+                new FleetRetryBudget(time, 1, REQUESTS, TIMEOUT),
+                metrics);
+    }
+
+    /** Control messages are not part of the request path. */
+    private static final class NoControlMessages implements ForwardReceiver.PeerMessageListener {
+        @Override
+        public void onLoad(FleetLoad load) {
+            throw new UnsupportedOperationException("not sent in a warm-up");
+        }
+
+        @Override
+        public void onOperatorItems(OperatorItems items) {
+            throw new UnsupportedOperationException("not sent in a warm-up");
+        }
+    }
+
+    private void respond(HttpServerRequest request) {
+        request.body()
+                .onSuccess(body -> request.response()
+                        .putHeader(headerNames.requestId(), request.getHeader(headerNames.requestId()))
+                        .putHeader(headerNames.signature(), NAME)
+                        .end(BODY));
+    }
+
+    /** Runs the warm-up; the future completes when it has ended, also if it failed. */
+    public Future<Void> run() {
+        long startedNanos = time.monotonicNanos();
+        return listen().compose(listening -> sendAll())
+                .onFailure(failure -> LOGGER.atWarning().withCause(failure).log("event=warm_up_failed"))
+                .otherwiseEmpty()
+                .onComplete(done -> {
+                    close();
+                    LOGGER.atInfo().log(
+                            "event=warm_up_done requests=%d elapsed_ms=%d",
+                            started,
+                            Duration.ofNanos(time.monotonicNanos() - startedNanos)
+                                    .toMillis());
+                });
+    }
+
+    private Future<Void> listen() {
+        Promise<Endpoint> peerAddress = Promise.promise();
+        peerServer
+                .listen(LOOPBACK, 0)
+                .whenComplete((address, failure) -> context.runOnContext(run -> {
+                    if (failure == null) {
+                        peerAddress.complete(address);
+                    } else {
+                        peerAddress.fail(failure);
+                    }
+                }));
+        return Future.all(backend.listen(0, LOOPBACK), clientServer.listenOnFreePort(LOOPBACK), peerAddress.future())
+                .map(listening -> {
+                    clientPort = ((HttpServer) listening.resultAt(1)).actualPort();
+                    publish(listening.resultAt(2));
+                    return null;
+                });
+    }
+
+    private void publish(Endpoint peerAddress) {
+        Endpoint backendAddress = new Endpoint(LOOPBACK, backend.actualPort());
+        BackendHeartbeat heartbeat = new BackendHeartbeat(
+                BACKEND, 1, backendAddress, SERVICE, SLOTS, false, Duration.ZERO, List.of(), List.of());
+        localBackend = new LocalBackendSnapshot(
+                Optional.of(LocalBackend.afterHeartbeat(Optional.empty(), heartbeat, time)), List.of(), 0, false);
+        Route route = new Route(
+                NAME,
+                NAME,
+                "/",
+                RouteKind.IDEMPOTENT,
+                TIMEOUT,
+                TIMEOUT,
+                1,
+                List.of(new WeightedService(SERVICE, 1)),
+                2);
+        fleet = new FleetSnapshot(
+                Optional.of(new FleetConfig(1, new RouteTable(List.of(route)), Map.of(), ClientLimits.DEFAULT)),
+                Set.of(),
+                Map.of(SELF, member(SELF, peerAddress), PEER, member(PEER, peerAddress)),
+                Map.of());
+    }
+
+    private static FleetMember member(DaemonId daemon, Endpoint peerAddress) {
+        return new FleetMember(
+                daemon,
+                1,
+                ZONE,
+                peerAddress.host(),
+                peerAddress.port(),
+                SERVICE,
+                Optional.of(new FleetMember.MemberBackend(BACKEND.id(), BACKEND.startedMillis(), SLOTS, true)));
+    }
+
+    private Future<Void> sendAll() {
+        Future<Void> all = Future.succeededFuture();
+        for (int i = 0; i < CONCURRENT_REQUESTS; i++) {
+            Future<Void> chain = sendNext();
+            all = Future.all(all, chain).mapEmpty();
+        }
+        return all;
+    }
+
+    private Future<Void> sendNext() {
+        if (started >= REQUESTS) {
+            return Future.succeededFuture();
+        }
+        int number = ++started;
+        HttpMethod method = number % 2 == 0 ? HttpMethod.GET : HttpMethod.POST;
+        return client.request(method, clientPort, LOOPBACK, "/" + number)
+                .compose(request -> request.putHeader("Host", NAME)
+                        .putHeader(headerNames.requestId(), NAME + "-" + number)
+                        .putHeader(headerNames.deadlineMs(), Long.toString(TIMEOUT.toMillis()))
+                        .send(method == HttpMethod.POST ? BODY : Buffer.buffer()))
+                .compose(response -> response.body())
+                .compose(body -> sendNext());
+    }
+
+    private void close() {
+        client.close();
+        clientServer.close();
+        peerClient.close();
+        peerServer.close();
+        backendClient.close();
+        backend.close();
+    }
+}
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -71,6 +71,16 @@
         return server.listen(address.port(), address.host());
     }
 
+    /** Starts listening on any free port. */
+    public Future<HttpServer> listenOnFreePort(String host) {
+        return server.listen(0, host);
+    }
+
+    /** Stops listening and closes all connections. */
+    public Future<Void> close() {
+        return server.close();
+    }
+
     /** Closes each connection after its next response. */
     public void closeConnectionsAfterResponses() {
         closing = true;
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/BoundedLogHandler.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/BoundedLogHandler.java
@@ -44,14 +44,14 @@
         writer.start();
     }
 
-    /** Installs a handler that writes log records of the project at or above a level to standard output. */
-    public static BoundedLogHandler install(Level level) {
-        BoundedLogHandler log = new BoundedLogHandler(System.out);
+    /** Installs a handler that writes log records of the project at or above level INFO to an output. */
+    public static BoundedLogHandler install(PrintStream output) {
+        BoundedLogHandler log = new BoundedLogHandler(output);
         LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
         root.addHandler(log);
         root.setLevel(Level.WARNING);
-        Logger.getLogger("io.daisyhoist").setLevel(level);
+        Logger.getLogger("io.daisyhoist").setLevel(Level.INFO);
         return log;
     }
 
