Log and measure how late the traffic event loop runs

Cause: the logs of the incident could not tell a late event loop from a lost connection: request_done counts from the moment at which a request was read, and a daemon that stands still writes nothing.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -34,6 +34,7 @@
 import io.daisyhoist.mesh.request.RequestContext;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.telemetry.EventLoopDelay;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.wire.proto.Envelope;
 import io.netty.channel.EventLoopGroup;
@@ -76,6 +77,7 @@
     private final TimeSource time = new SystemTimeSource();
     private final ControlThread control = new ControlThread();
     private final FleetMetrics metrics = new FleetMetrics();
+    private final EventLoopDelay eventLoopDelay;
     private final FleetControl fleetControl;
     private final EventLoopGroup peerLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final PeerClient peerClient;
@@ -96,6 +98,7 @@
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.headerNames = headerNames;
+        this.eventLoopDelay = new EventLoopDelay(vertx, time);
         long incarnation = new SecureRandom().nextLong() >>> 1;
         PeerIdentity identity = new PeerIdentity(CLUSTER, new ProcessId(settings.daemon(), incarnation));
         this.peerClient = new PeerClient(peerLoops, identity, PEER_LIMITS, ThreadLocalRandom.current());
@@ -146,6 +149,10 @@
         metrics.gauge("daisyhoist.fleet.in.flight", "Requests of clients without an answer", clientServer::inFlight);
         metrics.gauge(
                 "daisyhoist.fleet.backend.busy", "Requests at the backend server or waiting for it", admission::busy);
+        metrics.gauge(
+                "daisyhoist.fleet.event.loop.delay",
+                "Milliseconds by which the traffic event loop last ran late",
+                () -> eventLoopDelay.latest().toMillis());
         metrics.gauge(
                 "daisyhoist.fleet.members",
                 "Daemons that are known",
@@ -174,6 +181,7 @@
         CompletionStage<Endpoint> listening = peerServer.listen(
                 settings.peerAddress().host(), settings.peerAddress().port());
         listening.whenComplete((address, failure) -> failIfPresent(failure));
+        context.runOnContext(run -> eventLoopDelay.start());
         context.runOnContext(
                 run -> clientServer.listen(settings.clientAddress()).onFailure(this::failIfPresent));
     }
