--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -186,10 +186,10 @@
                 run -> clientServer.listen(settings.clientAddress()).onFailure(this::failIfPresent));
     }
 
-    /** Loads and compiles the code of the request path; the future completes when that has ended. */
-    public Future<Void> warmUp() {
+    /** Loads the classes of the request path; the future fails if that was not possible. */
+    public Future<Void> trainRequestPath() {
         Promise<Void> done = Promise.promise();
-        context.runOnContext(run -> new RequestPathWarmUp(vertx, context, time, headerNames, peerLoops)
+        context.runOnContext(run -> new RequestPathTraining(vertx, context, time, headerNames, peerLoops)
                 .run()
                 .onComplete(done));
         return done.future();
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathWarmUp.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
@@ -8,7 +8,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
 
-import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
@@ -51,25 +50,25 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpResponseExpectation;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 
 /**
- * Sends requests through a private request path on loopback, so that its code is loaded and compiled before clients need it.
+ * Sends requests through a private request path on loopback, so that its classes are loaded and become part of the class data
+ * sharing archive.
  *
- * <p>An interpreted request path takes many times the processor time of a compiled one; on a small instance, the first
- * requests of clients would make the event loop late. Invariant: nothing of this request path is visible outside the process
- * except log lines, whose request ids begin with {@code warm-up}. Confined to the traffic event loop.
+ * <p>Without them in the archive, the first requests after a start wait until the classes have been read, verified and
+ * linked, which makes the event loop of a small instance late. Invariant: nothing of this request path is visible outside the
+ * process except log lines. Confined to the traffic event loop.
  */
-public final class RequestPathWarmUp {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
-    /** The compiler translates a method after 200 calls; most methods are called several times for each request. */
+final class RequestPathTraining {
+    /** Enough for both kinds of forwarding, with and without a body, in any order of events. */
     private static final int REQUESTS = 120;
 
     private static final int CONCURRENT_REQUESTS = 2;
     private static final String LOOPBACK = "127.0.0.1";
-    private static final String NAME = "warm-up";
+    private static final String NAME = "training";
     private static final ServiceName SERVICE = new ServiceName(NAME);
     private static final AvailabilityZone ZONE = new AvailabilityZone(NAME);
     private static final DaemonId SELF = new DaemonId(NAME + "-local");
@@ -95,7 +94,7 @@
     private int clientPort;
     private int started;
 
-    public RequestPathWarmUp(
+    RequestPathTraining(
             Vertx vertx, Context context, TimeSource time, HeaderNames headerNames, EventLoopGroup peerLoops) {
         this.vertx = vertx;
         this.context = context;
@@ -133,12 +132,12 @@
     private static final class NoControlMessages implements ForwardReceiver.PeerMessageListener {
         @Override
         public void onLoad(FleetLoad load) {
-            throw new UnsupportedOperationException("not sent in a warm-up");
+            throw new UnsupportedOperationException("not sent in a training run");
         }
 
         @Override
         public void onOperatorItems(OperatorItems items) {
-            throw new UnsupportedOperationException("not sent in a warm-up");
+            throw new UnsupportedOperationException("not sent in a training run");
         }
     }
 
@@ -150,20 +149,9 @@
                         .end(BODY));
     }
 
-    /** Runs the warm-up; the future completes when it has ended, also if it failed. */
-    public Future<Void> run() {
-        long startedNanos = time.monotonicNanos();
-        return listen().compose(listening -> sendAll())
-                .onFailure(failure -> LOGGER.atWarning().withCause(failure).log("event=warm_up_failed"))
-                .otherwiseEmpty()
-                .onComplete(done -> {
-                    close();
-                    LOGGER.atInfo().log(
-                            "event=warm_up_done requests=%d elapsed_ms=%d",
-                            started,
-                            Duration.ofNanos(time.monotonicNanos() - startedNanos)
-                                    .toMillis());
-                });
+    /** Sends the requests; the future fails if any of them is not answered with success. */
+    Future<Void> run() {
+        return listen().compose(listening -> sendAll()).onComplete(done -> close());
     }
 
     private Future<Void> listen() {
@@ -239,6 +227,7 @@
                         .putHeader(headerNames.requestId(), NAME + "-" + number)
                         .putHeader(headerNames.deadlineMs(), Long.toString(TIMEOUT.toMillis()))
                         .send(method == HttpMethod.POST ? BODY : Buffer.buffer()))
+                .expecting(HttpResponseExpectation.SC_OK)
                 .compose(response -> response.body())
                 .compose(body -> sendNext());
     }
