Send the requests of the training run one after the other

Cause: each request of the training was chained to the future of the one before. A trial with 800 requests instead of 120 never ended, in a build with small thread stacks; it used its processor time and then waited for a future of 400 levels.

Change: the answers are counted, and no future depends on another.

The daemon's own code is unchanged; only the build runs this class.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
@@ -93,6 +93,7 @@
     private LocalBackendSnapshot localBackend = LocalBackendSnapshot.EMPTY;
     private int clientPort;
     private int started;
+    private int answered;
 
     RequestPathTraining(
             Vertx vertx, Context context, TimeSource time, HeaderNames headerNames, EventLoopGroup peerLoops) {
@@ -208,19 +209,28 @@
     }
 
     private Future<Void> sendAll() {
-        Future<Void> all = Future.succeededFuture();
+        Promise<Void> all = Promise.promise();
         for (int i = 0; i < CONCURRENT_REQUESTS; i++) {
-            Future<Void> chain = sendNext();
-            all = Future.all(all, chain).mapEmpty();
+            sendNext(all);
         }
-        return all;
+        return all.future();
     }
 
-    private Future<Void> sendNext() {
+    private void sendNext(Promise<Void> all) {
         if (started >= REQUESTS) {
-            return Future.succeededFuture();
+            return;
         }
-        int number = ++started;
+        started++;
+        send(started).onFailure(all::tryFail).onSuccess(body -> {
+            answered++;
+            if (answered == REQUESTS) {
+                all.tryComplete();
+            }
+            sendNext(all);
+        });
+    }
+
+    private Future<Buffer> send(int number) {
         HttpMethod method = number % 2 == 0 ? HttpMethod.GET : HttpMethod.POST;
         return client.request(method, clientPort, LOOPBACK, "/" + number)
                 .compose(request -> request.putHeader("Host", NAME)
@@ -228,8 +238,7 @@
                         .putHeader(headerNames.deadlineMs(), Long.toString(TIMEOUT.toMillis()))
                         .send(method == HttpMethod.POST ? BODY : Buffer.buffer()))
                 .expecting(HttpResponseExpectation.SC_OK)
-                .compose(response -> response.body())
-                .compose(body -> sendNext());
+                .compose(response -> response.body());
     }
 
     private void close() {
