Share the header names of the mesh tests

Cause: four tests of the fleet mode each named the same ten header fields.

Change: TestHeaderNames holds them.

--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -34,22 +33,10 @@
 
 /** Tests against a TCP server that sends fixed bytes in response to each request. */
 class BackendHttpClientTest {
-    private static final HeaderNames NAMES = new HeaderNames(
-            "Id",
-            "Deadline",
-            "Expected",
-            "Actual",
-            "Caller",
-            "Key",
-            "Signature",
-            "Not-Run",
-            "Load",
-            value -> OptionalDouble.empty());
-
     private final Vertx vertx = Vertx.vertx();
     private final Context context = vertx.getOrCreateContext();
     private final TimeSource time = new SystemTimeSource();
-    private final BackendHttpClient client = new BackendHttpClient(vertx, context, NAMES, 4, time);
+    private final BackendHttpClient client = new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, 4, time);
     private final Promise<Void> cancelled = Promise.promise();
     private boolean mayBeWritten = true;
     private boolean cancelAfterWrite;
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/RequestPathTrainingTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/RequestPathTrainingTest.java
@@ -1,10 +1,9 @@
 package io.daisyhoist.mesh.process;
 
-import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
 import io.daisyhoist.core.time.SystemTimeSource;
-import io.daisyhoist.mesh.connection.HeaderNames;
+import io.daisyhoist.mesh.connection.TestHeaderNames;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -15,18 +14,6 @@
 import org.junit.jupiter.api.Test;
 
 class RequestPathTrainingTest {
-    private static final HeaderNames NAMES = new HeaderNames(
-            "Id",
-            "Deadline",
-            "Expected",
-            "Actual",
-            "Caller",
-            "Key",
-            "Signature",
-            "Not-Run",
-            "Load",
-            value -> OptionalDouble.empty());
-
     private final Vertx vertx = Vertx.vertx();
     private final EventLoopGroup peerLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
@@ -41,9 +28,10 @@
     void run_allRequests_areServed() throws Exception {
         Context context = vertx.getOrCreateContext();
         Promise<Void> done = Promise.promise();
-        context.runOnContext(run -> new RequestPathTraining(vertx, context, new SystemTimeSource(), NAMES, peerLoops)
-                .run()
-                .onComplete(done));
+        context.runOnContext(
+                run -> new RequestPathTraining(vertx, context, new SystemTimeSource(), TestHeaderNames.NAMES, peerLoops)
+                        .run()
+                        .onComplete(done));
         done.future().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
     }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -20,7 +19,7 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.BackendRequestData;
-import io.daisyhoist.mesh.connection.HeaderNames;
+import io.daisyhoist.mesh.connection.TestHeaderNames;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalBackendSnapshot;
@@ -37,18 +36,6 @@
     static final ServiceName SERVICE = new ServiceName("s");
 
     private static final BackendProcessId BACKEND = new BackendProcessId("b", 1);
-    private static final HeaderNames NAMES = new HeaderNames(
-            "Id",
-            "Deadline",
-            "Expected",
-            "Actual",
-            "Caller",
-            "Key",
-            "Signature",
-            "Not-Run",
-            "Load",
-            value -> OptionalDouble.empty());
-
     final Vertx vertx = Vertx.vertx();
     final Context context = vertx.getOrCreateContext();
     final TimeSource time = new SystemTimeSource();
@@ -71,7 +58,7 @@
                 new AvailabilityZone("z"),
                 () -> fleet,
                 () -> snapshot,
-                new BackendHttpClient(vertx, context, NAMES, 4, time),
+                new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, 4, time),
                 (key, duration) -> {},
                 new FleetMetrics());
     }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -31,7 +30,7 @@
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
-import io.daisyhoist.mesh.connection.HeaderNames;
+import io.daisyhoist.mesh.connection.TestHeaderNames;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.vertx.core.Future;
@@ -47,17 +46,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 class ClientServerTest {
-    private static final HeaderNames NAMES = new HeaderNames(
-            "Id",
-            "Deadline",
-            "Expected",
-            "Actual",
-            "Caller",
-            "Key",
-            "Signature",
-            "Not-Run",
-            "Load",
-            value -> OptionalDouble.empty());
     private static final FleetSnapshot WITHOUT_ROUTES = new FleetSnapshot(
             Optional.of(new FleetConfig(1, new RouteTable(List.of()), Map.of(), ClientLimits.DEFAULT)),
             Set.of(),
@@ -70,7 +58,7 @@
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final AtomicInteger sends = new AtomicInteger();
     private FleetSnapshot fleet = WITHOUT_ROUTES;
-    private final ClientServer server = new ClientServer(vertx, context(), NAMES);
+    private final ClientServer server = new ClientServer(vertx, context(), TestHeaderNames.NAMES);
     private final int port =
             result(server.listen(new Endpoint("127.0.0.1", freePort()))).actualPort();
 
