--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -213,11 +213,13 @@
         listAll(startedGeneration);
     }
 
-    /** Doubles while each watch returns sooner than after the longest delay. */
+    /** Doubles up to the longest delay while watches return sooner than that. */
     private Duration nextBatchDelay() {
-        boolean quiet = watchSentAt.elapsed(time).compareTo(MAX_BATCH_DELAY) > 0;
-        Duration doubled = batchDelay.multipliedBy(2);
-        batchDelay = quiet ? MIN_BATCH_DELAY : doubled.compareTo(MAX_BATCH_DELAY) < 0 ? doubled : MAX_BATCH_DELAY;
+        if (watchSentAt.elapsed(time).compareTo(MAX_BATCH_DELAY) > 0) {
+            batchDelay = MIN_BATCH_DELAY;
+        } else if (batchDelay.compareTo(MAX_BATCH_DELAY) < 0) {
+            batchDelay = batchDelay.multipliedBy(2);
+        }
         return batchDelay;
     }
 
