--- a/core/src/main/java/io/daisyhoist/core/fleet/BackendProcessId.java
+++ b/core/src/main/java/io/daisyhoist/core/fleet/BackendProcessId.java
@@ -9,6 +9,30 @@
  * @param startedMillis start time of the process, in milliseconds since the Unix epoch
  */
 public record BackendProcessId(String id, long startedMillis) {
+    private static final int MAX_ID_CHARS = 200;
+
+    /** Validates the id, which is sent in a header field, and the start time. */
+    public BackendProcessId {
+        requireValid(id, startedMillis);
+    }
+
+    /**
+     * Checks an identity without creating it.
+     *
+     * @throws IllegalArgumentException if the id has another syntax or the start time is negative
+     */
+    public static void requireValid(String id, long startedMillis) {
+        if (id == null
+                || id.isEmpty()
+                || id.length() > MAX_ID_CHARS
+                || !id.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+            throw new IllegalArgumentException("backend id must be 1 to " + MAX_ID_CHARS + " visible ASCII characters");
+        }
+        if (startedMillis < 0) {
+            throw new IllegalArgumentException("start time must not be negative: " + startedMillis);
+        }
+    }
+
     /** Returns whether this process started after another one. */
     public boolean startedAfter(BackendProcessId other) {
         return startedMillis > other.startedMillis;
--- a/core/src/main/java/io/daisyhoist/core/fleet/FleetMember.java
+++ b/core/src/main/java/io/daisyhoist/core/fleet/FleetMember.java
@@ -1,10 +1,12 @@
 package io.daisyhoist.core.fleet;
 
+import java.util.Objects;
 import java.util.Optional;
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
 
 /**
@@ -26,6 +28,14 @@
         int peerPort,
         ServiceName service,
         Optional<MemberBackend> backend) {
+    /** Validates that all fields are present and that the peer address can be connected to. */
+    public FleetMember {
+        Objects.requireNonNull(daemon, "daemon");
+        Objects.requireNonNull(availabilityZone, "availabilityZone");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(backend, "backend");
+        Endpoint.requireValid(peerHost, peerPort);
+    }
 
     /**
      * State of a member's backend server as published to other daemons. Immutable.
@@ -36,11 +46,29 @@
      * @param accepting whether it accepts new requests
      */
     public record MemberBackend(String id, long startedMillis, int slots, boolean accepting) {
+        /** Largest number of slots that a backend server can report. */
+        public static final int MAX_SLOTS = 100_000;
+
+        /** Validates the identity of the process and the number of slots. */
+        public MemberBackend {
+            BackendProcessId.requireValid(id, startedMillis);
+            if (slots < 1 || slots > MAX_SLOTS) {
+                throw new IllegalArgumentException("slots must be 1 to " + MAX_SLOTS + ": " + slots);
+            }
+        }
+
+        /** Returns the identity of the process. */
         public BackendProcessId process() {
             return new BackendProcessId(id, startedMillis);
         }
     }
 
+    /** Returns the address at which other daemons reach this one. */
+    @JsonIgnore
+    public Endpoint peerAddress() {
+        return new Endpoint(peerHost, peerPort);
+    }
+
     /** Returns the backend server if it accepts new requests. */
     @JsonIgnore
     public Optional<MemberBackend> acceptingBackend() {
--- a/core/src/main/java/io/daisyhoist/core/keyrange/KeyRange.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/KeyRange.java
@@ -11,7 +11,17 @@
 
     public static final KeyRange ALL = new KeyRange(0, MAX_KEY);
 
+    /** Validates the bounds. */
     public KeyRange {
+        requireValid(from, to);
+    }
+
+    /**
+     * Checks bounds without creating a range.
+     *
+     * @throws IllegalArgumentException if a bound is out of range or the range is empty
+     */
+    public static void requireValid(int from, int to) {
         if (from < 0 || to > MAX_KEY || from > to) {
             throw new IllegalArgumentException("invalid key range " + from + "-" + to);
         }
--- a/core/src/main/java/io/daisyhoist/core/keyrange/RangeAssignment.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RangeAssignment.java
@@ -1,5 +1,7 @@
 package io.daisyhoist.core.keyrange;
 
+import java.util.Objects;
+
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.model.DaemonId;
@@ -23,6 +25,17 @@
         long backendStartedMillis,
         long fence,
         String handoverToken) {
+    /** Validates that all fields are present and within their ranges. */
+    public RangeAssignment {
+        KeyRange.requireValid(from, to);
+        Objects.requireNonNull(daemon, "daemon");
+        BackendProcessId.requireValid(backendId, backendStartedMillis);
+        if (fence < 0) {
+            throw new IllegalArgumentException("fence must not be negative: " + fence);
+        }
+        Objects.requireNonNull(handoverToken, "handoverToken");
+    }
+
     /** Creates an assignment of a range to a backend server process. */
     public static RangeAssignment of(
             KeyRange range, DaemonId daemon, BackendProcessId process, long fence, String handoverToken) {
--- a/core/src/main/java/io/daisyhoist/core/keyrange/RangeTable.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RangeTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.UnaryOperator;
 
@@ -20,8 +21,9 @@
  * @param assignments the assignments
  */
 public record RangeTable(ServiceName service, long lastFence, List<RangeAssignment> assignments) {
-    /** Sorts the assignments and checks that they do not overlap. */
+    /** Sorts the assignments and checks that they do not overlap and that no fence exceeds the last one. */
     public RangeTable {
+        Objects.requireNonNull(service, "service");
         List<RangeAssignment> sorted = new ArrayList<>(assignments);
         sorted.sort(Comparator.comparingInt(RangeAssignment::from));
         for (int i = 1; i < sorted.size(); i++) {
@@ -30,6 +32,12 @@
                         "overlapping assignments at key " + sorted.get(i).from());
             }
         }
+        for (RangeAssignment assignment : sorted) {
+            if (assignment.fence() > lastFence) {
+                throw new IllegalArgumentException(
+                        "fence " + assignment.fence() + " exceeds the last fence " + lastFence);
+            }
+        }
         assignments = List.copyOf(sorted);
     }
 
--- a/core/src/main/java/io/daisyhoist/core/model/Endpoint.java
+++ b/core/src/main/java/io/daisyhoist/core/model/Endpoint.java
@@ -7,8 +7,20 @@
  * @param port TCP port, 1 to 65535
  */
 public record Endpoint(String host, int port) {
-    /** Validates the port. */
+    /** Validates the host and the port. */
     public Endpoint {
+        requireValid(host, port);
+    }
+
+    /**
+     * Checks an address without creating it.
+     *
+     * @throws IllegalArgumentException if the host is empty or the port is out of range
+     */
+    public static void requireValid(String host, int port) {
+        if (host == null || host.isBlank()) {
+            throw new IllegalArgumentException("host must not be empty");
+        }
         if (port < 1 || port > 65535) {
             throw new IllegalArgumentException("port must be 1 to 65535: " + port);
         }
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/ControlThread.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/ControlThread.java
@@ -11,8 +11,8 @@
 /**
  * Executor with a single thread to which all control state is confined.
  *
- * <p>Tasks run one at a time, in order of submission; a failing task is logged and does not stop later ones. Tasks
- * submitted after {@link #close()} are dropped. Thread-safe.
+ * <p>Tasks run one at a time, in order of submission; a failing task is logged and does not stop later ones; an error ends the
+ * process. Tasks submitted after {@link #close()} are dropped. Thread-safe.
  */
 public final class ControlThread implements ControlExecutor, AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -57,6 +57,9 @@
                 task.run();
             } catch (RuntimeException e) {
                 LOGGER.atSevere().withCause(e).log("event=control_task_failed");
+            } catch (Error e) {
+                // The executor would swallow the error and end a repeated task.
+                FatalErrors.exit("control", e);
             }
         };
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/DaemonMain.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/DaemonMain.java
@@ -51,6 +51,7 @@
             return;
         }
         Logging.configure(settings.logLevel());
+        FatalErrors.install();
         Daemon daemon = new Daemon(settings);
         daemon.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
@@ -20,9 +21,11 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.request.ForwardReceiver;
+import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoredItem;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalBackendSnapshot;
 import io.daisyhoist.wire.proto.Envelope;
@@ -55,6 +58,7 @@
     private final long incarnation;
     private final TimeSource time;
     private final ControlExecutor control;
+    private final FleetMetrics metrics;
     private final FleetState state;
     private final StoreCache operatorCache;
     private final StoreCache fleetCache;
@@ -79,30 +83,50 @@
         void send(List<FleetMember> receivers, Envelope message);
     }
 
-    /** Creates empty control state; {@link #start} starts reading the store. */
-    public FleetControl(
-            FleetSettings settings,
-            long incarnation,
+    /**
+     * Dependencies. Immutable.
+     *
+     * @param time clock
+     * @param control control thread
+     * @param store metadata store
+     * @param documents decoder of operator items
+     * @param peerSender sends messages to other daemons
+     * @param metrics counters of ignored input and of failures
+     */
+    public record Dependencies(
             TimeSource time,
             ControlExecutor control,
             MetadataStore store,
             OperatorDocuments documents,
-            PeerSender peerSender) {
+            PeerSender peerSender,
+            FleetMetrics metrics) {}
+
+    /** Creates empty control state; {@link #start} starts reading the store. */
+    public FleetControl(FleetSettings settings, long incarnation, Dependencies dependencies) {
         this.settings = settings;
         this.incarnation = incarnation;
-        this.time = time;
-        this.control = control;
-        this.state = new FleetState(time, documents, MEMBER_EXPIRY, this::publishFleet);
-        this.operatorCache = new StoreCache(documents.prefix(), store, control, time, new OperatorListener());
-        this.fleetCache = new StoreCache("daisyhoist/", store, control, time, new FleetListener());
+        this.time = dependencies.time();
+        this.control = dependencies.control();
+        this.metrics = dependencies.metrics();
+        MetadataStore store = dependencies.store();
+        OperatorDocuments documents = dependencies.documents();
+        StoreAccess access = new StoreAccess(store, control, time, new CallbackGuard(metrics::onFailedCallback));
+        this.state = new FleetState(
+                time, documents, MEMBER_EXPIRY, this::publishFleet, () -> metrics.onRejectedInput("store"));
+        this.operatorCache = new StoreCache(documents.prefix(), access, new OperatorListener());
+        this.fleetCache = new StoreCache("daisyhoist/", access, new FleetListener());
         this.gossip = new FleetGossip(
-                settings.daemon(), time, incarnation, operatorCache, this::fleet, this::localKeyLoad, peerSender);
+                settings.daemon(),
+                time,
+                incarnation,
+                operatorCache,
+                this::fleet,
+                this::localKeyLoad,
+                dependencies.peerSender());
         this.registration = new Registration(
                 FleetState.memberKey(settings.daemon()),
                 member(),
-                store,
-                control,
-                time,
+                access,
                 settings.bounds().minLeaseTtl(),
                 new RegistrationListener());
         Duration keyLeaseDuration =
@@ -178,12 +202,22 @@
 
     @Override
     public void onLoad(FleetLoad load) {
-        control.execute(() -> gossip.onLoad(load));
+        control.execute(() -> accept("load", PeerMessages.decode(load), gossip::onLoad));
     }
 
     @Override
     public void onOperatorItems(OperatorItems items) {
-        control.execute(() -> gossip.onOperatorItems(items));
+        control.execute(() ->
+                accept("operator_items", PeerMessages.decode(items, operatorCache.prefix()), gossip::onOperatorItems));
+    }
+
+    private <T> void accept(String message, Decoded<T> decoded, Consumer<T> consumer) {
+        if (decoded instanceof Decoded.Valid<T> valid) {
+            consumer.accept(valid.value());
+        } else if (decoded instanceof Decoded.Rejected<T> rejected) {
+            metrics.onRejectedInput("peer");
+            LOGGER.atWarning().log("event=peer_message_rejected message=%s reason=\"%s\"", message, rejected.reason());
+        }
     }
 
     private double localKeyLoad() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -102,7 +102,10 @@
         long incarnation = new SecureRandom().nextLong() >>> 1;
         PeerIdentity identity = new PeerIdentity(CLUSTER, new ProcessId(settings.daemon(), incarnation));
         this.peerClient = new PeerClient(peerLoops, identity, PEER_LIMITS, ThreadLocalRandom.current());
-        this.fleetControl = new FleetControl(settings, incarnation, time, control, store, documents, this::sendToPeers);
+        this.fleetControl = new FleetControl(
+                settings,
+                incarnation,
+                new FleetControl.Dependencies(time, control, store, documents, this::sendToPeers, metrics));
         BackendHttpClient backendClient =
                 new BackendHttpClient(vertx, context, headerNames, MAX_BACKEND_CONNECTIONS, time);
         this.admission = new BackendAdmission(
@@ -254,7 +257,6 @@
 
     /** Uses the connections of the request path, so that a large fleet does not need twice as many. */
     private void sendToPeers(List<FleetMember> receivers, Envelope message) {
-        receivers.forEach(member ->
-                peerClient.send(new Endpoint(member.peerHost(), member.peerPort()), PeerChannel.TRAFFIC, message));
+        receivers.forEach(member -> peerClient.send(member.peerAddress(), PeerChannel.TRAFFIC, message));
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetGossip.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetGossip.java
@@ -19,8 +19,6 @@
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.version.FleetSnapshot;
-import io.daisyhoist.wire.proto.FleetLoad;
-import io.daisyhoist.wire.proto.OperatorItems;
 
 /**
  * Exchanges control state with other daemons: the load of their keys, upcoming key moves, and operator items, which thus
@@ -78,6 +76,7 @@
 
     /** Sends a load report to two neighbours and to some of the daemons that match the predicate, all of them in turn. */
     void report(Predicate<FleetMember> sameService) {
+        peerLoads.values().removeIf(load -> !isRecent(load));
         List<FleetMember> members = fleet.get().members().values().stream()
                 .sorted(Comparator.comparing(FleetMember::daemon))
                 .toList();
@@ -121,13 +120,12 @@
     }
 
     /** Handles a load report of another daemon. */
-    void onLoad(FleetLoad load) {
-        DaemonId from = new DaemonId(load.getDaemon());
-        peerLoads.put(from, new PeerLoad(load.getKeyBusySlots(), ElapsedTimer.start(time)));
-        if (load.getKeysFollow()) {
+    void onLoad(PeerMessages.LoadReport load) {
+        peerLoads.put(load.daemon(), new PeerLoad(load.keyBusySlots(), ElapsedTimer.start(time)));
+        if (load.moveAnnounced()) {
             moveAnnouncedUntilNanos = time.monotonicNanos() + ANNOUNCED_MOVE_DURATION.toNanos();
         }
-        synchronizeOperatorItems(from, load.getOperatorRevision());
+        synchronizeOperatorItems(load.daemon(), load.operatorRevision());
     }
 
     /** The daemon with newer operator items sends them; the other one replies with its own revision. */
@@ -143,11 +141,11 @@
     }
 
     /** Handles operator items that another daemon has read from the store. */
-    void onOperatorItems(OperatorItems items) {
-        if (items.getAsOf() > operatorCache.asOf()) {
+    void onOperatorItems(PeerMessages.OperatorListing listing) {
+        if (listing.asOf() > operatorCache.asOf()) {
             LOGGER.atInfo().log(
-                    "event=operator_items_from_peer as_of=%d known_as_of=%d", items.getAsOf(), operatorCache.asOf());
-            operatorCache.applyListing(PeerMessages.storedItems(items), items.getAsOf());
+                    "event=operator_items_from_peer as_of=%d known_as_of=%d", listing.asOf(), operatorCache.asOf());
+            operatorCache.applyListing(listing.items(), listing.asOf());
         }
     }
 
@@ -167,13 +165,17 @@
     public Map<DaemonId, Double> busySlots() {
         Map<DaemonId, Double> recent = new HashMap<>();
         peerLoads.forEach((daemon, load) -> {
-            if (load.receivedAt().elapsed(time).compareTo(LOAD_VALIDITY) < 0) {
+            if (isRecent(load)) {
                 recent.put(daemon, load.busySlots());
             }
         });
         return recent;
     }
 
+    private boolean isRecent(PeerLoad load) {
+        return load.receivedAt().elapsed(time).compareTo(LOAD_VALIDITY) < 0;
+    }
+
     @Override
     public void announceMoves(List<RangeMove> moves) {
         List<FleetMember> receivers = moves.stream()
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.FleetMember;
@@ -17,6 +18,7 @@
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.version.FleetSnapshot;
@@ -25,8 +27,8 @@
  * Fleet state read from the store, with the time since which the entry of a daemon has been absent.
  *
  * <p>Invariants: the configuration version never decreases; a daemon whose entry is absent remains a member until
- * {@link #memberExpiry} has passed, because an outage of the store may expire the entries of running daemons. Confined to
- * the control thread.
+ * {@link #memberExpiry} has passed, because an outage of the store may expire the entries of running daemons; an item that
+ * cannot be used leaves the state as it was. Confined to the control thread.
  */
 final class FleetState {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -37,6 +39,7 @@
     private final OperatorDocuments documents;
     private final Duration memberExpiry;
     private final Consumer<FleetSnapshot> publisher;
+    private final Runnable onRejectedItem;
     private Optional<FleetConfig> config = Optional.empty();
     private final Set<AvailabilityZone> evacuatedZones = new HashSet<>();
     private final Map<DaemonId, MemberEntry> members = new TreeMap<>();
@@ -62,25 +65,46 @@
      */
     record StoredTable(RangeTable table, long revision) {}
 
-    FleetState(TimeSource time, OperatorDocuments documents, Duration memberExpiry, Consumer<FleetSnapshot> publisher) {
+    /**
+     * Creates an empty state.
+     *
+     * @param memberExpiry time after which an absent daemon is no longer a member
+     * @param publisher receives a snapshot after each change
+     * @param onRejectedItem called for each item that could not be used
+     */
+    FleetState(
+            TimeSource time,
+            OperatorDocuments documents,
+            Duration memberExpiry,
+            Consumer<FleetSnapshot> publisher,
+            Runnable onRejectedItem) {
         this.time = time;
         this.documents = documents;
         this.memberExpiry = memberExpiry;
         this.publisher = publisher;
+        this.onRejectedItem = onRejectedItem;
     }
 
     /** Handles a changed operator item. */
     void onOperatorItem(StoredItem item) {
-        Optional<OperatorDocuments.Document> document = documents.read(item);
-        if (document.isEmpty()) {
-            LOGGER.atWarning().log("event=operator_document_ignored key=%s revision=%d", item.key(), item.revision());
-            return;
-        }
-        if (document.get() instanceof OperatorDocuments.Configuration configuration) {
-            onConfig(configuration.config());
-        } else if (document.get() instanceof OperatorDocuments.EvacuatedZone zone && evacuatedZones.add(zone.zone())) {
-            LOGGER.atInfo().log("event=zone_evacuated zone=%s revision=%d", zone.zone(), item.revision());
-            publish();
+        accept(item, documents.read(item), document -> {
+            if (document instanceof OperatorDocuments.Configuration configuration) {
+                onConfig(configuration.config());
+            } else if (document instanceof OperatorDocuments.EvacuatedZone zone && evacuatedZones.add(zone.zone())) {
+                LOGGER.atInfo().log("event=zone_evacuated zone=%s revision=%d", zone.zone(), item.revision());
+                publish();
+            }
+        });
+    }
+
+    private <T> void accept(StoredItem item, Decoded<T> decoded, Consumer<T> consumer) {
+        if (decoded instanceof Decoded.Valid<T> valid) {
+            consumer.accept(valid.value());
+        } else if (decoded instanceof Decoded.Rejected<T> rejected) {
+            onRejectedItem.run();
+            LOGGER.atWarning().log(
+                    "event=store_item_ignored key=%s revision=%d reason=\"%s\"",
+                    item.key(), item.revision(), rejected.reason());
         }
     }
 
@@ -105,13 +129,24 @@
     /** Handles a changed item that a daemon wrote. */
     void onFleetItem(StoredItem item) {
         if (item.key().startsWith(MEMBER_PREFIX)) {
-            FleetJson.read(item.key(), item.value(), FleetMember.class).ifPresent(this::onMember);
+            Decoded<FleetMember> decoded = FleetJson.read(item.value(), FleetMember.class);
+            accept(item, requireKey(item, decoded, member -> memberKey(member.daemon())), this::onMember);
         } else if (item.key().startsWith(RANGE_PREFIX)) {
-            FleetJson.read(item.key(), item.value(), RangeTable.class)
-                    .ifPresent(table -> onTable(table, item.revision()));
+            Decoded<RangeTable> decoded = FleetJson.read(item.value(), RangeTable.class);
+            accept(
+                    item,
+                    requireKey(item, decoded, table -> rangeKey(table.service())),
+                    table -> onTable(table, item.revision()));
         }
     }
 
+    /** Rejects a value under the key of another one, which it would replace. */
+    private static <T> Decoded<T> requireKey(StoredItem item, Decoded<T> decoded, Function<T, String> expectedKey) {
+        boolean misplaced = decoded instanceof Decoded.Valid<T> valid
+                && !expectedKey.apply(valid.value()).equals(item.key());
+        return misplaced ? Decoded.rejected("the value belongs to another key") : decoded;
+    }
+
     private void onMember(FleetMember member) {
         markReplaced(member);
         MemberEntry previous = members.put(member.daemon(), new MemberEntry(member));
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
@@ -350,39 +350,33 @@
                 conditions,
                 List.of(new Transaction.Write(key, FleetJson.write(newTable), Transaction.NO_LEASE)),
                 List.of());
-        store.commit(change)
-                .whenCompleteAsync(
-                        (result, failure) -> {
-                            committing = false;
-                            String outcome = failure != null
-                                    ? "unknown"
-                                    : result instanceof TransactionResult.Committed ? "committed" : "conflict";
-                            LOGGER.atInfo().log(
-                                    "event=range_commit service=%s cause=%s expected_revision=%d outcome=%s",
-                                    newTable.service(), cause, expectedRevision, outcome);
-                            if (result instanceof TransactionResult.Committed committed) {
-                                state.onCommittedTable(newTable, committed.revision());
-                                return;
-                            }
-                            if (StoreUnavailableException.isCertainlyNotApplied(failure)) {
-                                keyLeases.onWriteNotApplied(moves);
-                            }
-                            refresh(newTable.service());
-                        },
-                        control);
+        control.whenComplete(store.commit(change), (result, failure) -> {
+            committing = false;
+            String outcome = failure != null
+                    ? "unknown"
+                    : result instanceof TransactionResult.Committed ? "committed" : "conflict";
+            LOGGER.atInfo().log(
+                    "event=range_commit service=%s cause=%s expected_revision=%d outcome=%s",
+                    newTable.service(), cause, expectedRevision, outcome);
+            if (result instanceof TransactionResult.Committed committed) {
+                state.onCommittedTable(newTable, committed.revision());
+                return;
+            }
+            if (StoreUnavailableException.isCertainlyNotApplied(failure)) {
+                keyLeases.onWriteNotApplied(moves);
+            }
+            refresh(newTable.service());
+        });
     }
 
     /** Reads the table after a conflict or a lost response; a delayed write arrives through the watch. */
     private void refresh(ServiceName service) {
         committing = true;
-        store.get(FleetState.rangeKey(service))
-                .whenCompleteAsync(
-                        (item, failure) -> {
-                            committing = false;
-                            if (failure == null) {
-                                item.ifPresent(state::onFleetItem);
-                            }
-                        },
-                        control);
+        control.whenComplete(store.get(FleetState.rangeKey(service)), (item, failure) -> {
+            committing = false;
+            if (failure == null) {
+                item.ifPresent(state::onFleetItem);
+            }
+        });
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -38,6 +38,7 @@
     private final ControlExecutor control;
     private final TimeSource time;
     private final Listener listener;
+    private final CallbackGuard guard;
     private final Duration leaseTtl;
     private FleetMember member;
     private long lease;
@@ -62,19 +63,13 @@
         void onRegistered();
     }
 
-    Registration(
-            String key,
-            FleetMember member,
-            MetadataStore store,
-            ControlExecutor control,
-            TimeSource time,
-            Duration minLeaseTtl,
-            Listener listener) {
+    Registration(String key, FleetMember member, StoreAccess access, Duration minLeaseTtl, Listener listener) {
         this.key = key;
         this.member = member;
-        this.store = store;
-        this.control = control;
-        this.time = time;
+        this.store = access.store();
+        this.control = access.control();
+        this.time = access.time();
+        this.guard = access.guard();
         this.listener = listener;
         this.leaseTtl = minLeaseTtl.compareTo(LEASE_TTL) > 0 ? minLeaseTtl : LEASE_TTL;
     }
@@ -161,22 +156,24 @@
     private void onCallSucceeded() {
         if (storeUnavailable) {
             storeUnavailable = false;
-            listener.onStoreRecovered();
+            notifyListener("store_recovered", listener::onStoreRecovered);
         }
     }
 
+    private void notifyListener(String callback, Runnable action) {
+        guard.run(callback, key, action);
+    }
+
     /** Passes the response of a store call to the continuation, or schedules a retry after a failure. */
     private <T> void onResponse(String call, CompletableFuture<T> pending, Consumer<T> continuation) {
-        pending.whenCompleteAsync(
-                (result, failure) -> {
-                    if (failure != null) {
-                        onCallFailed(call, failure);
-                        return;
-                    }
-                    onCallSucceeded();
-                    continuation.accept(result);
-                },
-                control);
+        control.whenComplete(pending, (result, failure) -> {
+            if (failure != null) {
+                onCallFailed(call, failure);
+                return;
+            }
+            onCallSucceeded();
+            continuation.accept(result);
+        });
     }
 
     private void createLease() {
@@ -217,7 +214,7 @@
             if (!registered) {
                 registered = true;
                 LOGGER.atInfo().log("event=registered key=%s revision=%d lease=%d", key, revision, lease);
-                listener.onRegistered();
+                notifyListener("registered", listener::onRegistered);
             }
             needsVerification = false;
             scheduleStep(dirty ? Duration.ZERO : RENEWAL_INTERVAL);
@@ -242,7 +239,7 @@
                 return;
             }
             needsVerification = false;
-            listener.onConfirmed(sentAt);
+            notifyListener("registration_confirmed", () -> listener.onConfirmed(sentAt));
             scheduleStep(Duration.ZERO);
         });
     }
@@ -261,7 +258,7 @@
             return;
         }
         if (registered) {
-            listener.onConfirmed(sentAt);
+            notifyListener("registration_confirmed", () -> listener.onConfirmed(sentAt));
         }
         scheduleStep(dirty || !registered ? Duration.ZERO : RENEWAL_INTERVAL);
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -23,8 +23,8 @@
  * Local copy of the items under one key prefix of the store.
  *
  * <p>Lists all items, then watches for changes; lists again when the store has discarded the history. Invariant: the
- * listener receives the changes of each key in revision order, and never an older revision after a newer one. Confined to
- * the control thread.
+ * listener receives the changes of each key in revision order, and never an older revision after a newer one; an exception
+ * of the listener affects only the change that caused it. Confined to the control thread.
  */
 final class StoreCache {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -49,6 +49,7 @@
     private final ControlExecutor control;
     private final TimeSource time;
     private final Listener listener;
+    private final CallbackGuard guard;
     private final Map<String, StoredItem> items = new HashMap<>();
     private long lastChangeRevision;
     private long asOf;
@@ -74,11 +75,12 @@
         void onSynchronized(ElapsedTimer sentAt);
     }
 
-    StoreCache(String prefix, MetadataStore store, ControlExecutor control, TimeSource time, Listener listener) {
+    StoreCache(String prefix, StoreAccess access, Listener listener) {
         this.prefix = prefix;
-        this.store = store;
-        this.control = control;
-        this.time = time;
+        this.store = access.store();
+        this.control = access.control();
+        this.time = access.time();
+        this.guard = access.guard();
         this.listener = listener;
         this.watchSentAt = ElapsedTimer.start(time);
     }
@@ -91,25 +93,21 @@
 
     private void listAll(long startedGeneration) {
         ElapsedTimer sentAt = ElapsedTimer.start(time);
-        listPages(Optional.empty(), new ArrayList<>(), Long.MAX_VALUE)
-                .whenCompleteAsync(
-                        (listing, failure) -> {
-                            if (startedGeneration != generation) {
-                                return;
-                            }
-                            if (failure != null) {
-                                onStoreUnavailable(failure);
-                                control.scheduleOnce(
-                                        () -> runIfCurrent(startedGeneration, () -> listAll(startedGeneration)),
-                                        RETRY_DELAY);
-                                return;
-                            }
-                            onStoreRecovered();
-                            listener.onBatch(() -> apply(listing));
-                            listener.onSynchronized(sentAt);
-                            watch(startedGeneration);
-                        },
-                        control);
+        control.whenComplete(listPages(Optional.empty(), new ArrayList<>(), Long.MAX_VALUE), (listing, failure) -> {
+            if (startedGeneration != generation) {
+                return;
+            }
+            if (failure != null) {
+                onStoreUnavailable(failure);
+                control.scheduleOnce(
+                        () -> runIfCurrent(startedGeneration, () -> listAll(startedGeneration)), RETRY_DELAY);
+                return;
+            }
+            onStoreRecovered();
+            applyBatch(() -> apply(listing));
+            guard.run("store_synchronized", prefix, () -> listener.onSynchronized(sentAt));
+            watch(startedGeneration);
+        });
     }
 
     private record Listing(List<StoredItem> items, long asOf) {}
@@ -132,7 +130,16 @@
 
     /** Applies a listing that another daemon has read, as if this daemon had read it. */
     void applyListing(List<StoredItem> listedItems, long listedAsOf) {
-        listener.onBatch(() -> apply(new Listing(listedItems, listedAsOf)));
+        applyBatch(() -> apply(new Listing(listedItems, listedAsOf)));
+    }
+
+    private void applyBatch(Runnable changes) {
+        guard.run("store_batch", prefix, () -> listener.onBatch(changes));
+    }
+
+    /** Returns the key prefix of all items. */
+    String prefix() {
+        return prefix;
     }
 
     List<StoredItem> items() {
@@ -171,35 +178,32 @@
         if (existing == null || existing.revision() < item.revision()) {
             items.put(item.key(), item);
             lastChangeRevision = Math.max(lastChangeRevision, item.revision());
-            listener.onItem(item);
+            guard.run("store_item", item.key() + "@" + item.revision(), () -> listener.onItem(item));
         }
     }
 
     private void watch(long startedGeneration) {
         watchSentAt = ElapsedTimer.start(time);
-        store.watch(prefix, asOf, WATCH_DURATION)
-                .orTimeout(WATCH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .whenCompleteAsync(
-                        (result, failure) -> {
-                            if (startedGeneration != generation) {
-                                return;
-                            }
-                            if (failure != null) {
-                                onStoreUnavailable(failure);
-                                control.scheduleOnce(
-                                        () -> runIfCurrent(startedGeneration, () -> watch(startedGeneration)),
-                                        RETRY_DELAY);
-                                return;
-                            }
-                            onStoreRecovered();
-                            onWatched(startedGeneration, result);
-                        },
-                        control);
+        CompletableFuture<WatchResult> response =
+                store.watch(prefix, asOf, WATCH_DURATION).orTimeout(WATCH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        control.whenComplete(response, (result, failure) -> {
+            if (startedGeneration != generation) {
+                return;
+            }
+            if (failure != null) {
+                onStoreUnavailable(failure);
+                control.scheduleOnce(
+                        () -> runIfCurrent(startedGeneration, () -> watch(startedGeneration)), RETRY_DELAY);
+                return;
+            }
+            onStoreRecovered();
+            onWatched(startedGeneration, result);
+        });
     }
 
     private void onWatched(long startedGeneration, WatchResult result) {
         if (result instanceof WatchResult.Changes changes) {
-            listener.onBatch(() -> changes.events().forEach(this::onEvent));
+            applyBatch(() -> changes.events().forEach(this::onEvent));
             asOf = Math.max(asOf, changes.asOf());
             if (changes.events().isEmpty()) {
                 watch(startedGeneration);
@@ -241,7 +245,7 @@
     private void delete(String key, long revision) {
         items.remove(key);
         lastChangeRevision = Math.max(lastChangeRevision, revision);
-        listener.onDeleted(key);
+        guard.run("store_deletion", key + "@" + revision, () -> listener.onDeleted(key));
     }
 
     private void runIfCurrent(long startedGeneration, Runnable action) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
@@ -5,7 +5,6 @@
 
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.model.DaemonId;
-import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.routing.LoadBalancer;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.DeliveryCertainty;
@@ -78,7 +77,7 @@
             FleetMember member, BackendRequestData request, Duration queueWait, Future<Void> cancelled) {
         Promise<BackendOutcome> outcome = Promise.promise();
         CompletableFuture<Envelope> call = peerClient.call(
-                new Endpoint(member.peerHost(), member.peerPort()),
+                member.peerAddress(),
                 PeerChannel.TRAFFIC,
                 ForwardCodec.encode(request, queueWait, time),
                 request.deadline().remaining(time).plus(REPLY_MARGIN));
--- a/mesh/src/main/java/io/daisyhoist/mesh/store/OperatorDocuments.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/store/OperatorDocuments.java
@@ -5,7 +5,7 @@
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.route.FleetConfig;
 
-/** Parses the items that operators write to the store. Implementations are stateless. */
+/** Decodes the items that operators write to the store. Implementations are stateless. */
 public interface OperatorDocuments {
     /** Content of an operator item. */
     sealed interface Document {}
@@ -27,9 +27,9 @@
     /** Returns the key prefix of operator items. */
     String prefix();
 
-    /** Parses an item; empty if it is malformed or not relevant. */
-    Optional<Document> read(StoredItem item);
+    /** Decodes an item; rejected if it is malformed or not relevant. */
+    Decoded<Document> read(StoredItem item);
 
-    /** Returns the availability zone that an evacuation key names; empty for other keys. */
+    /** Returns the availability zone that an evacuation key names; empty for other keys and for invalid names. */
     Optional<AvailabilityZone> evacuatedZone(String key);
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -79,6 +79,16 @@
         registry.counter("daisyhoist.fleet.retries", "service", service.name()).increment();
     }
 
+    /** Counts an item of the store or a message that was ignored because it could not be decoded. */
+    public void onRejectedInput(String source) {
+        registry.counter("daisyhoist.fleet.rejected.inputs", "source", source).increment();
+    }
+
+    /** Counts an unexpected exception after which the work of the control thread went on. */
+    public void onFailedCallback() {
+        registry.counter("daisyhoist.fleet.failed.callbacks").increment();
+    }
+
     /** Registers a gauge that reads its value on each scrape. */
     public void gauge(String name, String description, Supplier<Number> value) {
         Gauge.builder(name, value).description(description).register(registry);
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetGossipTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetGossipTest.java
@@ -68,7 +68,13 @@
         Simulation simulation = new Simulation();
         Simulation.Process process = simulation.process();
         StoreCache cache = new StoreCache(
-                "o/", new SimulatedStore(simulation, new Random(1)).client(), process, process, new IgnoringListener());
+                "o/",
+                new StoreAccess(
+                        new SimulatedStore(simulation, new Random(1)).client(),
+                        process,
+                        process,
+                        new CallbackGuard(() -> {})),
+                new IgnoringListener());
         return new FleetGossip(
                 daemon(self), new ManualTimeSource(), self, cache, () -> fleet, () -> 0.0, this::recordReport);
     }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.model.AvailabilityZone;
@@ -14,11 +17,14 @@
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.RouteTable;
 import io.daisyhoist.core.time.ManualTimeSource;
+import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -30,7 +36,9 @@
     private final ManualTimeSource time = new ManualTimeSource();
     private FleetSnapshot published = FleetSnapshot.EMPTY;
     private int publications;
-    private final FleetState state = new FleetState(time, new Documents(), MEMBER_EXPIRY, this::onPublish);
+    private int rejections;
+    private final FleetState state =
+            new FleetState(time, new Documents(), MEMBER_EXPIRY, this::onPublish, () -> rejections++);
 
     private void onPublish(FleetSnapshot snapshot) {
         published = snapshot;
@@ -45,12 +53,12 @@
         }
 
         @Override
-        public Optional<Document> read(StoredItem item) {
+        public Decoded<Document> read(StoredItem item) {
             if (!item.key().equals("o/config")) {
-                return evacuatedZone(item.key()).map(EvacuatedZone::new);
+                return Decoded.valid(new EvacuatedZone(evacuatedZone(item.key()).orElseThrow()));
             }
             long version = Long.parseLong(new String(item.value(), StandardCharsets.UTF_8));
-            return Optional.of(new Configuration(
+            return Decoded.valid(new Configuration(
                     new FleetConfig(version, new RouteTable(List.of()), Map.of(), ClientLimits.DEFAULT)));
         }
 
@@ -159,4 +167,101 @@
             assertEquals(Optional.empty(), state.table(new ServiceName("s")));
         }
     }
+
+    /** Entries that another writer left among those of the daemons. */
+    @Nested
+    class OddEntries {
+        private static final String MEMBER = "{\"daemon\":\"odd\",\"incarnation\":1,\"availabilityZone\":\"z\","
+                + "\"peerHost\":\"10.0.0.9\",\"peerPort\":1000,\"service\":\"s\",\"backend\":"
+                + "{\"id\":\"b\",\"startedMillis\":1,\"slots\":6,\"accepting\":true}}";
+        private static final String TABLE = "{\"service\":\"s\",\"lastFence\":7,\"assignments\":[{\"from\":0,"
+                + "\"to\":9,\"daemon\":\"d\",\"backendId\":\"b\",\"backendStartedMillis\":1,\"fence\":7,"
+                + "\"handoverToken\":\"\"}]}";
+
+        private static final String DEEP = "[".repeat(5_000) + "]".repeat(5_000);
+
+        static Stream<String> members() {
+            return Stream.of(
+                    "",
+                    "null",
+                    "{}",
+                    "[]",
+                    "7",
+                    "\u0000",
+                    DEEP,
+                    MEMBER.replace("\"incarnation\":1", "\"unknown\":" + DEEP),
+                    MEMBER.replace("\"incarnation\":1", "\"incarnation\":1e999999999"),
+                    MEMBER.replace("\"incarnation\":1", "\"incarnation\":" + "9".repeat(900)),
+                    MEMBER.replace("\"incarnation\":1", "\"incarnation\":1.5"),
+                    MEMBER.replace("\"incarnation\":1", "\"incarnation\":null"),
+                    MEMBER.replace("\"daemon\":\"odd\"", "\"daemon\":null"),
+                    MEMBER.replace("\"daemon\":\"odd\"", "\"daemon\":\"sound\""),
+                    MEMBER.replace("\"z\"", "null"),
+                    MEMBER.replace("\"z\"", "7"),
+                    MEMBER.replace("\"10.0.0.9\"", "null"),
+                    MEMBER.replace("\"10.0.0.9\"", "\"\""),
+                    MEMBER.replace("1000", "70000"),
+                    MEMBER.replace("1000", "-1"),
+                    MEMBER.replace("1000", "0"),
+                    MEMBER.replace("1000", "\"1000\""),
+                    MEMBER.replace("\"s\"", "null"),
+                    MEMBER.replace("\"id\":\"b\"", "\"id\":\"line\\nbreak\""),
+                    MEMBER.replace("\"id\":\"b\"", "\"id\":\"" + "b".repeat(300) + "\""),
+                    MEMBER.replace("\"slots\":6", "\"slots\":0"),
+                    MEMBER.replace("\"slots\":6", "\"slots\":4294967302"),
+                    MEMBER.replace(",\"slots\":6", ""));
+        }
+
+        static Stream<String> tables() {
+            return Stream.of(
+                    "null",
+                    "{}",
+                    "[]",
+                    DEEP,
+                    TABLE.replace("\"service\":\"s\"", "\"service\":\"other\""),
+                    TABLE.replace("\"lastFence\":7", "\"lastFence\":6"),
+                    TABLE.replace("\"lastFence\":7", "\"lastFence\":1e999999999"),
+                    TABLE.replace("\"from\":0", "\"from\":-1"),
+                    TABLE.replace("\"from\":0,", ""),
+                    TABLE.replace("\"to\":9", "\"to\":65536"),
+                    TABLE.replace("\"daemon\":\"d\"", "\"daemon\":null"),
+                    TABLE.replace("\"backendId\":\"b\"", "\"backendId\":null"),
+                    TABLE.replace("\"handoverToken\":\"\"", "\"handoverToken\":null"),
+                    "{\"service\":\"s\",\"lastFence\":7,\"assignments\":[null]}",
+                    "{\"service\":\"s\",\"lastFence\":7,\"assignments\":null}");
+        }
+
+        /** Guards against one odd entry that stops the processing of the entries after it. */
+        @ParameterizedTest
+        @MethodSource("members")
+        void onFleetItem_oddMember_isIgnoredAndTheNextIsTaken(String odd) {
+            state.onFleetItem(memberItem("sound", "10.0.0.1"));
+            state.onFleetItem(item(FleetState.MEMBER_PREFIX + "odd", odd));
+            state.onFleetItem(memberItem("next", "10.0.0.2"));
+            assertEquals(
+                    Set.of("sound", "next"),
+                    published.members().keySet().stream().map(DaemonId::name).collect(Collectors.toSet()));
+            assertEquals(
+                    "10.0.0.1", published.members().get(new DaemonId("sound")).peerHost());
+            assertEquals(1, rejections);
+        }
+
+        @ParameterizedTest
+        @MethodSource("tables")
+        void onFleetItem_oddTable_isIgnored(String odd) {
+            state.onFleetItem(item(FleetState.RANGE_PREFIX + "s", odd));
+            assertEquals(Optional.empty(), state.table(new ServiceName("s")));
+            assertEquals(1, rejections);
+        }
+
+        /** Guards against entries that are odd for another reason than the one intended here. */
+        @Test
+        void onFleetItem_templatesOfTheOddEntries_areValid() {
+            state.onFleetItem(item(FleetState.MEMBER_PREFIX + "odd", MEMBER));
+            state.onFleetItem(item(FleetState.RANGE_PREFIX + "s", TABLE));
+            assertTrue(isMember("odd"));
+            assertTrue(state.table(new ServiceName("s")).isPresent());
+            assertEquals(0, rejections);
+        }
+    }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
@@ -18,6 +18,7 @@
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.RouteTable;
 import io.daisyhoist.core.route.ServicePolicy;
+import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.wire.proto.Envelope;
@@ -54,10 +55,10 @@
         }
 
         @Override
-        public Optional<Document> read(StoredItem item) {
+        public Decoded<Document> read(StoredItem item) {
             ServicePolicy policy = new ServicePolicy(SimulatedInstance.SERVICE, true, Duration.ofSeconds(3), 14, 110);
             Map<ServiceName, ServicePolicy> services = Map.of(SimulatedInstance.SERVICE, policy);
-            return Optional.of(
+            return Decoded.valid(
                     new Configuration(new FleetConfig(1, new RouteTable(List.of()), services, ClientLimits.DEFAULT)));
         }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -19,6 +19,7 @@
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.wire.proto.Envelope;
 
 /** Simulated instance: the control state of a daemon, and its backend server, which holds the granted keys. */
@@ -97,7 +98,10 @@
     void startDaemon() {
         starts++;
         process = simulation.process();
-        control = new FleetControl(settings, starts, process, process, store, documents, this::deliver);
+        control = new FleetControl(
+                settings,
+                starts,
+                new FleetControl.Dependencies(process, process, store, documents, this::deliver, new FleetMetrics()));
         control.start();
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
@@ -85,7 +85,7 @@
         append(new StoreEvent(key, revision, Optional.of(item)));
     }
 
-    private void delete(String key) {
+    void delete(String key) {
         items.remove(key);
         revision++;
         append(new StoreEvent(key, revision, Optional.empty()));
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
@@ -12,6 +12,8 @@
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.mesh.store.StoredItem;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -23,23 +25,42 @@
     private final Simulation.Process process = simulation.process();
     private final Map<String, String> reportedItems = new TreeMap<>();
     private final Set<Long> responseTimes = new HashSet<>();
-    private final StoreCache cache = new StoreCache("p/", client, process, process, new StoreCache.Listener() {
-        @Override
-        public void onItem(StoredItem item) {
-            reportedItems.put(item.key(), new String(item.value(), StandardCharsets.UTF_8));
-            responseTimes.add(simulation.nowNanos());
+    private String failingSubject = "";
+    private int failures;
+    private final StoreCache cache = new StoreCache(
+            "p/",
+            new StoreAccess(client, process, process, new CallbackGuard(() -> failures++)),
+            new StoreCache.Listener() {
+                @Override
+                public void onItem(StoredItem item) {
+                    failIfRequested(item.key());
+                    reportedItems.put(item.key(), new String(item.value(), StandardCharsets.UTF_8));
+                    responseTimes.add(simulation.nowNanos());
+                }
+
+                @Override
+                public void onDeleted(String key) {
+                    failIfRequested(key);
+                    reportedItems.remove(key);
+                }
+
+                @Override
+                public void onSynchronized(ElapsedTimer sentAt) {
+                    failIfRequested("synchronized");
+                }
+
+                @Override
+                public void onBatch(Runnable changes) {
+                    changes.run();
+                    failIfRequested("batch");
+                }
+            });
+
+    private void failIfRequested(String subject) {
+        if (subject.equals(failingSubject)) {
+            throw new IllegalStateException("requested by the test");
         }
-
-        @Override
-        public void onDeleted(String key) {
-            reportedItems.remove(key);
-        }
-
-        @Override
-        public void onSynchronized(ElapsedTimer sentAt) {
-            // Not used by these tests.
-        }
-    });
+    }
 
     private void put(String key, String value) {
         store.put(key, value.getBytes(StandardCharsets.UTF_8));
@@ -139,4 +160,25 @@
         assertEquals(Map.of("p/b", "3"), reportedItems);
         assertEquals(60, cache.lastChangeRevision());
     }
+
+    /** Guards against a watch that ends silently after an exception in the processing of a change. */
+    @ParameterizedTest
+    @ValueSource(strings = {"p/odd", "synchronized", "batch"})
+    void listenerThrows_laterChangesAreReported(String subject) {
+        failingSubject = subject;
+        put("p/odd", "1");
+        put("p/a", "1");
+        start();
+        put("p/odd", "2");
+        put("p/a", "2");
+        runFor(1);
+        store.delete("p/odd");
+        put("p/b", "3");
+        runFor(30);
+        put("p/a", "4");
+        runFor(1);
+        assertEquals("4", reportedItems.get("p/a"));
+        assertEquals("3", reportedItems.get("p/b"));
+        assertTrue(failures > 0);
+    }
 }
