Report not run only after a refusal with the id of the request

Cause: a refusal without a request id, and any 421, counted as the refusal of the request that was written last. A backend server that writes an earlier refusal once more on a kept connection so made daemons tell clients 'not run' for requests that were running, or send them to a second backend server.

Change: only a response with the own id counts; anything else leaves the outcome unknown and closes the connection. A header field that cannot be written ends the exchange at once instead of at its deadline.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -28,7 +28,8 @@
  * One request to the backend server and its response.
  *
  * <p>Invariant: the phase leaves {@code WAITING} once, either to {@code WRITTEN} immediately before the write or to
- * {@code ENDED} without a write. Confined to the traffic event loop.
+ * {@code ENDED} without a write; the request is reported as not run only before the write or after a refusal with its id.
+ * Confined to the traffic event loop.
  */
 final class BackendHttpExchange {
     /** With its headers and those of other responses that are read meanwhile, a body has to fit into the heap. */
@@ -115,8 +116,15 @@
             connectedRequest.reset();
             return;
         }
+        try {
+            setHeaders(connectedRequest);
+        } catch (IllegalArgumentException e) {
+            // A header field that the client sent cannot be sent on.
+            connectedRequest.reset();
+            completeNotRun(NotRunReason.INVALID);
+            return;
+        }
         phase = Phase.WRITTEN;
-        setHeaders(connectedRequest);
         observer.onWrite();
         Future<HttpClientResponse> responseFuture =
                 hasBody() ? connectedRequest.send(request.body()) : connectedRequest.send();
@@ -156,7 +164,7 @@
             completeUnknown(UnknownReason.DAMAGED_ANSWER);
             return Future.succeededFuture();
         }
-        if (response.getHeader(headerNames.notRun()) != null || response.statusCode() == MISDIRECTED_REQUEST) {
+        if (isRefusal(response)) {
             return readBody(response).transform(read -> {
                 complete(new NotRun(NotRunReason.REJECTED, true, Duration.ZERO));
                 if (read.failed()) {
@@ -175,12 +183,15 @@
         return BoundedBody.read(response, MAX_RESPONSE_BODY_BYTES);
     }
 
-    /** Accepts a response without a request id only if it states that the request did not run. */
+    /**
+     * Accepts only a response that contains the id of this request. On a reused connection, any other one may be a late
+     * duplicate of an earlier response, and a refusal of an earlier request says nothing about this one.
+     */
     private boolean isResponseToRequest(HttpClientResponse response) {
-        String id = response.getHeader(headerNames.requestId());
-        if (id != null) {
-            return id.equals(request.id());
-        }
+        return request.id().equals(response.getHeader(headerNames.requestId()));
+    }
+
+    private boolean isRefusal(HttpClientResponse response) {
         return response.getHeader(headerNames.notRun()) != null || response.statusCode() == MISDIRECTED_REQUEST;
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
@@ -55,6 +55,8 @@
         UNREACHABLE,
         /** The backend server responded that it did not run the request. */
         REJECTED,
+        /** The request cannot be written to a backend server, or its message cannot be decoded. */
+        INVALID,
         /** The deadline passed before the request was sent. */
         DEADLINE,
         /** The client has disconnected. */
