Let responses leave before a planned stop ends the process

Cause: a request counted as finished when its response was handed to the connection, and the process ended at the first check without requests in flight. A response that its client was still reading, a reply to another daemon that waited for its event loop, and a request that arrived in between were cut off.

Change: a request is in flight until its response has been written completely, and the process ends after 250 ms without requests in flight, within the grace period as before.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/GracefulShutdown.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/GracefulShutdown.java
@@ -8,7 +8,7 @@
 
 /**
  * Shuts down a daemon without interrupting requests: waits until clients have detected that it is not ready, then until no
- * request is in flight, but ends before the process is killed. Confined to one event loop.
+ * request has been in flight for a while, but ends before the process is killed. Confined to one event loop.
  */
 final class GracefulShutdown {
     /** Clients stop sending after two failed readiness checks, which they run once per second. */
@@ -16,6 +16,9 @@
 
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
 
+    /** Covers the transit of the last responses, and of requests that were sent before their clients learned of the stop. */
+    private static final Duration QUIET_TIME = Duration.ofMillis(250);
+
     /** Reserved for closing ports and exiting before the process is killed. */
     private static final Duration EXIT_MARGIN = Duration.ofMillis(400);
 
@@ -26,6 +29,7 @@
     private final Runnable refuseRequests;
     private final Runnable onFinished;
     private long startedNanos;
+    private long lastBusyNanos;
 
     GracefulShutdown(
             Vertx vertx,
@@ -46,13 +50,19 @@
         startedNanos = time.monotonicNanos();
         vertx.setTimer(READINESS_DETECTION_TIME.toMillis(), fired -> {
             refuseRequests.run();
+            lastBusyNanos = time.monotonicNanos();
             check();
         });
     }
 
     private void check() {
-        Duration elapsed = Duration.ofNanos(time.monotonicNanos() - startedNanos);
-        if (idle.getAsBoolean() || elapsed.compareTo(grace.minus(EXIT_MARGIN)) >= 0) {
+        long now = time.monotonicNanos();
+        if (!idle.getAsBoolean()) {
+            lastBusyNanos = now;
+        }
+        boolean quiet = now - lastBusyNanos >= QUIET_TIME.toNanos();
+        Duration elapsed = Duration.ofNanos(now - startedNanos);
+        if (quiet || elapsed.compareTo(grace.minus(EXIT_MARGIN)) >= 0) {
             onFinished.run();
             return;
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -91,7 +91,7 @@
         refusing = true;
     }
 
-    /** Returns the number of requests in flight. */
+    /** Returns the number of requests whose response has not been written completely. */
     public int inFlight() {
         return inFlight;
     }
@@ -106,10 +106,9 @@
                     LOGGER.atSevere().withCause(failure).log("event=request_failed uri=%s", http.uri());
                     return Future.succeededFuture(ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN));
                 })
-                .onSuccess(clientResponse -> {
-                    inFlight--;
-                    write(http, clientResponse);
-                });
+                // A response that is not written completely would be lost if the process exited.
+                .compose(clientResponse -> write(http, clientResponse))
+                .onComplete(done -> inFlight--);
     }
 
     private Future<ClientResponse> handle(HttpServerRequest http, long arrivedNanos, Future<Void> clientClosed) {
@@ -229,10 +228,10 @@
         return new Deadline(arrivedNanos + timeout.toNanos());
     }
 
-    private void write(HttpServerRequest http, ClientResponse clientResponse) {
+    private Future<Void> write(HttpServerRequest http, ClientResponse clientResponse) {
         HttpServerResponse response = http.response();
         if (response.ended() || response.closed()) {
-            return;
+            return Future.succeededFuture();
         }
         response.setStatusCode(clientResponse.status());
         clientResponse.headers().forEach(field -> response.headers().add(field.name(), field.value()));
@@ -243,6 +242,6 @@
         if (closing || !http.isEnded()) {
             response.putHeader("Connection", "close");
         }
-        response.end(clientResponse.body());
+        return response.end(clientResponse.body());
     }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/GracefulShutdownTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/GracefulShutdownTest.java
@@ -49,6 +49,21 @@
         assertTrue(finished.await(10, TimeUnit.SECONDS));
     }
 
+    /** Guards against exiting between two requests that arrive shortly after each other, or before a response has left. */
+    @Test
+    void start_idleForAMoment_waitsUntilItStaysIdle() throws InterruptedException {
+        start(Duration.ofSeconds(20));
+        assertFalse(finished.await(2_800, TimeUnit.MILLISECONDS));
+        for (int i = 0; i < 5; i++) {
+            idle.set(true);
+            assertFalse(finished.await(120, TimeUnit.MILLISECONDS), "exited after a moment without requests");
+            idle.set(false);
+            assertFalse(finished.await(120, TimeUnit.MILLISECONDS));
+        }
+        idle.set(true);
+        assertTrue(finished.await(10, TimeUnit.SECONDS));
+    }
+
     /** Guards against exceeding the stop grace, after which the process is killed. */
     @Test
     void start_alwaysBusy_endsWithinGrace() throws InterruptedException {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -57,6 +57,7 @@
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final AtomicInteger sends = new AtomicInteger();
+    private Buffer responseBody = Buffer.buffer("body");
     private FleetSnapshot fleet = WITHOUT_ROUTES;
     private final ClientServer server = new ClientServer(vertx, context(), TestHeaderNames.NAMES);
     private final int port =
@@ -79,7 +80,7 @@
                 SERVICE,
                 (member, request, queueWait, cancelled) -> {
                     sends.incrementAndGet();
-                    return Future.succeededFuture(new Answered(200, List.of(), Buffer.buffer("body")));
+                    return Future.succeededFuture(new Answered(200, List.of(), responseBody));
                 },
                 new LoadBalancer(time, new SplittableRandom(1), new AvailabilityZone("z")),
                 new FleetRetryBudget(time, 0.2, 50, Duration.ofSeconds(10)),
@@ -179,4 +180,22 @@
         assertEquals(503, response.statusCode());
         assertEquals("close", response.getHeader("connection"));
     }
+
+    /** Guards against a process exit that cuts off a response which its client is still reading. */
+    @Test
+    void inFlight_responseNotReadCompletely_isCounted() throws Exception {
+        fleet = withRoute();
+        int bodyBytes = 64 << 20;
+        responseBody = Buffer.buffer(new byte[bodyBytes]);
+        try (Socket client = sendRequest("slow")) {
+            await().untilAsserted(() -> assertEquals(1, sends.get()));
+            await().during(PAUSE).until(() -> server.inFlight() == 1);
+            long read = 0;
+            byte[] chunk = new byte[1 << 20];
+            while (read < bodyBytes) {
+                read += client.getInputStream().read(chunk);
+            }
+            await().until(() -> server.inFlight() == 0);
+        }
+    }
 }
