Do not give up running requests because a daemon is silent for a while

Change: a silent connection gets no further calls and is replaced; requests that may be repeated fail at once, so that another backend server can serve them; those that may not be repeated keep the connection until their reply or their deadline. The product's own mode does the same for requests with an attempt token.

Measured: PeerClientTest.call_peerPausedAndPolicyIsWait_getsItsReply and call_peerStaysSilentAndPolicyIsWait_endsAtItsTimeout (new policy, so not compilable on the old code; with FAIL instead of WAIT the first one fails).

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerCall.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerCall.java
@@ -13,16 +13,18 @@
 final class PeerCall {
     private final Envelope message;
     private final Duration timeout;
+    private final SilencePolicy silencePolicy;
     private final CompletableFuture<Envelope> result = new CompletableFuture<>();
     private boolean sent;
 
-    PeerCall(long requestId, Envelope message, Duration timeout) {
+    PeerCall(long requestId, Envelope message, Duration timeout, SilencePolicy silencePolicy) {
         this.message = message.toBuilder().setRequestId(requestId).build();
         this.timeout = timeout;
+        this.silencePolicy = silencePolicy;
     }
 
     static PeerCall oneWay(Envelope message, Duration timeout) {
-        return new PeerCall(0, message, timeout);
+        return new PeerCall(0, message, timeout, SilencePolicy.FAIL);
     }
 
     long requestId() {
@@ -37,6 +39,10 @@
         return timeout;
     }
 
+    SilencePolicy silencePolicy() {
+        return silencePolicy;
+    }
+
     CompletableFuture<Envelope> result() {
         return result;
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
@@ -55,7 +55,20 @@
      */
     public CompletableFuture<Envelope> call(
             Endpoint endpoint, PeerChannel channel, Envelope message, Duration timeout) {
-        PeerCall call = new PeerCall(requestIds.incrementAndGet(), message, timeout);
+        return call(endpoint, channel, message, timeout, SilencePolicy.FAIL);
+    }
+
+    /**
+     * Sends a request and waits for its reply, also while the peer does not respond if the policy says so.
+     *
+     * @param message the request; its request id is replaced
+     * @param timeout time after which the call fails, including the time to connect
+     * @param silencePolicy what happens to the call when the peer stops responding
+     * @see #call(Endpoint, PeerChannel, Envelope, Duration)
+     */
+    public CompletableFuture<Envelope> call(
+            Endpoint endpoint, PeerChannel channel, Envelope message, Duration timeout, SilencePolicy silencePolicy) {
+        PeerCall call = new PeerCall(requestIds.incrementAndGet(), message, timeout, silencePolicy);
         submit(endpoint, channel, call);
         return call.result();
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClientHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClientHandler.java
@@ -18,17 +18,23 @@
  * Client side of one TCP connection.
  *
  * <p>Invariants: a reply completes only the pending call with its id; replies to finished calls are dropped; when the
- * connection is lost, every pending call fails as one that may have been sent. Confined to the connection's event loop.
+ * connection is lost, every pending call fails as one that may have been sent; while the peer does not respond, no further
+ * call is accepted, and only calls that may not be repeated wait for their replies. Confined to the connection's event
+ * loop.
  */
 final class PeerClientHandler extends SimpleChannelInboundHandler<Envelope> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int MAX_UNANSWERED_PROBES = 2;
+    private static final String SILENT = "peer is silent";
 
     /** Notified of state changes of the connection, on its event loop. */
     interface Listener {
         /** The peer's hello was accepted. */
         void onReady(PeerClientHandler source);
 
+        /** The peer stopped responding; the connection accepts no further calls. */
+        void onSilent(PeerClientHandler source);
+
         /** The connection was lost or could not be established. */
         void onLost(PeerClientHandler source, String reason);
 
@@ -44,6 +50,7 @@
     private Optional<String> closeReason = Optional.empty();
     private boolean helloReceived;
     private int unansweredProbes;
+    private boolean silent;
 
     PeerClientHandler(PeerIdentity identity, PeerLimits limits, Listener listener) {
         this.identity = identity;
@@ -91,9 +98,13 @@
     /** Removes a call that timed out or was cancelled, and sends a cancel request to the peer. */
     private void cancelPending(PeerCall call) {
         boolean wasPending = pending.remove(call.requestId()) != null;
-        if (!wasPending || !call.message().hasForwardRequest()) {
-            return;
+        if (wasPending && call.message().hasForwardRequest()) {
+            sendCancel(call);
         }
+        closeIfSilentAndUnused();
+    }
+
+    private void sendCancel(PeerCall call) {
         Envelope cancel = Envelope.newBuilder()
                 .setCancelRequest(CancelRequest.newBuilder().setCancelledRequestId(call.requestId()))
                 .build();
@@ -134,6 +145,7 @@
             return;
         }
         call.result().complete(message);
+        closeIfSilentAndUnused();
     }
 
     @Override
@@ -142,7 +154,7 @@
             super.userEventTriggered(channelContext, event);
             return;
         }
-        if (!helloReceived) {
+        if (!helloReceived || silent) {
             return;
         }
         if (pending.isEmpty()) {
@@ -161,13 +173,32 @@
      */
     private void probe(ChannelHandlerContext channelContext) {
         if (unansweredProbes >= MAX_UNANSWERED_PROBES) {
-            close("peer is silent");
+            onSilence();
             return;
         }
         unansweredProbes++;
         channelContext.writeAndFlush(identity.hello(), channelContext.voidPromise());
     }
 
+    /**
+     * Leaves the connection to the calls that may not be repeated: a peer that was only paused still replies to them, and
+     * closing the connection would give up requests that run.
+     */
+    private void onSilence() {
+        silent = true;
+        listener.onSilent(this);
+        List.copyOf(pending.values()).stream()
+                .filter(call -> call.silencePolicy() == SilencePolicy.FAIL)
+                .forEach(call -> call.fail(PeerException.Reason.CONNECTION_LOST, SILENT));
+        closeIfSilentAndUnused();
+    }
+
+    private void closeIfSilentAndUnused() {
+        if (silent && pending.isEmpty()) {
+            close(SILENT);
+        }
+    }
+
     void close(String reason) {
         if (closeReason.isEmpty()) {
             closeReason = Optional.of(reason);
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerConnection.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerConnection.java
@@ -1,8 +1,10 @@
 package io.daisyhoist.daemon.connection;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -20,7 +22,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 
 /**
- * Logical connection to one address, which replaces its TCP connection when that is lost.
+ * Logical connection to one address, which replaces its TCP connection when that is lost or its peer stops responding.
  *
  * <p>Invariants: a call is written to at most one TCP connection; calls made while connecting wait for the peer's
  * hello; calls made during the backoff fail immediately as not sent. All state except the number of pending calls is
@@ -29,6 +31,7 @@
 final class PeerConnection implements PeerClientHandler.Listener {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int MAX_BACKOFF_SHIFT = 16;
+    private static final String CLIENT_CLOSED = "client is closed";
 
     private enum State {
         IDLE,
@@ -46,6 +49,10 @@
     private final PeerByteCounter byteCounter;
     private final AtomicInteger pendingCallCount = new AtomicInteger();
     private final List<PeerCall> waitingCalls = new ArrayList<>();
+
+    /** Connections whose peer does not respond, with calls that wait for a reply. */
+    private final Set<PeerClientHandler> silentHandlers = new HashSet<>();
+
     private Optional<PeerClientHandler> handler = Optional.empty();
     private State state = State.IDLE;
     private int failedAttempts;
@@ -98,7 +105,7 @@
         switch (state) {
             case READY -> handler.ifPresent(ready -> ready.write(call));
             case BACKOFF -> call.fail(PeerException.Reason.BACKOFF, DeliveryCertainty.NOT_SENT, endpoint.toString());
-            case CLOSED -> call.fail(PeerException.Reason.CLOSED, DeliveryCertainty.NOT_SENT, "client is closed");
+            case CLOSED -> call.fail(PeerException.Reason.CLOSED, DeliveryCertainty.NOT_SENT, CLIENT_CLOSED);
             default -> {
                 waitForConnection(call);
                 if (state == State.IDLE) {
@@ -159,8 +166,20 @@
         calls.stream().filter(call -> !call.result().isDone()).forEach(source::write);
     }
 
+    @Override
+    public void onSilent(PeerClientHandler source) {
+        if (handler.filter(source::equals).isEmpty()) {
+            return;
+        }
+        LOGGER.atInfo().log("event=peer_silent remote=%s outcome=reconnect", endpoint);
+        silentHandlers.add(source);
+        handler = Optional.empty();
+        startBackoff();
+    }
+
     @Override
     public void onLost(PeerClientHandler source, String reason) {
+        silentHandlers.remove(source);
         if (state == State.CLOSED || handler.filter(source::equals).isEmpty()) {
             return;
         }
@@ -206,7 +225,8 @@
 
     private void closePermanently() {
         state = State.CLOSED;
-        failWaitingCalls(PeerException.Reason.CLOSED, "client is closed");
-        handler.ifPresent(open -> open.close("client is closed"));
+        failWaitingCalls(PeerException.Reason.CLOSED, CLIENT_CLOSED);
+        handler.ifPresent(open -> open.close(CLIENT_CLOSED));
+        List.copyOf(silentHandlers).forEach(open -> open.close(CLIENT_CLOSED));
     }
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerLimits.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerLimits.java
@@ -15,7 +15,8 @@
  * @param initialBackoff upper bound of the delay before the first reconnect
  * @param maxBackoff upper bound of the delay before any reconnect
  * @param keepAliveInterval time without data from the peer, while replies are pending, after which the peer is probed;
- *     the connection is closed if no data arrives for twice that time after the first probe
+ *     the peer counts as silent, and the connection is replaced, if no data arrives for twice that time after the first
+ *     probe
  * @param idleTimeout time after which an unused connection is closed
  */
 public record PeerLimits(
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/RequestForwarder.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/RequestForwarder.java
@@ -11,6 +11,7 @@
 import io.daisyhoist.daemon.connection.PeerChannel;
 import io.daisyhoist.daemon.connection.PeerClient;
 import io.daisyhoist.daemon.connection.PeerException;
+import io.daisyhoist.daemon.connection.SilencePolicy;
 import io.daisyhoist.daemon.telemetry.Hop;
 import io.daisyhoist.daemon.telemetry.HopSpan;
 import io.daisyhoist.wire.proto.Envelope;
@@ -47,7 +48,9 @@
         Envelope message =
                 ForwardMessageCodec.encode(request, partition, tokenOnly, span.traceparent(), traffic.time());
         Duration timeout = request.deadline().remaining(traffic.time()).plus(RESPONSE_MARGIN);
-        CompletableFuture<Envelope> call = peers.call(target.peer(), PeerChannel.TRAFFIC, message, timeout);
+        SilencePolicy silencePolicy = request.attemptToken().isPresent() ? SilencePolicy.WAIT : SilencePolicy.FAIL;
+        CompletableFuture<Envelope> call =
+                peers.call(target.peer(), PeerChannel.TRAFFIC, message, timeout, silencePolicy);
         cancelled.onSuccess(ignored -> call.cancel(true));
         Promise<OutboundResponse> result = Promise.promise();
         call.whenComplete((reply, failure) -> traffic.execute(() -> {
--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/PeerClientTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/PeerClientTest.java
@@ -22,6 +22,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -236,6 +237,80 @@
             }
         }
 
+        /** Guards against giving up a request that may not be repeated, and runs, because its peer was only paused. */
+        @Test
+        void call_peerPausedAndPolicyIsWait_getsItsReply() throws Exception {
+            try (ServerSocket paused = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+                Endpoint endpoint = new Endpoint("127.0.0.1", paused.getLocalPort());
+                PeerNode caller = caller();
+                CompletableFuture<Envelope> waiting = caller.client.call(
+                        endpoint, PeerChannel.TRAFFIC, PeerNode.request("w"), LONG_TIMEOUT, SilencePolicy.WAIT);
+                CompletableFuture<Envelope> failing =
+                        caller.client.call(endpoint, PeerChannel.TRAFFIC, PeerNode.request("f"), LONG_TIMEOUT);
+                try (Socket first = paused.accept()) {
+                    replyToHello(first);
+                    assertFailure(PeerException.Reason.CONNECTION_LOST, DeliveryCertainty.MAY_HAVE_BEEN_SENT, failing);
+                    assertFalse(waiting.isDone(), "the request was given up");
+                    try (Socket second = paused.accept()) {
+                        replyToHello(second);
+                        assertLaterCallUses(second, endpoint, caller);
+                    }
+                    Envelope request = readForwardRequest(first);
+                    PeerNode.response("late").toBuilder()
+                            .setRequestId(request.getRequestId())
+                            .build()
+                            .writeDelimitedTo(first.getOutputStream());
+                    assertEquals(
+                            "late",
+                            waiting.get(5, TimeUnit.SECONDS)
+                                    .getForwardResponse()
+                                    .getBackend());
+                    assertEquals(-1, readToEnd(first), "the replaced connection stayed open");
+                }
+            }
+        }
+
+        /** Guards against a call that waits forever, or a connection that stays open, when the peer never responds. */
+        @Test
+        void call_peerStaysSilentAndPolicyIsWait_endsAtItsTimeout() throws Exception {
+            try (ServerSocket silent = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+                Endpoint endpoint = new Endpoint("127.0.0.1", silent.getLocalPort());
+                CompletableFuture<Envelope> call = caller().client
+                        .call(
+                                endpoint,
+                                PeerChannel.TRAFFIC,
+                                PeerNode.request("w"),
+                                Duration.ofSeconds(1),
+                                SilencePolicy.WAIT);
+                try (Socket accepted = silent.accept()) {
+                    replyToHello(accepted);
+                    assertFailure(PeerException.Reason.TIMEOUT, DeliveryCertainty.MAY_HAVE_BEEN_SENT, call);
+                    assertEquals(-1, readToEnd(accepted), "the replaced connection stayed open");
+                }
+            }
+        }
+
+        private void assertLaterCallUses(Socket connection, Endpoint endpoint, PeerNode caller) throws Exception {
+            caller.client.send(endpoint, PeerChannel.TRAFFIC, PeerNode.request("later"));
+            Envelope later = readForwardRequest(connection);
+            assertEquals("later", later.getForwardRequest().getPath());
+        }
+
+        private Envelope readForwardRequest(Socket connection) throws Exception {
+            Envelope message = Envelope.parseDelimitedFrom(connection.getInputStream());
+            return message.hasForwardRequest() ? message : readForwardRequest(connection);
+        }
+
+        private int readToEnd(Socket connection) throws Exception {
+            connection.setSoTimeout((int) LONG_TIMEOUT.toMillis());
+            byte[] buffer = new byte[4096];
+            int read;
+            do {
+                read = connection.getInputStream().read(buffer);
+            } while (read >= 0);
+            return read;
+        }
+
         private void replyToHello(Socket accepted) throws Exception {
             InputStream in = accepted.getInputStream();
             Envelope hello = Envelope.parseDelimitedFrom(in);
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -127,7 +127,8 @@
                 time,
                 fleetControl::fleet,
                 settings.service(),
-                new Forwarder(context, settings.daemon(), admission, peerClient, loadBalancer, time),
+                new Forwarder(
+                        context, settings.daemon(), admission, peerClient, loadBalancer, time, this::isIdempotent),
                 loadBalancer,
                 new FleetRetryBudget(
                         time,
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
@@ -123,7 +123,7 @@
                 time,
                 () -> fleet,
                 SERVICE,
-                new Forwarder(context, SELF, admission, peerClient, loadBalancer, time),
+                new Forwarder(context, SELF, admission, peerClient, loadBalancer, time, request -> true),
                 loadBalancer,
                 new FleetRetryBudget(time, 1, REQUESTS, TIMEOUT),
                 metrics);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.model.DaemonId;
@@ -11,6 +12,7 @@
 import io.daisyhoist.daemon.connection.PeerChannel;
 import io.daisyhoist.daemon.connection.PeerClient;
 import io.daisyhoist.daemon.connection.PeerException;
+import io.daisyhoist.daemon.connection.SilencePolicy;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -27,8 +29,9 @@
 /**
  * Forwards a request to the daemon of a backend server, or to the local admission control.
  *
- * <p>Invariant: a request is sent at most once; a failure is reported as not run only if no byte of it was sent. Confined
- * to the traffic event loop.
+ * <p>Invariants: a request is sent at most once; a failure is reported as not run only if no byte of it was sent; a request
+ * that may not be repeated is not given up because its daemon does not respond for a while. Confined to the traffic event
+ * loop.
  */
 public final class Forwarder implements BackendSender {
     /** Time after the deadline of a request in which the reply of a peer is still accepted. */
@@ -45,20 +48,28 @@
     private final PeerClient peerClient;
     private final LoadBalancer loadBalancer;
     private final TimeSource time;
+    private final Predicate<BackendRequestData> idempotent;
 
+    /**
+     * Creates a forwarder.
+     *
+     * @param idempotent whether a request may be repeated, according to its route
+     */
     public Forwarder(
             Context context,
             DaemonId self,
             BackendAdmission admission,
             PeerClient peerClient,
             LoadBalancer loadBalancer,
-            TimeSource time) {
+            TimeSource time,
+            Predicate<BackendRequestData> idempotent) {
         this.context = context;
         this.self = self;
         this.admission = admission;
         this.peerClient = peerClient;
         this.loadBalancer = loadBalancer;
         this.time = time;
+        this.idempotent = idempotent;
     }
 
     @Override
@@ -80,7 +91,8 @@
                 member.peerAddress(),
                 PeerChannel.TRAFFIC,
                 ForwardCodec.encode(request, queueWait, time),
-                request.deadline().remaining(time).plus(REPLY_MARGIN));
+                request.deadline().remaining(time).plus(REPLY_MARGIN),
+                idempotent.test(request) ? SilencePolicy.FAIL : SilencePolicy.WAIT);
         cancelled.onComplete(done -> call.cancel(false));
         call.whenComplete(
                 (reply, failure) -> context.runOnContext(run -> outcome.complete(result(member, reply, failure))));
