Keep repeated answers of backend servers away from later requests in the own mode

Cause: by contract a 503 with Retry-After, or a stale fence, means 'not run', and the daemon had nothing to tell such a response from a second copy of an earlier one on a kept connection; the same held for any second copy of an answer.

Change: a connection on which a backend server has refused is closed after the refusal; each request carries a Daisyhoist-Request-Id, and a response that echoes another one is not delivered and closes its connection. The stand-in echoes it. A backend server that echoes nothing and repeats an ordinary answer is not recognised (docs/proofs.md).

Measured: BackendClientTest.LateDuplicates.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
@@ -1,7 +1,10 @@
 package io.daisyhoist.daemon.connection;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
@@ -21,6 +24,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 
@@ -28,7 +32,8 @@
  * One request to the backend server and its result.
  *
  * <p>Invariant: the phase leaves {@code WAITING} once, either to {@code WRITTEN} immediately before the write or to
- * {@code ENDED} without a write; only the former allows a result other than {@link NotWritten}. Runs on the client's
+ * {@code ENDED} without a write; only the former allows a result other than {@link NotWritten}; no request is written to a
+ * connection on which a backend server has refused an earlier one. Runs on the client's
  * event loop; {@link #cancel} may be called from any thread.
  */
 final class BackendExchange implements BackendCall {
@@ -36,6 +41,10 @@
     static final int MAX_RESPONSE_BYTES = 1 << 20;
 
     private static final int PRECONDITION_FAILED = 412;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    /** Time for the rest of a refusal to arrive. */
+    private static final Duration RETIRE_TIMEOUT = Duration.ofSeconds(1);
 
     private enum Phase {
         WAITING,
@@ -49,6 +58,7 @@
     private final BackendRequest request;
     private final BooleanSupplier preWriteCheck;
     private final TimeSource time;
+    private final String requestId = UUID.randomUUID().toString();
     private final Promise<BackendResult> result = Promise.promise();
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
     private volatile Optional<HttpClientRequest> openRequest = Optional.empty();
@@ -123,6 +133,7 @@
     private void write(HttpClientRequest httpRequest) {
         openRequest = Optional.of(httpRequest);
         long remainingMillis = request.deadline().remaining(time).toMillis();
+        httpRequest.putHeader(DaisyhoistHeaders.REQUEST_ID, requestId);
         httpRequest.putHeader(DaisyhoistHeaders.DEADLINE_MS, Long.toString(remainingMillis));
         if (!preWriteCheckPasses()) {
             endBeforeWrite(NotWrittenReason.LAST_CHECK, "refused by the check before the write");
@@ -147,13 +158,29 @@
     }
 
     private Future<BackendResult> read(HttpClientResponse response) {
+        String echoedId = response.getHeader(DaisyhoistHeaders.REQUEST_ID);
+        if (echoedId != null && !echoedId.equals(requestId)) {
+            endAfterWrite(UnknownReason.FOREIGN_RESPONSE, "response to request " + echoedId);
+            return Future.failedFuture("response to another request");
+        }
         boolean staleFence = response.statusCode() == PRECONDITION_FAILED
                 && "true".equalsIgnoreCase(response.getHeader(DaisyhoistHeaders.STALE_FENCE));
+        if (staleFence || response.statusCode() == SERVICE_UNAVAILABLE) {
+            retire(response.request().connection());
+        }
         List<HttpField> headers = HopByHopHeaders.endToEnd(response.headers());
         return BoundedBody.read(response, MAX_RESPONSE_BYTES)
                 .map(body -> staleFence ? new StaleFence() : new Answered(response.statusCode(), headers, body));
     }
 
+    /**
+     * Closes a connection after the current response. A backend server that wrote a refusal once more would otherwise make
+     * the next request on it look refused, although it runs.
+     */
+    private static void retire(HttpConnection connection) {
+        connection.shutdown(RETIRE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private static UnknownReason unknownReasonOf(Throwable failure) {
         if (failure instanceof BoundedBody.TooLargeException) {
             return UnknownReason.RESPONSE_TOO_LARGE;
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendResult.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendResult.java
@@ -21,7 +21,9 @@
         CONNECTION_LOST,
         CANCELLED,
         DEADLINE,
-        RESPONSE_TOO_LARGE
+        RESPONSE_TOO_LARGE,
+        /** The response contains the id of another request. */
+        FOREIGN_RESPONSE
     }
 
     /**
--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/BackendClientTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/BackendClientTest.java
@@ -5,10 +5,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.time.Deadline;
@@ -25,6 +28,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.NetServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -168,6 +172,72 @@
         }
     }
 
+    /** A faulty backend server that writes an earlier response once more on the same connection. */
+    @Nested
+    class LateDuplicates {
+        private static final String REFUSAL = "HTTP/1.1 503 Full\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
+
+        private final AtomicInteger connections = new AtomicInteger();
+        private final AtomicInteger requests = new AtomicInteger();
+
+        private static String ok(String headers, String body) {
+            return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        }
+
+        private BackendClient client(Function<String, List<String>> responsesToHead) throws Exception {
+            NetServer server = vertx.createNetServer().connectHandler(socket -> {
+                connections.incrementAndGet();
+                socket.handler(bytes -> responsesToHead.apply(bytes.toString()).forEach(socket::write));
+            });
+            int port = server.listen(0, "127.0.0.1")
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(5, TimeUnit.SECONDS)
+                    .actualPort();
+            return BackendClientTest.this.client(1, port);
+        }
+
+        private String requestId(String head) {
+            return head.lines()
+                    .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("daisyhoist-request-id: "))
+                    .findFirst()
+                    .orElseThrow();
+        }
+
+        /** Guards against "not run" for a request that is running. */
+        @Test
+        void send_earlierRefusalWrittenAgain_isNotTakenForTheNextResponse() throws Exception {
+            BackendClient client = client(head -> connections.get() == 1 ? List.of(REFUSAL) : List.of(ok("", "own")));
+            assertEquals(
+                    503,
+                    assertInstanceOf(Answered.class, join(send(client, "/first")))
+                            .status());
+            Answered second = assertInstanceOf(Answered.class, join(send(client, "/second")));
+            assertEquals("own", second.body().toString());
+            assertEquals(2, connections.get());
+        }
+
+        /** Guards against delivering the response to another request. */
+        @Test
+        void send_earlierAnswerWrittenAgain_isUnknownIfTheIdIsEchoed() throws Exception {
+            List<String> answers = new CopyOnWriteArrayList<>();
+            BackendClient client = client(head -> {
+                answers.add(ok(requestId(head) + "\r\n", "answer-" + answers.size()));
+                return requests.incrementAndGet() == 2
+                        ? List.of(answers.get(0), answers.get(1))
+                        : List.of(answers.get(answers.size() - 1));
+            });
+            assertEquals("answer-0", bodyOf(send(client, "/first")));
+            assertUnknown(UnknownReason.FOREIGN_RESPONSE, send(client, "/second"));
+            assertEquals("answer-2", bodyOf(send(client, "/third")));
+            assertEquals(2, connections.get(), "the damaged connection was reused");
+        }
+
+        private String bodyOf(BackendCall call) throws Exception {
+            return assertInstanceOf(Answered.class, join(call)).body().toString();
+        }
+    }
+
     @Nested
     class CertainlyNotWritten {
         @Test
--- a/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
@@ -29,6 +29,8 @@
  * {@link #executionLog()} may be used on any thread.
  */
 public final class BackendServer extends VerticleBase {
+    private static final String REQUEST_ID_HEADER = "Daisyhoist-Request-Id";
+
     private final BackendSettings settings;
     private final ExecutionLog executionLog = new ExecutionLog();
     private final FencingTokenRegistry fencingTokens = new FencingTokenRegistry();
@@ -141,6 +143,8 @@
 
     private void handle(HttpServerRequest request) {
         request.resume();
+        Optional.ofNullable(request.getHeader(REQUEST_ID_HEADER))
+                .ifPresent(id -> request.response().putHeader(REQUEST_ID_HEADER, id));
         switch (request.path()) {
             case "/health" -> respond(request, 200, new JsonObject().put("state", report.state()));
             case "/load" -> respond(request, 200, report.loadJson().put("age_ms", report.ageMillis(System.nanoTime())));
