Remember over a restart that a backend server has announced its shutdown

Cause: a shutdown notice was known only to the process that acknowledged it, and a notice that arrived before the first heartbeat was forgotten at once. After a restart of the daemon, a heartbeat from before the notice made the backend server a target of requests again.

The registration no longer reads its entry before the first write, which conflicts if there is one, so a start makes as many calls as before.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -9,6 +9,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
+import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.keyrange.GrantedRange;
@@ -69,6 +70,7 @@
     private final RangeAssigner rangeAssigner;
     private final FleetGossip gossip;
     private final HeartbeatResponder heartbeatResponder;
+    private final DepartureRecord departures;
     private Optional<LocalBackend> backend = Optional.empty();
     private boolean operatorSynchronized;
     private boolean fleetSynchronized;
@@ -129,6 +131,7 @@
                 access,
                 settings.bounds().minLeaseTtl(),
                 new RegistrationListener());
+        this.departures = new DepartureRecord(settings.daemon(), access, this::onDepartureLoaded);
         Duration keyLeaseDuration =
                 KEY_LEASE_DURATION.compareTo(settings.bounds().maxKeyLease()) < 0
                         ? KEY_LEASE_DURATION
@@ -165,6 +168,7 @@
         control.execute(() -> {
             operatorCache.reload();
             fleetCache.reload();
+            departures.load();
             registration.start();
         });
         control.scheduleWithFixedDelay(this::tick, TICK_INTERVAL);
@@ -253,7 +257,11 @@
             return;
         }
         LocalBackend previous = backend.orElse(null);
-        backend = Optional.of(LocalBackend.afterHeartbeat(backend, heartbeat, time));
+        LocalBackend reported = LocalBackend.afterHeartbeat(backend, heartbeat, time);
+        if (reported.leaving()) {
+            departures.add(reported.process());
+        }
+        backend = Optional.of(departures.contains(reported.process()) ? reported.asLeaving() : reported);
         logChange(previous, change);
         keyLeases.onHeartbeat(heartbeat);
         registration.update(member());
@@ -309,8 +317,12 @@
     public CompletableFuture<Void> onLeaving(String backendId, OptionalLong startedMillis) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         control.execute(() -> {
-            backend =
-                    backend.map(known -> known.process().matches(backendId, startedMillis) ? known.asLeaving() : known);
+            Optional<LocalBackend> leaving =
+                    backend.filter(known -> known.process().matches(backendId, startedMillis));
+            backend = leaving.map(LocalBackend::asLeaving).or(() -> backend);
+            leaving.map(LocalBackend::process)
+                    .or(() -> processId(backendId, startedMillis))
+                    .ifPresent(departures::add);
             LOGGER.atInfo().log(
                     "event=backend_leaving backend=%s known=%s",
                     backendId,
@@ -322,6 +334,20 @@
         return done;
     }
 
+    private static Optional<BackendProcessId> processId(String backendId, OptionalLong startedMillis) {
+        return startedMillis.isPresent()
+                ? Optional.of(new BackendProcessId(backendId, startedMillis.getAsLong()))
+                : Optional.empty();
+    }
+
+    private void onDepartureLoaded() {
+        if (backend.filter(known -> departures.contains(known.process())).isPresent()) {
+            backend = backend.map(LocalBackend::asLeaving);
+            publishLocal();
+            registration.update(member());
+        }
+    }
+
     private FleetMember member() {
         Optional<FleetMember.MemberBackend> memberBackend = backend.map(known -> new FleetMember.MemberBackend(
                 known.process().id(),
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -180,7 +180,8 @@
         onResponse("lease_create", store.createLease(leaseTtl), created -> {
             lease = created.id();
             registered = false;
-            readRevision();
+            // The entry of an earlier process or lease has a revision; the write then conflicts, and the entry is read.
+            write();
         });
     }
 
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -0,0 +1,155 @@
+package io.daisyhoist.mesh.process;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+
+import io.daisyhoist.core.fleet.BackendHeartbeat;
+import io.daisyhoist.core.fleet.BackendProcessId;
+import io.daisyhoist.core.fleet.LocalBackend;
+import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class FleetControlTest {
+    private static final Endpoint ADDRESS = new Endpoint("10.0.0.1", 1000);
+    private static final ServiceName SERVICE = new ServiceName("s");
+    private static final BackendProcessId PROCESS = new BackendProcessId("b", 100);
+
+    private final Simulation simulation = new Simulation();
+    private final SimulatedStore store = new SimulatedStore(simulation, new Random(1));
+    private final SimulatedStore.Client client = store.client();
+    private Simulation.Process process;
+    private FleetControl control;
+
+    @BeforeEach
+    void start() {
+        process = simulation.process();
+        FleetBounds bounds = new FleetBounds(
+                Duration.ofSeconds(6),
+                Duration.ofSeconds(10),
+                Duration.ofMillis(870),
+                Duration.ofSeconds(1),
+                0.2,
+                50,
+                Duration.ofSeconds(10),
+                1.5,
+                5);
+        FleetSettings settings = new FleetSettings(
+                new DaemonId("d"),
+                new AvailabilityZone("z"),
+                SERVICE,
+                ADDRESS,
+                ADDRESS,
+                ADDRESS,
+                ADDRESS,
+                ADDRESS,
+                bounds);
+        control = new FleetControl(
+                settings,
+                simulation.nowNanos(),
+                new FleetControl.Dependencies(
+                        process,
+                        process,
+                        client,
+                        new SingleServiceDocuments(),
+                        (receivers, message) -> {},
+                        new FleetMetrics()));
+        control.start();
+        simulation.runFor(Duration.ofSeconds(1));
+    }
+
+    private void restartAfter(Duration downTime) {
+        process.kill();
+        simulation.runFor(downTime);
+        start();
+    }
+
+    private void heartbeat(BackendProcessId sender, long sequence, boolean draining) {
+        control.onHeartbeat(new BackendHeartbeat(
+                sender, sequence, ADDRESS, SERVICE, 6, draining, Duration.ZERO, List.of(), List.of()));
+        simulation.runFor(Duration.ofSeconds(1));
+    }
+
+    private boolean isLeaving() {
+        return control.localBackend().backend().map(LocalBackend::leaving).orElseThrow();
+    }
+
+    /** A heartbeat that was sent before the shutdown notice may arrive after a restart of the daemon. */
+    @Nested
+    class LateHeartbeatAfterRestart {
+        /** Guards against using a backend server again whose shutdown an earlier process has acknowledged. */
+        @Test
+        void onHeartbeat_processHasLeft_staysLeaving() {
+            heartbeat(PROCESS, 5, false);
+            control.onLeaving(PROCESS.id(), OptionalLong.of(PROCESS.startedMillis()));
+            simulation.runFor(Duration.ofSeconds(1));
+            restartAfter(Duration.ofSeconds(5));
+            heartbeat(PROCESS, 4, false);
+            assertTrue(isLeaving());
+        }
+
+        @Test
+        void onHeartbeat_processWasDraining_staysLeaving() {
+            heartbeat(PROCESS, 5, true);
+            restartAfter(Duration.ofSeconds(5));
+            heartbeat(PROCESS, 4, false);
+            assertTrue(isLeaving());
+        }
+
+        /** Guards against a shutdown notice that is lost because the store did not respond when it arrived. */
+        @Test
+        void onHeartbeat_storeWasDownDuringTheNotice_staysLeaving() {
+            heartbeat(PROCESS, 5, false);
+            store.setDown(true, true);
+            control.onLeaving(PROCESS.id(), OptionalLong.empty());
+            simulation.runFor(Duration.ofSeconds(4));
+            store.setDown(false, false);
+            simulation.runFor(Duration.ofSeconds(3));
+            restartAfter(Duration.ofSeconds(5));
+            heartbeat(PROCESS, 4, false);
+            assertTrue(isLeaving());
+        }
+
+        /** Guards against keeping the next process out of use. */
+        @Test
+        void onHeartbeat_nextProcess_isUsed() {
+            heartbeat(PROCESS, 5, true);
+            restartAfter(Duration.ofSeconds(5));
+            heartbeat(new BackendProcessId("b", 200), 1, false);
+            assertFalse(isLeaving());
+        }
+
+        /** Guards against keeping a backend server out of use that only its daemon's planned stop took out. */
+        @Test
+        void onHeartbeat_onlyTheDaemonWasStopped_isUsed() {
+            heartbeat(PROCESS, 5, false);
+            control.stopAccepting();
+            simulation.runFor(Duration.ofSeconds(1));
+            restartAfter(Duration.ofSeconds(1));
+            heartbeat(PROCESS, 6, false);
+            assertFalse(isLeaving());
+        }
+
+        /** Guards against using it while its departure has not been read yet. */
+        @Test
+        void onHeartbeat_departureIsReadLater_becomesLeaving() {
+            heartbeat(PROCESS, 5, true);
+            client.setDisconnected(true);
+            restartAfter(Duration.ofSeconds(2));
+            heartbeat(PROCESS, 4, false);
+            client.setDisconnected(false);
+            simulation.runFor(Duration.ofSeconds(5));
+            assertTrue(isLeaving());
+        }
+    }
+}
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
@@ -11,16 +11,7 @@
 
 import io.daisyhoist.core.keyrange.HeldRange;
 import io.daisyhoist.core.keyrange.KeyRange;
-import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
-import io.daisyhoist.core.model.ServiceName;
-import io.daisyhoist.core.route.ClientLimits;
-import io.daisyhoist.core.route.FleetConfig;
-import io.daisyhoist.core.route.RouteTable;
-import io.daisyhoist.core.route.ServicePolicy;
-import io.daisyhoist.mesh.store.Decoded;
-import io.daisyhoist.mesh.store.OperatorDocuments;
-import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.wire.proto.Envelope;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -47,27 +38,6 @@
     /** Fault-free time after which every key must have a holder again. */
     private static final Duration RECOVERY_TIME = Duration.ofSeconds(20);
 
-    /** Reads every item as the same configuration with one keyed service. */
-    private static final class Documents implements OperatorDocuments {
-        @Override
-        public String prefix() {
-            return "operators/";
-        }
-
-        @Override
-        public Decoded<Document> read(StoredItem item) {
-            ServicePolicy policy = new ServicePolicy(SimulatedInstance.SERVICE, true, Duration.ofSeconds(3), 14, 110);
-            Map<ServiceName, ServicePolicy> services = Map.of(SimulatedInstance.SERVICE, policy);
-            return Decoded.valid(
-                    new Configuration(new FleetConfig(1, new RouteTable(List.of()), services, ClientLimits.DEFAULT)));
-        }
-
-        @Override
-        public Optional<AvailabilityZone> evacuatedZone(String key) {
-            return Optional.empty();
-        }
-    }
-
     /** One history: a fleet, its store, and the holders observed so far. */
     private static final class History {
         private final Random random;
@@ -84,7 +54,7 @@
             store = new SimulatedStore(simulation, random);
             store.put("operators/config", "1".getBytes(StandardCharsets.UTF_8));
             for (int i = 0; i < INSTANCES; i++) {
-                instances.add(new SimulatedInstance(simulation, store, new Documents(), i, this::deliver));
+                instances.add(new SimulatedInstance(simulation, store, new SingleServiceDocuments(), i, this::deliver));
             }
             generateRequests();
         }
