--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
@@ -39,6 +39,8 @@
         WRONG_BACKEND,
         /** The backend server is leaving. */
         LEAVING,
+        /** The daemon of the backend server has started and not read the operators' items yet. */
+        NO_CONFIGURATION,
         /** The availability zone of the backend server is evacuated. */
         ZONE_EVACUATED,
         /** The backend server does not hold the key, and no key lease can be granted at present. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -48,7 +48,8 @@
                 .setMethod(request.method())
                 .setPath(request.uri())
                 .setBody(UnsafeByteOperations.unsafeWrap(request.body().getBytes()))
-                .setRemainingDeadlineMs((int) request.deadline().remaining(time).toMillis())
+                .setRemainingDeadlineMs(
+                        (int) Math.max(0, request.deadline().remaining(time).toMillis()))
                 .setRank(Integer.toString(request.priority()))
                 .setRequestId(request.id())
                 .setCallerService(request.callerService())
@@ -62,8 +63,15 @@
         return Envelope.newBuilder().setForwardRequest(message).build();
     }
 
-    /** Decodes a request. */
+    /**
+     * Decodes a request.
+     *
+     * @throws IllegalArgumentException if a field is missing or out of range
+     */
     public static BackendRequestData decode(ForwardRequest message, TimeSource time) {
+        requireText("request id", message.getRequestId());
+        requireText("method", message.getMethod());
+        requireText("path", message.getPath());
         OptionalInt key = message.hasKey() ? OptionalInt.of(Integer.parseInt(message.getKey())) : OptionalInt.empty();
         return new BackendRequestData(
                 message.getRequestId(),
@@ -73,8 +81,9 @@
                 message.getPath(),
                 fields(message.getHeadersList()),
                 buffer(message.getBody()),
-                Integer.parseInt(message.getRank()),
-                Deadline.after(time, Duration.ofMillis(message.getRemainingDeadlineMs())),
+                requireNonNegative("rank", Integer.parseInt(message.getRank())),
+                Deadline.after(
+                        time, Duration.ofMillis(requireNonNegative("deadline", message.getRemainingDeadlineMs()))),
                 message.getCallerService(),
                 new BackendProcessId(
                         message.getExpectedBackend().getId(),
@@ -82,6 +91,19 @@
                 message.getHasAlternative());
     }
 
+    private static void requireText(String field, String value) {
+        if (value.isEmpty()) {
+            throw new IllegalArgumentException(field + " is missing");
+        }
+    }
+
+    private static int requireNonNegative(String field, int value) {
+        if (value < 0) {
+            throw new IllegalArgumentException(field + " must not be negative: " + value);
+        }
+        return value;
+    }
+
     /** Encodes an outcome with the load of the backend server. */
     public static Envelope encode(BackendOutcome outcome, LoadBalancer.Report load) {
         ForwardResponse.Builder message = ForwardResponse.newBuilder()
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -38,7 +38,7 @@
  * Admission control of the local backend server; all requests to it pass through this class.
  *
  * <p>Invariants: a request is written only if, at that moment, the backend server is the expected process, is not leaving,
- * its availability zone is not evacuated, it holds the key of the request, and it has capacity for another request;
+ * its availability zone is known not to be evacuated, it holds the key of the request, and it has capacity for another request;
  * otherwise the request is refused as not run. Confined to the traffic event loop.
  */
 public final class BackendAdmission {
@@ -206,6 +206,10 @@
         if (!isExpectedProcess) {
             return Optional.of(NotRunReason.WRONG_BACKEND);
         }
+        if (fleet.get().config().isEmpty()) {
+            // Evacuated zones are read together with the configuration and are not known before it.
+            return Optional.of(NotRunReason.NO_CONFIGURATION);
+        }
         if (fleet.get().isEvacuated(zone)) {
             return Optional.of(NotRunReason.ZONE_EVACUATED);
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
@@ -18,6 +19,7 @@
 import io.daisyhoist.mesh.connection.ForwardCodec;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
+import io.daisyhoist.wire.proto.ForwardRequest;
 import io.daisyhoist.wire.proto.OperatorItems;
 import io.vertx.core.Context;
 import io.vertx.core.Promise;
@@ -97,7 +99,14 @@
             logDropped(message.getForwardRequest().getRequestId(), "connection_closed");
             return;
         }
-        BackendRequestData request = ForwardCodec.decode(message.getForwardRequest(), time);
+        Optional<BackendRequestData> decoded = decode(from, message.getForwardRequest());
+        if (decoded.isEmpty()) {
+            reply.accept(ForwardCodec.encode(
+                    new BackendOutcome.NotRun(BackendOutcome.NotRunReason.INVALID, false, Duration.ZERO),
+                    admission.load()));
+            return;
+        }
+        BackendRequestData request = decoded.get();
         Promise<Void> cancelled = Promise.promise();
         running.put(id, new RunningForward(request, reply, cancelled));
         Duration queueWait = Duration.ofMillis(message.getForwardRequest().getQueueWaitMs());
@@ -113,6 +122,17 @@
         });
     }
 
+    private Optional<BackendRequestData> decode(ProcessId from, ForwardRequest message) {
+        try {
+            return Optional.of(ForwardCodec.decode(message, time));
+        } catch (IllegalArgumentException e) {
+            LOGGER.atWarning().log(
+                    "event=forward_invalid peer=%s request=%s reason=\"%s\"",
+                    from, message.getRequestId(), e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     private static void logDropped(String requestId, String reason) {
         LOGGER.atInfo().log("event=forward_dropped request=%s reason=%s", requestId, reason);
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/BoundedLogHandler.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/BoundedLogHandler.java
@@ -13,6 +13,7 @@
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import java.util.regex.Pattern;
 
 /**
  * Asynchronous log handler with a bounded queue and a rate limit.
@@ -28,6 +29,9 @@
     private static final long POLL_MILLIS = 500;
     private static final long SECOND_MILLIS = 1_000;
 
+    private static final int MAX_LINE_CHARS = 4_000;
+    private static final Pattern CONTROL_CHARACTERS = Pattern.compile("\\p{Cntrl}");
+
     private final BlockingQueue<String> queuedLines = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private final AtomicLong dropped = new AtomicLong();
     private final PrintStream output;
@@ -93,7 +97,7 @@
             try {
                 String line = queuedLines.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
                 if (line != null) {
-                    output.println(line);
+                    output.println(singleLine(line));
                     reportDroppedLines();
                 }
                 if (queuedLines.isEmpty()) {
@@ -106,6 +110,12 @@
         }
     }
 
+    /** Replaces control characters and cuts off long lines, because a line may quote what others sent. */
+    private static String singleLine(String line) {
+        String bounded = line.length() > MAX_LINE_CHARS ? line.substring(0, MAX_LINE_CHARS) + "..." : line;
+        return CONTROL_CHARACTERS.matcher(bounded).replaceAll("?");
+    }
+
     private void reportDroppedLines() {
         long count = dropped.getAndSet(0);
         if (count > 0) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
@@ -14,6 +14,9 @@
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.route.ClientLimits;
+import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.core.route.RouteTable;
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
@@ -39,6 +42,11 @@
     final Vertx vertx = Vertx.vertx();
     final Context context = vertx.getOrCreateContext();
     final TimeSource time = new SystemTimeSource();
+    volatile FleetSnapshot fleet = new FleetSnapshot(
+            Optional.of(new FleetConfig(1, new RouteTable(List.of()), Map.of(), ClientLimits.DEFAULT)),
+            Set.of(),
+            Map.of(),
+            Map.of());
     final BackendAdmission admission;
 
     AdmissionFixture(int slots, Handler<NetSocket> backendConnections) {
@@ -52,7 +60,6 @@
                 new BackendHeartbeat(BACKEND, 1, backend, SERVICE, slots, false, Duration.ZERO, List.of(), List.of());
         LocalBackendSnapshot snapshot = new LocalBackendSnapshot(
                 Optional.of(LocalBackend.afterHeartbeat(Optional.empty(), heartbeat, time)), List.of(), 0, false);
-        FleetSnapshot fleet = new FleetSnapshot(Optional.empty(), Set.of(), Map.of(), Map.of());
         return new BackendAdmission(
                 time,
                 new AvailabilityZone("z"),
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
@@ -6,6 +6,7 @@
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
+import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import org.junit.jupiter.api.AfterEach;
@@ -53,4 +54,13 @@
         assertEquals(NotRunReason.OVERLOADED, refused.reason());
         assertEquals(2, arrivals.get());
     }
+
+    /** Guards against requests to an evacuated availability zone by a daemon that has restarted and not read that yet. */
+    @Test
+    void run_operatorItemsNotRead_isRefusedAsNotRun() {
+        fixture.fleet = FleetSnapshot.EMPTY;
+        NotRun refused = assertInstanceOf(NotRun.class, AdmissionFixture.result(run("1", Duration.ZERO)));
+        assertEquals(NotRunReason.NO_CONFIGURATION, refused.reason());
+        assertEquals(0, arrivals.get());
+    }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
@@ -7,9 +7,11 @@
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.daemon.connection.PeerReply;
+import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.ForwardCodec;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
+import io.daisyhoist.wire.proto.ForwardRequest;
 import io.daisyhoist.wire.proto.OperatorItems;
 import io.vertx.core.Promise;
 import io.vertx.core.net.NetSocket;
@@ -33,11 +35,12 @@
 
     /** Connection to the sender that can be closed. */
     private static final class Connection implements PeerReply {
+        private final List<Envelope> replies = new CopyOnWriteArrayList<>();
         private volatile boolean open = true;
 
         @Override
         public void accept(Envelope reply) {
-            // The backend server never responds.
+            replies.add(reply);
         }
 
         @Override
@@ -118,4 +121,24 @@
         awaitTrafficLoop();
         await().during(Duration.ofMillis(200)).until(interrupted::isEmpty);
     }
+
+    /** Guards against a sender that waits until its deadline, and does not know whether its damaged request runs. */
+    @Test
+    void handle_damagedRequest_isRefusedAsNotRun() {
+        Envelope sound = ForwardCodec.encode(fixture.request("1"), Duration.ZERO, fixture.time);
+        List<ForwardRequest> damaged = List.of(
+                ForwardRequest.getDefaultInstance(),
+                sound.getForwardRequest().toBuilder().setRank("-2").build(),
+                sound.getForwardRequest().toBuilder().setRank("high").build(),
+                sound.getForwardRequest().toBuilder().setKey("k").build(),
+                sound.getForwardRequest().toBuilder().setService("no name").build(),
+                sound.getForwardRequest().toBuilder().clearExpectedBackend().build(),
+                sound.getForwardRequest().toBuilder().setRemainingDeadlineMs(-5).build());
+        damaged.forEach(request -> receiver.handle(
+                SENDER, sound.toBuilder().setForwardRequest(request).build(), connection));
+        await().until(() -> connection.replies.size() == damaged.size());
+        connection.replies.forEach(reply -> assertEquals(
+                new BackendOutcome.NotRun(BackendOutcome.NotRunReason.INVALID, false, Duration.ZERO),
+                ForwardCodec.decode(reply.getForwardResponse())));
+    }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/telemetry/BoundedLogHandlerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/telemetry/BoundedLogHandlerTest.java
@@ -11,6 +11,7 @@
 
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -60,4 +61,17 @@
                 "lines " + text.lines().count());
         assertTrue(text.contains("event=log_lines_dropped"), "dropped lines are reported");
     }
+
+    /** Guards against forged or endless lines by input that a log message quotes. */
+    @Test
+    void publish_messageWithControlCharacters_isOneBoundedLine() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        BoundedLogHandler handler = new BoundedLogHandler(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+        handler.publish(new LogRecord(Level.INFO, "event=a key=x\nevent=forged\u0000" + "y".repeat(100_000)));
+        handler.close();
+        String text = bytes.toString(StandardCharsets.UTF_8);
+        assertEquals(1, text.lines().count());
+        assertTrue(text.contains("x?event=forged?"), text);
+        assertTrue(text.length() < 5_000, text.length() + " characters");
+    }
 }
--- a/testkit/src/test/java/io/daisyhoist/testkit/link/LinkProxyTest.java
+++ b/testkit/src/test/java/io/daisyhoist/testkit/link/LinkProxyTest.java
@@ -1,5 +1,7 @@
 package io.daisyhoist.testkit.link;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -10,7 +12,6 @@
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.awaitility.Awaitility.await;
@@ -61,16 +62,14 @@
     }
 
     /** Guards against a cut that leaves connections open or accepts new ones. */
-    @Tag("known-red")
     @Test
     void cut_ofOneDirection_closesAndRejectsConnectionsUntilPass() {
         setMode(LinkProxy.Side.TO_TARGET, LinkMode.CUT, 0);
         await().untilTrue(clientClosed);
         AtomicBoolean closedAgain = new AtomicBoolean();
-        vertx.createNetClient()
-                .connect(proxy.port(), "127.0.0.1")
-                .onSuccess(socket -> socket.closeHandler(closed -> closedAgain.set(true)))
-                .onFailure(cause -> closedAgain.set(true));
+        // A Vert.x client attaches its close handler after the connection is established and misses an earlier close.
+        Thread reader = new Thread(() -> closedAgain.set(isClosedByPeer()));
+        reader.start();
         await().untilTrue(closedAgain);
         assertTrue(receivedByTarget.isEmpty());
         setMode(LinkProxy.Side.BOTH, LinkMode.PASS, 0);
@@ -80,6 +79,15 @@
         assertEquals("again", receivedByTarget.get(0));
     }
 
+    private boolean isClosedByPeer() {
+        try (Socket socket = new Socket("127.0.0.1", proxy.port())) {
+            return socket.getInputStream().read() < 0;
+        } catch (IOException e) {
+            // Refused or reset, which is a cut as well.
+            return true;
+        }
+    }
+
     private void setMode(LinkProxy.Side side, LinkMode mode, long delayMillis) {
         Futures.awaitResult(proxy.setMode(side, mode, delayMillis));
     }
