--- a/core/src/main/java/io/daisyhoist/core/keyrange/RegistrationLease.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RegistrationLease.java
@@ -47,9 +47,12 @@
 
     /** Returns whether the store confirmed the registration by a call sent within the given time. */
     public boolean isConfirmedWithin(Duration age) {
-        return lastConfirmedCall
-                .filter(sentAt -> sentAt.elapsed(time).compareTo(age) <= 0)
-                .isPresent();
+        return confirmationAge().filter(known -> known.compareTo(age) <= 0).isPresent();
+    }
+
+    /** Returns the time since the last call that confirmed the registration was sent; empty before the first one. */
+    public Optional<Duration> confirmationAge() {
+        return lastConfirmedCall.map(sentAt -> sentAt.elapsed(time));
     }
 
     /** Returns the key lease that may be granted now; empty if it would expire before the next heartbeat. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -9,9 +9,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
-import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
-import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.keyrange.GrantedRange;
 import io.daisyhoist.core.keyrange.KeyLeases;
 import io.daisyhoist.core.keyrange.KeyLoad;
@@ -25,6 +23,7 @@
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.store.StoreDelta;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
@@ -32,6 +31,7 @@
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.OperatorItems;
+import io.daisyhoist.wire.proto.StoreChanges;
 
 /**
  * Control state of one daemon: the fleet state read from the store, the daemon's registration, the local backend server
@@ -52,11 +52,13 @@
     /** Short enough that the keys of a backend server that stopped sending heartbeats can move soon. */
     private static final Duration KEY_LEASE_DURATION = Duration.ofMillis(5_000);
 
+    /** Longer than the interval of heartbeats, so that the first one has usually arrived. */
+    private static final Duration MAX_REGISTRATION_DELAY = Duration.ofMillis(1_000);
+
     private static final Duration TICK_INTERVAL = Duration.ofMillis(200);
     private static final Duration LOAD_REPORT_INTERVAL = Duration.ofMillis(500);
 
     private final FleetSettings settings;
-    private final long incarnation;
     private final TimeSource time;
     private final ControlExecutor control;
     private final FleetMetrics metrics;
@@ -71,10 +73,11 @@
     private final FleetGossip gossip;
     private final HeartbeatResponder heartbeatResponder;
     private final DepartureRecord departures;
-    private Optional<LocalBackend> backend = Optional.empty();
+    private final LocalBackendTracker tracker;
+    private final StoreFollower follower;
     private boolean operatorSynchronized;
     private boolean fleetSynchronized;
-    private boolean stopping;
+    private boolean registrationStarted;
     private volatile FleetSnapshot fleet = FleetSnapshot.EMPTY;
     private volatile LocalBackendSnapshot localBackend = LocalBackendSnapshot.EMPTY;
     private volatile boolean ready;
@@ -106,7 +109,6 @@
     /** Creates empty control state; {@link #start} starts reading the store. */
     public FleetControl(FleetSettings settings, long incarnation, Dependencies dependencies) {
         this.settings = settings;
-        this.incarnation = incarnation;
         this.time = dependencies.time();
         this.control = dependencies.control();
         this.metrics = dependencies.metrics();
@@ -115,23 +117,26 @@
         StoreAccess access = new StoreAccess(store, control, time, new CallbackGuard(metrics::onFailedCallback));
         this.state = new FleetState(
                 time, documents, MEMBER_EXPIRY, this::publishFleet, () -> metrics.onRejectedInput("store"));
+        this.departures = new DepartureRecord(settings.daemon(), access, this::onDepartureLoaded);
+        this.tracker = new LocalBackendTracker(settings, incarnation, time, departures);
         this.operatorCache = new StoreCache(documents.prefix(), access, new OperatorListener());
         this.fleetCache = new StoreCache("daisyhoist/", access, new FleetListener());
+        this.follower = new StoreFollower(
+                settings.daemon(), settings.zone(), access, operatorCache, fleetCache, dependencies.peerSender());
         this.gossip = new FleetGossip(
                 settings.daemon(),
                 time,
                 incarnation,
                 operatorCache,
                 this::fleet,
-                this::localKeyLoad,
+                this::localReport,
                 dependencies.peerSender());
         this.registration = new Registration(
                 FleetState.memberKey(settings.daemon()),
-                member(),
+                tracker.member(),
                 access,
                 settings.bounds().minLeaseTtl(),
                 new RegistrationListener());
-        this.departures = new DepartureRecord(settings.daemon(), access, this::onDepartureLoaded);
         Duration keyLeaseDuration =
                 KEY_LEASE_DURATION.compareTo(settings.bounds().maxKeyLease()) < 0
                         ? KEY_LEASE_DURATION
@@ -167,14 +172,21 @@
     public void start() {
         control.execute(() -> {
             operatorCache.reload();
-            fleetCache.reload();
             departures.load();
-            registration.start();
         });
+        control.scheduleOnce(this::register, MAX_REGISTRATION_DELAY);
         control.scheduleWithFixedDelay(this::tick, TICK_INTERVAL);
         control.scheduleWithFixedDelay(this::reportLoad, LOAD_REPORT_INTERVAL);
     }
 
+    /** Waits for the first heartbeat if it arrives soon, so that the entry does not change right after its first write. */
+    private void register() {
+        if (!registrationStarted) {
+            registrationStarted = true;
+            registration.start();
+        }
+    }
+
     /** Returns the most recent snapshot of the fleet. */
     public FleetSnapshot fleet() {
         return fleet;
@@ -190,12 +202,17 @@
         return ready;
     }
 
+    /** Returns whether this daemon watches the store itself instead of following another daemon. */
+    public boolean isWatchingStore() {
+        return follower.isWatching();
+    }
+
     /** Announces to the other daemons that the local backend server accepts no further requests. */
     public void stopAccepting() {
         control.execute(() -> {
-            stopping = true;
+            tracker.stopAccepting();
             ready = false;
-            registration.update(member());
+            registration.update(tracker.member());
         });
     }
 
@@ -206,7 +223,10 @@
 
     @Override
     public void onLoad(FleetLoad load) {
-        control.execute(() -> accept("load", PeerMessages.decode(load), gossip::onLoad));
+        control.execute(() -> accept("load", PeerMessages.decode(load), report -> {
+            gossip.onLoad(report);
+            follower.onReport(report);
+        }));
     }
 
     @Override
@@ -215,6 +235,14 @@
                 accept("operator_items", PeerMessages.decode(items, operatorCache.prefix()), gossip::onOperatorItems));
     }
 
+    @Override
+    public void onStoreChanges(StoreChanges changes) {
+        control.execute(() -> accept(
+                "store_changes",
+                PeerMessages.decode(changes),
+                delta -> follower.onChanges(changes.getPrefix(), delta)));
+    }
+
     private <T> void accept(String message, Decoded<T> decoded, Consumer<T> consumer) {
         if (decoded instanceof Decoded.Valid<T> valid) {
             consumer.accept(valid.value());
@@ -224,10 +252,17 @@
         }
     }
 
-    private double localKeyLoad() {
-        return state.table(member().service())
+    private PeerMessages.LoadReport localReport() {
+        double keyBusySlots = state.table(tracker.member().service())
                 .map(table -> rangeAssigner.localLoad(table.table()))
                 .orElse(0.0);
+        return new PeerMessages.LoadReport(
+                settings.daemon(),
+                keyBusySlots,
+                false,
+                operatorCache.lastChangeRevision(),
+                fleetCache.lastChangeRevision(),
+                Optional.empty());
     }
 
     @Override
@@ -246,27 +281,15 @@
 
     private void handleHeartbeat(BackendHeartbeat heartbeat, CompletableFuture<Optional<KeyLeases.Reply>> reply) {
         heartbeatResponder.sendDeferredReply();
-        LocalBackend.Change change = LocalBackend.classify(backend, heartbeat);
-        if (change == LocalBackend.Change.STALE) {
-            LOGGER.atInfo().log(
-                    "event=heartbeat_stale backend=%s sequence=%d known=%s",
-                    heartbeat.process(),
-                    heartbeat.sequence(),
-                    backend.map(LocalBackend::process).orElseThrow());
+        if (!tracker.onHeartbeat(heartbeat)) {
             reply.complete(Optional.empty());
             return;
         }
-        LocalBackend previous = backend.orElse(null);
-        LocalBackend reported = LocalBackend.afterHeartbeat(backend, heartbeat, time);
-        if (reported.leaving()) {
-            departures.add(reported.process());
-        }
-        backend = Optional.of(departures.contains(reported.process()) ? reported.asLeaving() : reported);
-        logChange(previous, change);
         keyLeases.onHeartbeat(heartbeat);
-        registration.update(member());
+        registration.update(tracker.member());
+        register();
         if (isKeyed(heartbeat.service())) {
-            rangeAssigner.tick(heartbeat.service(), backend);
+            rangeAssigner.tick(heartbeat.service(), tracker.backend());
         }
         boolean mayDefer = !heartbeat.draining() && !keyLeases.hasMoves();
         if (mayDefer && (gossip.isKeyMoveAnnounced() || isStarting(heartbeat.service()))) {
@@ -288,24 +311,6 @@
                         .isPresent();
     }
 
-    private void logChange(LocalBackend previous, LocalBackend.Change change) {
-        LocalBackend current = backend.orElseThrow();
-        boolean changed = change == LocalBackend.Change.NEW_PROCESS
-                || previous.leaving() != current.leaving()
-                || previous.isCold(time) != current.isCold(time);
-        if (changed) {
-            LOGGER.atInfo().log(
-                    "event=backend_changed change=%s backend=%s sequence=%d service=%s slots=%d leaving=%s cold_ms=%d",
-                    change,
-                    current.process(),
-                    current.heartbeat().sequence(),
-                    current.heartbeat().service(),
-                    current.heartbeat().slots(),
-                    current.leaving(),
-                    current.heartbeat().coldRemaining().toMillis());
-        }
-    }
-
     private boolean isKeyed(ServiceName service) {
         return fleet.config()
                 .flatMap(config -> config.service(service))
@@ -317,64 +322,33 @@
     public CompletableFuture<Void> onLeaving(String backendId, OptionalLong startedMillis) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         control.execute(() -> {
-            Optional<LocalBackend> leaving =
-                    backend.filter(known -> known.process().matches(backendId, startedMillis));
-            backend = leaving.map(LocalBackend::asLeaving).or(() -> backend);
-            leaving.map(LocalBackend::process)
-                    .or(() -> processId(backendId, startedMillis))
-                    .ifPresent(departures::add);
-            LOGGER.atInfo().log(
-                    "event=backend_leaving backend=%s known=%s",
-                    backendId,
-                    backend.map(LocalBackend::process).map(Object::toString).orElse("none"));
+            tracker.onLeaving(backendId, startedMillis);
             publishLocal();
-            registration.update(member());
+            registration.update(tracker.member());
             done.complete(null);
         });
         return done;
     }
 
-    private static Optional<BackendProcessId> processId(String backendId, OptionalLong startedMillis) {
-        return startedMillis.isPresent()
-                ? Optional.of(new BackendProcessId(backendId, startedMillis.getAsLong()))
-                : Optional.empty();
-    }
-
     private void onDepartureLoaded() {
-        if (backend.filter(known -> departures.contains(known.process())).isPresent()) {
-            backend = backend.map(LocalBackend::asLeaving);
-            publishLocal();
-            registration.update(member());
-        }
-    }
-
-    private FleetMember member() {
-        Optional<FleetMember.MemberBackend> memberBackend = backend.map(known -> new FleetMember.MemberBackend(
-                known.process().id(),
-                known.process().startedMillis(),
-                known.heartbeat().slots(),
-                !known.leaving() && !stopping));
-        return new FleetMember(
-                settings.daemon(),
-                incarnation,
-                settings.zone(),
-                settings.peerAddress().host(),
-                settings.peerAddress().port(),
-                backend.map(known -> known.heartbeat().service()).orElse(settings.service()),
-                memberBackend);
+        tracker.applyDeparture();
+        publishLocal();
+        registration.update(tracker.member());
     }
 
     private void tick() {
         state.removeExpiredMembers();
-        rangeAssigner.tick(member().service(), backend);
+        follower.update(fleet.members().values(), state::isAbsent, registrationLease.confirmationAge());
+        follower.report(this::localReport);
+        rangeAssigner.tick(tracker.member().service(), tracker.backend());
         boolean initialized =
                 operatorSynchronized && fleetSynchronized && fleet.config().isPresent();
-        ready = (ready || initialized) && !stopping;
+        ready = (ready || initialized) && !tracker.isStopping();
     }
 
     private void reportLoad() {
         keyLoad.decay();
-        ServiceName service = member().service();
+        ServiceName service = tracker.member().service();
         gossip.report(member -> isKeyed(service) && member.service().equals(service));
     }
 
@@ -386,10 +360,10 @@
     private void publishLocal() {
         List<GrantedRange> grantedRanges = keyLeases.grantedRanges();
         localBackend = new LocalBackendSnapshot(
-                backend,
+                tracker.backend(),
                 grantedRanges,
                 heartbeatResponder.keyLeaseEndNanos(),
-                isKeyed(member().service())
+                isKeyed(tracker.member().service())
                         && registrationLease.grantableLease().isPresent());
     }
 
@@ -414,6 +388,11 @@
         public void onSynchronized(ElapsedTimer sentAt) {
             operatorSynchronized = true;
         }
+
+        @Override
+        public void onAdvanced(StoreDelta delta) {
+            follower.onAdvanced(operatorCache, delta);
+        }
     }
 
     /** Receives changes of items that daemons write. */
@@ -444,6 +423,11 @@
                 heartbeatResponder.onChange();
             }
         }
+
+        @Override
+        public void onAdvanced(StoreDelta delta) {
+            follower.onAdvanced(fleetCache, delta);
+        }
     }
 
     /** Receives changes of this daemon's registration. */
@@ -458,9 +442,8 @@
 
         @Override
         public void onStoreRecovered() {
-            LOGGER.atInfo().log("event=dependency_regained dependency=store outcome=read_again");
-            operatorCache.reload();
-            fleetCache.reload();
+            LOGGER.atInfo().log("event=dependency_regained dependency=store outcome=watch_again");
+            follower.onStoreRecovered();
         }
 
         @Override
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -32,6 +32,7 @@
 import io.daisyhoist.mesh.request.ForwardReceiver;
 import io.daisyhoist.mesh.request.Forwarder;
 import io.daisyhoist.mesh.request.RequestContext;
+import io.daisyhoist.mesh.store.CountedStore;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.telemetry.EventLoopDelay;
@@ -55,6 +56,8 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final String CLUSTER = "fleet";
 
+    private static final long STORE_CALLS_LOG_INTERVAL_MILLIS = 10_000;
+
     /** Maximum connections to the local backend server; includes spare ones beyond those that its slots use. */
     private static final int MAX_BACKEND_CONNECTIONS = 48;
 
@@ -105,7 +108,13 @@
         this.fleetControl = new FleetControl(
                 settings,
                 incarnation,
-                new FleetControl.Dependencies(time, control, store, documents, this::sendToPeers, metrics));
+                new FleetControl.Dependencies(
+                        time,
+                        control,
+                        new CountedStore(store, metrics::onStoreCall),
+                        documents,
+                        this::sendToPeers,
+                        metrics));
         BackendHttpClient backendClient =
                 new BackendHttpClient(vertx, context, headerNames, MAX_BACKEND_CONNECTIONS, time);
         this.admission = new BackendAdmission(
@@ -186,10 +195,16 @@
                 settings.peerAddress().host(), settings.peerAddress().port());
         listening.whenComplete((address, failure) -> failIfPresent(failure));
         context.runOnContext(run -> eventLoopDelay.start());
+        vertx.setPeriodic(STORE_CALLS_LOG_INTERVAL_MILLIS, fired -> logStoreCalls());
         context.runOnContext(
                 run -> clientServer.listen(settings.clientAddress()).onFailure(this::failIfPresent));
     }
 
+    private void logStoreCalls() {
+        LOGGER.atInfo().log(
+                "event=store_calls totals=\"%s\" watching=%s", metrics.storeCalls(), fleetControl.isWatchingStore());
+    }
+
     /** Loads the classes of the request path; the future fails if that was not possible. */
     public Future<Void> trainRequestPath() {
         Promise<Void> done = Promise.promise();
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetGossip.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetGossip.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -48,7 +47,7 @@
     private final SplittableRandom random;
     private final StoreCache operatorCache;
     private final Supplier<FleetSnapshot> fleet;
-    private final DoubleSupplier localKeyLoad;
+    private final Supplier<PeerMessages.LoadReport> localReport;
     private final FleetControl.PeerSender sender;
     private final Map<DaemonId, PeerLoad> peerLoads = new HashMap<>();
     private long moveAnnouncedUntilNanos;
@@ -62,14 +61,14 @@
             long seed,
             StoreCache operatorCache,
             Supplier<FleetSnapshot> fleet,
-            DoubleSupplier localKeyLoad,
+            Supplier<PeerMessages.LoadReport> localReport,
             FleetControl.PeerSender sender) {
         this.self = self;
         this.time = time;
         this.random = new SplittableRandom(seed);
         this.operatorCache = operatorCache;
         this.fleet = fleet;
-        this.localKeyLoad = localKeyLoad;
+        this.localReport = localReport;
         this.sender = sender;
         this.moveAnnouncedUntilNanos = time.monotonicNanos();
     }
@@ -88,7 +87,7 @@
         for (int i = 0; i < FANOUT && !neighbours.isEmpty(); i++) {
             receivers.add(neighbours.get(random.nextInt(neighbours.size())));
         }
-        sendLoad(receivers.stream().distinct().toList(), false);
+        sendLoad(receivers.stream().distinct().toList());
     }
 
     private List<FleetMember> inTurn(List<FleetMember> serviceMembers) {
@@ -134,7 +133,7 @@
         List<FleetMember> receiver =
                 Optional.ofNullable(fleet.get().members().get(from)).stream().toList();
         if (peerRevision > localRevision) {
-            sendLoad(receiver, false);
+            sendLoad(receiver);
         } else if (peerRevision < localRevision) {
             sender.send(receiver, PeerMessages.operatorItems(operatorCache.items(), operatorCache.asOf()));
         }
@@ -154,11 +153,8 @@
         return moveAnnouncedUntilNanos - time.monotonicNanos() > 0;
     }
 
-    private void sendLoad(List<FleetMember> receivers, boolean moveAnnounced) {
-        sender.send(
-                receivers,
-                PeerMessages.loadReport(
-                        self, localKeyLoad.getAsDouble(), moveAnnounced, operatorCache.lastChangeRevision()));
+    private void sendLoad(List<FleetMember> receivers) {
+        sender.send(receivers, PeerMessages.loadReport(localReport.get()));
     }
 
     @Override
@@ -183,6 +179,6 @@
                 .distinct()
                 .flatMap(daemon -> Optional.ofNullable(fleet.get().members().get(daemon)).stream())
                 .toList();
-        sendLoad(receivers, true);
+        sender.send(receivers, PeerMessages.loadReport(localReport.get().announcingMove()));
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
@@ -44,6 +44,7 @@
     private final Set<AvailabilityZone> evacuatedZones = new HashSet<>();
     private final Map<DaemonId, MemberEntry> members = new TreeMap<>();
     private final Map<ServiceName, StoredTable> tables = new HashMap<>();
+    private Optional<FleetSnapshot> currentSnapshot = Optional.empty();
     private boolean inBatch;
     private boolean changedInBatch;
 
@@ -243,7 +244,15 @@
         return Optional.ofNullable(tables.get(service));
     }
 
+    /** Returns the present state; the same object as long as nothing changes, because its cost grows with the fleet. */
     FleetSnapshot snapshot() {
+        if (currentSnapshot.isEmpty()) {
+            currentSnapshot = Optional.of(createSnapshot());
+        }
+        return currentSnapshot.get();
+    }
+
+    private FleetSnapshot createSnapshot() {
         Map<DaemonId, FleetMember> activeMembers = new HashMap<>();
         members.forEach((daemon, entry) -> {
             if (!entry.replaced) {
@@ -278,6 +287,7 @@
     }
 
     private void publish() {
+        currentSnapshot = Optional.empty();
         if (inBatch) {
             changedInBatch = true;
             return;
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/PeerMessages.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/PeerMessages.java
@@ -1,27 +1,50 @@
 package io.daisyhoist.mesh.process;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import com.google.protobuf.ByteString;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.mesh.store.Decoded;
+import io.daisyhoist.mesh.store.StoreDelta;
+import io.daisyhoist.mesh.store.StoreEvent;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.OperatorItems;
+import io.daisyhoist.wire.proto.StoreChanges;
 
 /** Converts control state to and from peer messages. Stateless. */
 final class PeerMessages {
     private PeerMessages() {}
 
-    static Envelope loadReport(DaemonId sender, double keyBusySlots, boolean moveAnnounced, long operatorRevision) {
-        return Envelope.newBuilder()
-                .setFleetLoad(FleetLoad.newBuilder()
-                        .setDaemon(sender.name())
-                        .setKeyBusySlots(keyBusySlots)
-                        .setKeysFollow(moveAnnounced)
-                        .setOperatorRevision(operatorRevision))
-                .build();
+    static Envelope loadReport(LoadReport report) {
+        FleetLoad.Builder message = FleetLoad.newBuilder()
+                .setDaemon(report.daemon().name())
+                .setKeyBusySlots(report.keyBusySlots())
+                .setKeysFollow(report.moveAnnounced())
+                .setOperatorRevision(report.operatorRevision())
+                .setFleetRevision(report.fleetRevision());
+        report.storeContactAge().ifPresent(age -> message.setStoreContactAgeMs((int) age.toMillis()));
+        return Envelope.newBuilder().setFleetLoad(message).build();
+    }
+
+    static Envelope storeChanges(String prefix, StoreDelta delta) {
+        StoreChanges.Builder message = StoreChanges.newBuilder()
+                .setPrefix(prefix)
+                .setFromRevision(delta.fromRevision())
+                .setAsOf(delta.asOf());
+        delta.changes().forEach(event -> message.addChanges(change(event)));
+        return Envelope.newBuilder().setStoreChanges(message).build();
+    }
+
+    private static StoreChanges.Change change(StoreEvent event) {
+        StoreChanges.Change.Builder change =
+                StoreChanges.Change.newBuilder().setKey(event.key()).setRevision(event.revision());
+        event.item().ifPresent(item -> change.setValue(ByteString.copyFrom(item.value())));
+        return change.build();
     }
 
     static Envelope operatorItems(List<StoredItem> items, long asOf) {
@@ -39,17 +62,38 @@
      * @param daemon sender
      * @param keyBusySlots number of its slots that requests for its keys keep busy
      * @param moveAnnounced whether keys are about to move to the receiver
-     * @param operatorRevision store revision of the latest operator item that it knows
+     * @param operatorRevision store revision of the latest change of operators that it knows
+     * @param fleetRevision store revision of the latest change of daemons that it knows
+     * @param storeContactAge time since its last contact with the store, if it passes changes of the store on to the
+     *     receiver
      */
-    record LoadReport(DaemonId daemon, double keyBusySlots, boolean moveAnnounced, long operatorRevision) {
+    record LoadReport(
+            DaemonId daemon,
+            double keyBusySlots,
+            boolean moveAnnounced,
+            long operatorRevision,
+            long fleetRevision,
+            Optional<Duration> storeContactAge) {
         LoadReport {
             if (!Double.isFinite(keyBusySlots) || keyBusySlots < 0) {
                 throw new IllegalArgumentException("invalid number of busy slots: " + keyBusySlots);
             }
-            if (operatorRevision < 0) {
-                throw new IllegalArgumentException("revision must not be negative: " + operatorRevision);
+            if (operatorRevision < 0 || fleetRevision < 0) {
+                throw new IllegalArgumentException(
+                        "revisions must not be negative: " + operatorRevision + ", " + fleetRevision);
             }
         }
+
+        /** Returns the report for daemons to which the sender is about to move keys. */
+        LoadReport announcingMove() {
+            return new LoadReport(daemon, keyBusySlots, true, operatorRevision, fleetRevision, storeContactAge);
+        }
+
+        /** Returns the report for daemons to which the sender passes changes of the store on. */
+        LoadReport forFollowers(Duration age) {
+            return new LoadReport(
+                    daemon, keyBusySlots, moveAnnounced, operatorRevision, fleetRevision, Optional.of(age));
+        }
     }
 
     /**
@@ -71,7 +115,11 @@
                     new DaemonId(message.getDaemon()),
                     message.getKeyBusySlots(),
                     message.getKeysFollow(),
-                    message.getOperatorRevision()));
+                    message.getOperatorRevision(),
+                    message.getFleetRevision(),
+                    message.hasStoreContactAgeMs()
+                            ? Optional.of(Duration.ofMillis(Integer.toUnsignedLong(message.getStoreContactAgeMs())))
+                            : Optional.empty()));
         } catch (IllegalArgumentException e) {
             return Decoded.rejected(e.getMessage());
         }
@@ -99,4 +147,28 @@
         }
         return Decoded.valid(new OperatorListing(items, message.getAsOf()));
     }
+
+    /** Decodes changes of the items under a key prefix that the receiver follows. */
+    static Decoded<StoreDelta> decode(StoreChanges message) {
+        List<StoreEvent> changes = new ArrayList<>(message.getChangesCount());
+        for (StoreChanges.Change change : message.getChangesList()) {
+            if (!change.getKey().startsWith(message.getPrefix()) || change.getRevision() <= message.getFromRevision()) {
+                return Decoded.rejected("change of " + change.getKey() + " at revision " + change.getRevision()
+                        + " after " + message.getFromRevision() + " under " + message.getPrefix());
+            }
+            changes.add(event(change));
+        }
+        try {
+            return Decoded.valid(new StoreDelta(message.getFromRevision(), changes, message.getAsOf()));
+        } catch (IllegalArgumentException e) {
+            return Decoded.rejected(e.getMessage());
+        }
+    }
+
+    private static StoreEvent event(StoreChanges.Change change) {
+        Optional<StoredItem> item = change.hasValue()
+                ? Optional.of(new StoredItem(change.getKey(), change.getValue().toByteArray(), change.getRevision()))
+                : Optional.empty();
+        return new StoreEvent(change.getKey(), change.getRevision(), item);
+    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -31,7 +31,10 @@
     private static final Duration LEASE_TTL = Duration.ofMillis(3_000);
 
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(900);
-    private static final Duration RETRY_DELAY = Duration.ofMillis(250);
+    private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(250);
+
+    /** Entries have to be back within about two seconds of the store's return. */
+    private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(1_000);
 
     private final String key;
     private final MetadataStore store;
@@ -40,6 +43,7 @@
     private final Listener listener;
     private final CallbackGuard guard;
     private final Duration leaseTtl;
+    private final Backoff retryBackoff = new Backoff(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     private FleetMember member;
     private long lease;
     private long revision;
@@ -150,10 +154,11 @@
                 call, key, revision, failure.getMessage());
         needsVerification = true;
         storeUnavailable = true;
-        scheduleStep(RETRY_DELAY);
+        scheduleStep(retryBackoff.nextDelay());
     }
 
     private void onCallSucceeded() {
+        retryBackoff.reset();
         if (storeUnavailable) {
             storeUnavailable = false;
             notifyListener("store_recovered", listener::onStoreRecovered);
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
@@ -42,6 +42,7 @@
 import io.daisyhoist.mesh.version.LocalBackendSnapshot;
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.OperatorItems;
+import io.daisyhoist.wire.proto.StoreChanges;
 import io.netty.channel.EventLoopGroup;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -131,6 +132,11 @@
 
     /** Control messages are not part of the request path. */
     private static final class NoControlMessages implements ForwardReceiver.PeerMessageListener {
+        @Override
+        public void onStoreChanges(StoreChanges changes) {
+            throw new UnsupportedOperationException("not sent in a training run");
+        }
+
         @Override
         public void onLoad(FleetLoad load) {
             throw new UnsupportedOperationException("not sent in a training run");
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.time.ElapsedTimer;
@@ -15,16 +14,19 @@
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.store.ItemPage;
 import io.daisyhoist.mesh.store.MetadataStore;
+import io.daisyhoist.mesh.store.StoreDelta;
 import io.daisyhoist.mesh.store.StoreEvent;
+import io.daisyhoist.mesh.store.StoreUnavailableException;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.store.WatchResult;
 
 /**
  * Local copy of the items under one key prefix of the store.
  *
- * <p>Lists all items, then watches for changes; lists again when the store has discarded the history. Invariant: the
- * listener receives the changes of each key in revision order, and never an older revision after a newer one; an exception
- * of the listener affects only the change that caused it. Confined to the control thread.
+ * <p>Lists all items, then follows the changes: by a watch of its own, or by the changes that another daemon passes on.
+ * Lists again when the store has discarded the history. Invariants: the copy is complete up to {@link #asOf}; the listener
+ * receives the changes of each key in revision order, and never an older revision after a newer one; an exception of the
+ * listener affects only the change that caused it. Confined to the control thread.
  */
 final class StoreCache {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -33,14 +35,22 @@
     private static final Duration WATCH_DURATION = Duration.ofSeconds(10);
 
     private static final Duration WATCH_TIMEOUT = WATCH_DURATION.plusSeconds(3);
-    private static final Duration RETRY_DELAY = Duration.ofMillis(250);
+
+    /** The store responds at once if there are changes. */
+    private static final Duration CATCH_UP_WAIT = Duration.ofMillis(1);
+
+    /** A watch that was sent before that should have returned the changes that a later call returned. */
+    private static final Duration MAX_WATCH_DELAY = Duration.ofSeconds(1);
+
+    private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(250);
+    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(2);
 
     /** Batches changes in quick succession into one call. */
     private static final Duration MIN_BATCH_DELAY = Duration.ofMillis(20);
 
     /**
-     * Limits the calls while items change continuously, for example when a fleet starts and each daemon watches the
-     * registrations of all others. Small against the time in which a configuration has to be in force.
+     * Limits the calls while items change continuously, for example when a fleet starts and its daemons register. Small
+     * against the time in which a configuration has to be in force.
      */
     private static final Duration MAX_BATCH_DELAY = Duration.ofMillis(160);
 
@@ -50,10 +60,15 @@
     private final TimeSource time;
     private final Listener listener;
     private final CallbackGuard guard;
+    private final Backoff retryBackoff = new Backoff(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     private final Map<String, StoredItem> items = new HashMap<>();
     private long lastChangeRevision;
     private long asOf;
     private boolean connected = true;
+    private boolean listed;
+    private boolean watching = true;
+    private boolean watchLoopActive;
+    private boolean catchUpInProgress;
     private long generation;
     private Duration batchDelay = MIN_BATCH_DELAY;
     private ElapsedTimer watchSentAt;
@@ -73,6 +88,9 @@
 
         /** Called when all items of a listing that was requested at the given time have been reported. */
         void onSynchronized(ElapsedTimer sentAt);
+
+        /** Called after changes that were read from the store have been applied to a copy that was complete before. */
+        default void onAdvanced(StoreDelta delta) {}
     }
 
     StoreCache(String prefix, StoreAccess access, Listener listener) {
@@ -85,12 +103,60 @@
         this.watchSentAt = ElapsedTimer.start(time);
     }
 
-    /** Lists all items, then watches for changes; cancels a listing or watch that is in progress. */
+    /** Lists all items, then follows the changes; cancels a listing or watch that is in progress. */
     void reload() {
-        generation++;
+        startGeneration();
         listAll(generation);
     }
 
+    /** Sets whether this copy follows the store by a watch of its own; a watch in progress continues until it returns. */
+    void setWatching(boolean enabled) {
+        watching = enabled;
+        if (enabled && listed && !watchLoopActive) {
+            watch(generation);
+        }
+    }
+
+    /** Replaces a watch that may never return, because the connection to the store was interrupted. */
+    void restartWatch() {
+        if (!listed) {
+            reload();
+            return;
+        }
+        startGeneration();
+        if (watching) {
+            watch(generation);
+        }
+    }
+
+    private void startGeneration() {
+        generation++;
+        watchLoopActive = false;
+    }
+
+    /** Asks the store once for the changes that this copy lacks. */
+    void catchUp() {
+        if (!listed || catchUpInProgress) {
+            return;
+        }
+        catchUpInProgress = true;
+        control.whenComplete(store.watch(prefix, asOf, CATCH_UP_WAIT), (result, failure) -> {
+            catchUpInProgress = false;
+            if (result instanceof WatchResult.Changes changes) {
+                boolean watchIsLate =
+                        watchLoopActive && watchSentAt.elapsed(time).compareTo(MAX_WATCH_DELAY) > 0;
+                boolean missed = changes.asOf() > asOf && !changes.events().isEmpty();
+                applyChanges(changes.events(), changes.asOf());
+                if (missed && watchIsLate) {
+                    LOGGER.atWarning().log("event=watch_silent prefix=%s as_of=%d outcome=restart", prefix, asOf);
+                    restartWatch();
+                }
+            } else if (result instanceof WatchResult.HistoryLost) {
+                reload();
+            }
+        });
+    }
+
     private void listAll(long startedGeneration) {
         ElapsedTimer sentAt = ElapsedTimer.start(time);
         control.whenComplete(listPages(Optional.empty(), new ArrayList<>(), Long.MAX_VALUE), (listing, failure) -> {
@@ -99,14 +165,17 @@
             }
             if (failure != null) {
                 onStoreUnavailable(failure);
-                control.scheduleOnce(
-                        () -> runIfCurrent(startedGeneration, () -> listAll(startedGeneration)), RETRY_DELAY);
+                scheduleIfCurrent(startedGeneration, () -> listAll(startedGeneration), retryBackoff.nextDelay());
                 return;
             }
             onStoreRecovered();
-            applyBatch(() -> apply(listing));
+            apply(listing);
+            listed = true;
             guard.run("store_synchronized", prefix, () -> listener.onSynchronized(sentAt));
-            watch(startedGeneration);
+            // The listener may have started a listing of its own.
+            if (startedGeneration == generation && watching) {
+                watch(startedGeneration);
+            }
         });
     }
 
@@ -130,11 +199,23 @@
 
     /** Applies a listing that another daemon has read, as if this daemon had read it. */
     void applyListing(List<StoredItem> listedItems, long listedAsOf) {
-        applyBatch(() -> apply(new Listing(listedItems, listedAsOf)));
+        apply(new Listing(listedItems, listedAsOf));
     }
 
-    private void applyBatch(Runnable changes) {
-        guard.run("store_batch", prefix, () -> listener.onBatch(changes));
+    /**
+     * Applies changes that another daemon has read from the store.
+     *
+     * @return false if this copy lacks earlier changes, so that these cannot be applied
+     */
+    boolean applyDelta(StoreDelta delta) {
+        if (!listed) {
+            return true;
+        }
+        if (delta.fromRevision() > asOf) {
+            return false;
+        }
+        applyChanges(delta.changes(), delta.asOf());
+        return true;
     }
 
     /** Returns the key prefix of all items. */
@@ -157,43 +238,75 @@
     }
 
     private void apply(Listing listing) {
-        if (listing.asOf() < asOf) {
-            return;
+        if (listing.asOf() >= asOf) {
+            applyChanges(changesIn(listing), listing.asOf());
         }
+    }
+
+    /** Returns the changes that lead from the present copy to a listing; deletions have the revision of the listing. */
+    private List<StoreEvent> changesIn(Listing listing) {
         List<String> unlistedKeys = new ArrayList<>(items.keySet());
+        List<StoreEvent> changes = new ArrayList<>();
         for (StoredItem item : listing.items()) {
             unlistedKeys.remove(item.key());
-            onItem(item);
+            changes.add(new StoreEvent(item.key(), item.revision(), Optional.of(item)));
         }
         for (String key : unlistedKeys) {
-            if (items.get(key).revision() <= listing.asOf()) {
-                delete(key, listing.asOf());
+            changes.add(new StoreEvent(key, listing.asOf(), Optional.empty()));
+        }
+        return changes;
+    }
+
+    private void applyChanges(List<StoreEvent> changes, long changesAsOf) {
+        long fromRevision = asOf;
+        guard.run("store_batch", prefix, () -> listener.onBatch(() -> changes.forEach(this::onEvent)));
+        asOf = Math.max(asOf, changesAsOf);
+        List<StoreEvent> newChanges = changes.stream()
+                .filter(change -> change.revision() > fromRevision)
+                .toList();
+        if (fromRevision > 0 && !newChanges.isEmpty()) {
+            StoreDelta delta = new StoreDelta(fromRevision, newChanges, asOf);
+            guard.run("store_advanced", prefix, () -> listener.onAdvanced(delta));
+        }
+    }
+
+    private void onEvent(StoreEvent event) {
+        StoredItem existing = items.get(event.key());
+        if (event.item().isPresent()) {
+            if (existing == null || existing.revision() < event.revision()) {
+                onItem(event.item().get());
             }
+        } else if (existing != null && existing.revision() <= event.revision()) {
+            delete(event.key(), event.revision());
         }
-        asOf = Math.max(asOf, listing.asOf());
     }
 
     private void onItem(StoredItem item) {
-        StoredItem existing = items.get(item.key());
-        if (existing == null || existing.revision() < item.revision()) {
-            items.put(item.key(), item);
-            lastChangeRevision = Math.max(lastChangeRevision, item.revision());
-            guard.run("store_item", item.key() + "@" + item.revision(), () -> listener.onItem(item));
-        }
+        items.put(item.key(), item);
+        lastChangeRevision = Math.max(lastChangeRevision, item.revision());
+        guard.run("store_item", item.key() + "@" + item.revision(), () -> listener.onItem(item));
+    }
+
+    private void delete(String key, long revision) {
+        items.remove(key);
+        lastChangeRevision = Math.max(lastChangeRevision, revision);
+        guard.run("store_deletion", key + "@" + revision, () -> listener.onDeleted(key));
     }
 
     private void watch(long startedGeneration) {
+        watchLoopActive = true;
         watchSentAt = ElapsedTimer.start(time);
-        CompletableFuture<WatchResult> response =
-                store.watch(prefix, asOf, WATCH_DURATION).orTimeout(WATCH_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        CompletableFuture<WatchResult> response = store.watch(prefix, asOf, WATCH_DURATION);
+        control.scheduleOnce(
+                () -> response.completeExceptionally(new StoreUnavailableException("watch timed out", false)),
+                WATCH_TIMEOUT);
         control.whenComplete(response, (result, failure) -> {
             if (startedGeneration != generation) {
                 return;
             }
             if (failure != null) {
                 onStoreUnavailable(failure);
-                control.scheduleOnce(
-                        () -> runIfCurrent(startedGeneration, () -> watch(startedGeneration)), RETRY_DELAY);
+                watchAfter(startedGeneration, retryBackoff.nextDelay());
                 return;
             }
             onStoreRecovered();
@@ -203,20 +316,31 @@
 
     private void onWatched(long startedGeneration, WatchResult result) {
         if (result instanceof WatchResult.Changes changes) {
-            applyBatch(() -> changes.events().forEach(this::onEvent));
-            asOf = Math.max(asOf, changes.asOf());
-            if (changes.events().isEmpty()) {
-                watch(startedGeneration);
-            } else {
-                control.scheduleOnce(
-                        () -> runIfCurrent(startedGeneration, () -> watch(startedGeneration)), nextBatchDelay());
-            }
+            // Another daemon may have passed on changes while the watch was waiting.
+            long knownAsOf = asOf;
+            List<StoreEvent> unknown = changes.events().stream()
+                    .filter(event -> event.revision() > knownAsOf)
+                    .toList();
+            applyChanges(unknown, changes.asOf());
+            watchAfter(startedGeneration, changes.events().isEmpty() ? Duration.ZERO : nextBatchDelay());
             return;
         }
         LOGGER.atInfo().log("event=store_history_lost prefix=%s as_of=%d outcome=read_again", prefix, asOf);
         listAll(startedGeneration);
     }
 
+    private void watchAfter(long startedGeneration, Duration delay) {
+        scheduleIfCurrent(
+                startedGeneration,
+                () -> {
+                    watchLoopActive = false;
+                    if (watching) {
+                        watch(startedGeneration);
+                    }
+                },
+                delay);
+    }
+
     /** Doubles up to the longest delay while watches return sooner than that. */
     private Duration nextBatchDelay() {
         if (watchSentAt.elapsed(time).compareTo(MAX_BATCH_DELAY) > 0) {
@@ -227,31 +351,14 @@
         return batchDelay;
     }
 
-    private void onEvent(StoreEvent event) {
-        // A listing from another daemon may have been applied while the watch was waiting.
-        if (event.revision() <= asOf) {
-            return;
-        }
-        if (event.item().isPresent()) {
-            onItem(event.item().get());
-            return;
-        }
-        StoredItem existing = items.get(event.key());
-        if (existing != null && existing.revision() <= event.revision()) {
-            delete(event.key(), event.revision());
-        }
-    }
-
-    private void delete(String key, long revision) {
-        items.remove(key);
-        lastChangeRevision = Math.max(lastChangeRevision, revision);
-        guard.run("store_deletion", key + "@" + revision, () -> listener.onDeleted(key));
-    }
-
-    private void runIfCurrent(long startedGeneration, Runnable action) {
-        if (startedGeneration == generation) {
-            action.run();
-        }
+    private void scheduleIfCurrent(long startedGeneration, Runnable action, Duration delay) {
+        control.scheduleOnce(
+                () -> {
+                    if (startedGeneration == generation) {
+                        action.run();
+                    }
+                },
+                delay);
     }
 
     private void onStoreUnavailable(Throwable failure) {
@@ -264,6 +371,7 @@
     }
 
     private void onStoreRecovered() {
+        retryBackoff.reset();
         if (!connected) {
             connected = true;
             LOGGER.atInfo().log("event=dependency_regained dependency=store prefix=%s as_of=%d", prefix, asOf);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -21,6 +21,7 @@
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.ForwardRequest;
 import io.daisyhoist.wire.proto.OperatorItems;
+import io.daisyhoist.wire.proto.StoreChanges;
 import io.vertx.core.Context;
 import io.vertx.core.Promise;
 
@@ -56,6 +57,9 @@
 
         /** Called with operator items that a daemon has read from the store. */
         void onOperatorItems(OperatorItems items);
+
+        /** Called with changes of the store that a daemon passes on. */
+        void onStoreChanges(StoreChanges changes);
     }
 
     /**
@@ -83,6 +87,7 @@
             case CANCEL_REQUEST ->
                 onCancel(new CallId(from, message.getCancelRequest().getCancelledRequestId()));
             case FLEET_LOAD -> messageListener.onLoad(message.getFleetLoad());
+            case STORE_CHANGES -> messageListener.onStoreChanges(message.getStoreChanges());
             case OPERATOR_ITEMS -> messageListener.onOperatorItems(message.getOperatorItems());
             default ->
                 LOGGER.atWarning().log("event=peer_message_ignored peer=%s body=%s", from, message.getBodyCase());
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
@@ -29,6 +30,8 @@
         Duration.ofMillis(3_200)
     };
 
+    private static final String STORE_CALLS = "daisyhoist.fleet.store.calls";
+
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
     /** Looking up a registered timer by its tags costs more than recording a value. */
@@ -79,6 +82,20 @@
         registry.counter("daisyhoist.fleet.retries", "service", service.name()).increment();
     }
 
+    /** Counts a call of the store. */
+    public void onStoreCall(String kind) {
+        registry.counter(STORE_CALLS, "kind", kind).increment();
+    }
+
+    /** Returns the number of calls of the store so far by their kind. */
+    public Map<String, Long> storeCalls() {
+        Map<String, Long> calls = new TreeMap<>();
+        registry.find(STORE_CALLS)
+                .counters()
+                .forEach(counter -> calls.put(counter.getId().getTag("kind"), Math.round(counter.count())));
+        return calls;
+    }
+
     /** Counts an item of the store or a message that was ignored because it could not be decoded. */
     public void onRejectedInput(String source) {
         registry.counter("daisyhoist.fleet.rejected.inputs", "source", source).increment();
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetGossipTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetGossipTest.java
@@ -76,7 +76,13 @@
                         new CallbackGuard(() -> {})),
                 new IgnoringListener());
         return new FleetGossip(
-                daemon(self), new ManualTimeSource(), self, cache, () -> fleet, () -> 0.0, this::recordReport);
+                daemon(self),
+                new ManualTimeSource(),
+                self,
+                cache,
+                () -> fleet,
+                () -> new PeerMessages.LoadReport(daemon(self), 0, false, 0, 0, Optional.empty()),
+                this::recordReport);
     }
 
     private void recordReport(List<FleetMember> to, Envelope message) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/PeerMessagesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/PeerMessagesTest.java
@@ -1,11 +1,13 @@
 package io.daisyhoist.mesh.process;
 
 import java.util.List;
+import java.util.Optional;
 
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.OperatorItems;
+import io.daisyhoist.wire.proto.StoreChanges;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -20,14 +22,15 @@
         FleetLoad sound =
                 FleetLoad.newBuilder().setDaemon("d1").setKeyBusySlots(2).build();
         assertEquals(
-                Decoded.valid(new PeerMessages.LoadReport(new DaemonId("d1"), 2, false, 0)),
+                Decoded.valid(new PeerMessages.LoadReport(new DaemonId("d1"), 2, false, 0, 0, Optional.empty())),
                 PeerMessages.decode(sound));
         List.of(
                         FleetLoad.getDefaultInstance(),
                         sound.toBuilder().setDaemon("no name").build(),
                         sound.toBuilder().setKeyBusySlots(Double.NaN).build(),
                         sound.toBuilder().setKeyBusySlots(-1).build(),
-                        sound.toBuilder().setOperatorRevision(-1).build())
+                        sound.toBuilder().setOperatorRevision(-1).build(),
+                        sound.toBuilder().setFleetRevision(-1).build())
                 .forEach(damaged ->
                         assertInstanceOf(Decoded.Rejected.class, PeerMessages.decode(damaged), damaged.toString()));
     }
@@ -41,6 +44,28 @@
                         Decoded.Rejected.class, PeerMessages.decode(damaged, PREFIX), damaged.toString()));
     }
 
+    /** Guards against changes that would hide others, or replace items under another prefix. */
+    @Test
+    void decode_damagedStoreChanges_isRejected() {
+        assertInstanceOf(Decoded.Valid.class, PeerMessages.decode(changes("o/", "o/a", 6, 5, 9)));
+        List.of(
+                        changes("o/", "foreign/key", 6, 5, 9),
+                        changes("o/", "o/a", 5, 5, 9),
+                        changes("o/", "o/a", 6, 5, 4),
+                        changes("o/", "o/a", 6, -1, 9))
+                .forEach(damaged ->
+                        assertInstanceOf(Decoded.Rejected.class, PeerMessages.decode(damaged), damaged.toString()));
+    }
+
+    private static StoreChanges changes(String prefix, String key, long revision, long from, long asOf) {
+        return StoreChanges.newBuilder()
+                .setPrefix(prefix)
+                .setFromRevision(from)
+                .setAsOf(asOf)
+                .addChanges(StoreChanges.Change.newBuilder().setKey(key).setRevision(revision))
+                .build();
+    }
+
     private static OperatorItems listing(String key, long revision, long asOf) {
         return OperatorItems.newBuilder()
                 .setAsOf(asOf)
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
@@ -18,6 +19,8 @@
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.wire.proto.Envelope;
@@ -34,7 +37,8 @@
     private final Network network;
     private final Simulation simulation;
     private final OperatorDocuments documents;
-    private final SimulatedStore.Client store;
+    private final SimulatedStore.Client client;
+    private final MetadataStore store;
     private final DaemonId daemon;
     private final FleetSettings settings;
     private Simulation.Process process;
@@ -50,10 +54,26 @@
 
     SimulatedInstance(
             Simulation simulation, SimulatedStore store, OperatorDocuments documents, int index, Network network) {
+        this(simulation, store.client(), UnaryOperator.identity(), documents, index, network);
+    }
+
+    /**
+     * Creates an instance with a running daemon and a running backend server.
+     *
+     * @param wrapper wraps the connection to the store
+     */
+    SimulatedInstance(
+            Simulation simulation,
+            SimulatedStore.Client client,
+            UnaryOperator<MetadataStore> wrapper,
+            OperatorDocuments documents,
+            int index,
+            Network network) {
         this.network = network;
         this.simulation = simulation;
         this.documents = documents;
-        this.store = store.client();
+        this.client = client;
+        this.store = wrapper.apply(client);
         this.daemon = new DaemonId("daemon-" + index);
         Endpoint address = new Endpoint("10.0.0." + (index + 1), 1000);
         this.settings = new FleetSettings(
@@ -84,7 +104,17 @@
     }
 
     SimulatedStore.Client store() {
-        return store;
+        return client;
+    }
+
+    /** Returns the version of the configuration in force; -1 before the first one. */
+    long configVersion() {
+        return control.fleet().config().map(FleetConfig::version).orElse(-1L);
+    }
+
+    /** Returns whether the daemon watches the store itself. */
+    boolean isWatching() {
+        return control.isWatchingStore();
     }
 
     Simulation.Process process() {
@@ -115,6 +145,8 @@
             control.onLoad(message.getFleetLoad());
         } else if (message.hasOperatorItems()) {
             control.onOperatorItems(message.getOperatorItems());
+        } else if (message.hasStoreChanges()) {
+            control.onStoreChanges(message.getStoreChanges());
         }
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SingleServiceDocuments.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SingleServiceDocuments.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.mesh.process;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +16,7 @@
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoredItem;
 
-/** Reads every item as the same configuration with one keyed service. */
+/** Reads the value of every item as the version of a configuration with one keyed service. */
 final class SingleServiceDocuments implements OperatorDocuments {
     @Override
     public String prefix() {
@@ -26,8 +27,9 @@
     public Decoded<Document> read(StoredItem item) {
         ServicePolicy policy = new ServicePolicy(SimulatedInstance.SERVICE, true, Duration.ofSeconds(3), 14, 110);
         Map<ServiceName, ServicePolicy> services = Map.of(SimulatedInstance.SERVICE, policy);
+        long version = Long.parseLong(new String(item.value(), StandardCharsets.UTF_8));
         return Decoded.valid(
-                new Configuration(new FleetConfig(1, new RouteTable(List.of()), services, ClientLimits.DEFAULT)));
+                new Configuration(new FleetConfig(version, new RouteTable(List.of()), services, ClientLimits.DEFAULT)));
     }
 
     @Override
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
@@ -13,6 +13,7 @@
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.ForwardRequest;
 import io.daisyhoist.wire.proto.OperatorItems;
+import io.daisyhoist.wire.proto.StoreChanges;
 import io.vertx.core.Promise;
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
@@ -55,6 +56,11 @@
             throw new AssertionError("not sent by this test");
         }
 
+        @Override
+        public void onStoreChanges(StoreChanges changes) {
+            throw new AssertionError("not sent by this test");
+        }
+
         @Override
         public void onOperatorItems(OperatorItems items) {
             throw new AssertionError("not sent by this test");
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Envelope.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Envelope.java
@@ -72,6 +72,7 @@
     GROUP_FETCH(17),
     FLEET_LOAD(18),
     OPERATOR_ITEMS(19),
+    STORE_CHANGES(20),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -107,6 +108,7 @@
         case 17: return GROUP_FETCH;
         case 18: return FLEET_LOAD;
         case 19: return OPERATOR_ITEMS;
+        case 20: return STORE_CHANGES;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -695,6 +697,37 @@
     return io.daisyhoist.wire.proto.OperatorItems.getDefaultInstance();
   }
 
+  public static final int STORE_CHANGES_FIELD_NUMBER = 20;
+  /**
+   * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+   * @return Whether the storeChanges field is set.
+   */
+  @java.lang.Override
+  public boolean hasStoreChanges() {
+    return bodyCase_ == 20;
+  }
+  /**
+   * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+   * @return The storeChanges.
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.StoreChanges getStoreChanges() {
+    if (bodyCase_ == 20) {
+       return (io.daisyhoist.wire.proto.StoreChanges) body_;
+    }
+    return io.daisyhoist.wire.proto.StoreChanges.getDefaultInstance();
+  }
+  /**
+   * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.StoreChangesOrBuilder getStoreChangesOrBuilder() {
+    if (bodyCase_ == 20) {
+       return (io.daisyhoist.wire.proto.StoreChanges) body_;
+    }
+    return io.daisyhoist.wire.proto.StoreChanges.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -766,6 +799,9 @@
     if (bodyCase_ == 19) {
       output.writeMessage(19, (io.daisyhoist.wire.proto.OperatorItems) body_);
     }
+    if (bodyCase_ == 20) {
+      output.writeMessage(20, (io.daisyhoist.wire.proto.StoreChanges) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -851,6 +887,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(19, (io.daisyhoist.wire.proto.OperatorItems) body_);
     }
+    if (bodyCase_ == 20) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, (io.daisyhoist.wire.proto.StoreChanges) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -942,6 +982,10 @@
         if (!getOperatorItems()
             .equals(other.getOperatorItems())) return false;
         break;
+      case 20:
+        if (!getStoreChanges()
+            .equals(other.getStoreChanges())) return false;
+        break;
       case 0:
       default:
     }
@@ -1032,6 +1076,10 @@
         hash = (37 * hash) + OPERATOR_ITEMS_FIELD_NUMBER;
         hash = (53 * hash) + getOperatorItems().hashCode();
         break;
+      case 20:
+        hash = (37 * hash) + STORE_CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getStoreChanges().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1221,6 +1269,9 @@
       if (operatorItemsBuilder_ != null) {
         operatorItemsBuilder_.clear();
       }
+      if (storeChangesBuilder_ != null) {
+        storeChangesBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1337,6 +1388,10 @@
           operatorItemsBuilder_ != null) {
         result.body_ = operatorItemsBuilder_.build();
       }
+      if (bodyCase_ == 20 &&
+          storeChangesBuilder_ != null) {
+        result.body_ = storeChangesBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1427,6 +1482,10 @@
           mergeOperatorItems(other.getOperatorItems());
           break;
         }
+        case STORE_CHANGES: {
+          mergeStoreChanges(other.getStoreChanges());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1588,6 +1647,13 @@
               bodyCase_ = 19;
               break;
             } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetStoreChangesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 20;
+              break;
+            } // case 162
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4220,6 +4286,148 @@
       return operatorItemsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.StoreChanges, io.daisyhoist.wire.proto.StoreChanges.Builder, io.daisyhoist.wire.proto.StoreChangesOrBuilder> storeChangesBuilder_;
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     * @return Whether the storeChanges field is set.
+     */
+    @java.lang.Override
+    public boolean hasStoreChanges() {
+      return bodyCase_ == 20;
+    }
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     * @return The storeChanges.
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.StoreChanges getStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        if (bodyCase_ == 20) {
+          return (io.daisyhoist.wire.proto.StoreChanges) body_;
+        }
+        return io.daisyhoist.wire.proto.StoreChanges.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 20) {
+          return storeChangesBuilder_.getMessage();
+        }
+        return io.daisyhoist.wire.proto.StoreChanges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     */
+    public Builder setStoreChanges(io.daisyhoist.wire.proto.StoreChanges value) {
+      if (storeChangesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(value);
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     */
+    public Builder setStoreChanges(
+        io.daisyhoist.wire.proto.StoreChanges.Builder builderForValue) {
+      if (storeChangesBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        storeChangesBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     */
+    public Builder mergeStoreChanges(io.daisyhoist.wire.proto.StoreChanges value) {
+      if (storeChangesBuilder_ == null) {
+        if (bodyCase_ == 20 &&
+            body_ != io.daisyhoist.wire.proto.StoreChanges.getDefaultInstance()) {
+          body_ = io.daisyhoist.wire.proto.StoreChanges.newBuilder((io.daisyhoist.wire.proto.StoreChanges) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 20) {
+          storeChangesBuilder_.mergeFrom(value);
+        } else {
+          storeChangesBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     */
+    public Builder clearStoreChanges() {
+      if (storeChangesBuilder_ == null) {
+        if (bodyCase_ == 20) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 20) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        storeChangesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     */
+    public io.daisyhoist.wire.proto.StoreChanges.Builder getStoreChangesBuilder() {
+      return internalGetStoreChangesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.StoreChangesOrBuilder getStoreChangesOrBuilder() {
+      if ((bodyCase_ == 20) && (storeChangesBuilder_ != null)) {
+        return storeChangesBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 20) {
+          return (io.daisyhoist.wire.proto.StoreChanges) body_;
+        }
+        return io.daisyhoist.wire.proto.StoreChanges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.StoreChanges, io.daisyhoist.wire.proto.StoreChanges.Builder, io.daisyhoist.wire.proto.StoreChangesOrBuilder> 
+        internalGetStoreChangesFieldBuilder() {
+      if (storeChangesBuilder_ == null) {
+        if (!(bodyCase_ == 20)) {
+          body_ = io.daisyhoist.wire.proto.StoreChanges.getDefaultInstance();
+        }
+        storeChangesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.daisyhoist.wire.proto.StoreChanges, io.daisyhoist.wire.proto.StoreChanges.Builder, io.daisyhoist.wire.proto.StoreChangesOrBuilder>(
+                (io.daisyhoist.wire.proto.StoreChanges) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 20;
+      onChanged();
+      return storeChangesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.Envelope)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/EnvelopeOrBuilder.java
@@ -290,5 +290,20 @@
    */
   io.daisyhoist.wire.proto.OperatorItemsOrBuilder getOperatorItemsOrBuilder();
 
+  /**
+   * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+   * @return Whether the storeChanges field is set.
+   */
+  boolean hasStoreChanges();
+  /**
+   * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+   * @return The storeChanges.
+   */
+  io.daisyhoist.wire.proto.StoreChanges getStoreChanges();
+  /**
+   * <code>.daisyhoist.peer.StoreChanges store_changes = 20;</code>
+   */
+  io.daisyhoist.wire.proto.StoreChangesOrBuilder getStoreChangesOrBuilder();
+
   io.daisyhoist.wire.proto.Envelope.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoad.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoad.java
@@ -53,6 +53,7 @@
             io.daisyhoist.wire.proto.FleetLoad.class, io.daisyhoist.wire.proto.FleetLoad.Builder.class);
   }
 
+  private int bitField0_;
   public static final int DAEMON_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object daemon_ = "";
@@ -137,6 +138,48 @@
     return operatorRevision_;
   }
 
+  public static final int FLEET_REVISION_FIELD_NUMBER = 5;
+  private long fleetRevision_ = 0L;
+  /**
+   * <pre>
+   * Store revision of the latest change of the daemons' items that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 fleet_revision = 5;</code>
+   * @return The fleetRevision.
+   */
+  @java.lang.Override
+  public long getFleetRevision() {
+    return fleetRevision_;
+  }
+
+  public static final int STORE_CONTACT_AGE_MS_FIELD_NUMBER = 6;
+  private int storeContactAgeMs_ = 0;
+  /**
+   * <pre>
+   * Set if the sender watches the store and passes its changes on to the receiver: age of its last contact with the store.
+   * </pre>
+   *
+   * <code>optional uint32 store_contact_age_ms = 6;</code>
+   * @return Whether the storeContactAgeMs field is set.
+   */
+  @java.lang.Override
+  public boolean hasStoreContactAgeMs() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Set if the sender watches the store and passes its changes on to the receiver: age of its last contact with the store.
+   * </pre>
+   *
+   * <code>optional uint32 store_contact_age_ms = 6;</code>
+   * @return The storeContactAgeMs.
+   */
+  @java.lang.Override
+  public int getStoreContactAgeMs() {
+    return storeContactAgeMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -163,6 +206,12 @@
     if (operatorRevision_ != 0L) {
       output.writeUInt64(4, operatorRevision_);
     }
+    if (fleetRevision_ != 0L) {
+      output.writeUInt64(5, fleetRevision_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt32(6, storeContactAgeMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -187,6 +236,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, operatorRevision_);
     }
+    if (fleetRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, fleetRevision_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, storeContactAgeMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -211,6 +268,13 @@
         != other.getKeysFollow()) return false;
     if (getOperatorRevision()
         != other.getOperatorRevision()) return false;
+    if (getFleetRevision()
+        != other.getFleetRevision()) return false;
+    if (hasStoreContactAgeMs() != other.hasStoreContactAgeMs()) return false;
+    if (hasStoreContactAgeMs()) {
+      if (getStoreContactAgeMs()
+          != other.getStoreContactAgeMs()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -233,6 +297,13 @@
     hash = (37 * hash) + OPERATOR_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getOperatorRevision());
+    hash = (37 * hash) + FLEET_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFleetRevision());
+    if (hasStoreContactAgeMs()) {
+      hash = (37 * hash) + STORE_CONTACT_AGE_MS_FIELD_NUMBER;
+      hash = (53 * hash) + getStoreContactAgeMs();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -372,6 +443,8 @@
       keyBusySlots_ = 0D;
       keysFollow_ = false;
       operatorRevision_ = 0L;
+      fleetRevision_ = 0L;
+      storeContactAgeMs_ = 0;
       return this;
     }
 
@@ -417,6 +490,15 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.operatorRevision_ = operatorRevision_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.fleetRevision_ = fleetRevision_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.storeContactAgeMs_ = storeContactAgeMs_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -445,6 +527,12 @@
       if (other.getOperatorRevision() != 0L) {
         setOperatorRevision(other.getOperatorRevision());
       }
+      if (other.getFleetRevision() != 0L) {
+        setFleetRevision(other.getFleetRevision());
+      }
+      if (other.hasStoreContactAgeMs()) {
+        setStoreContactAgeMs(other.getStoreContactAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -491,6 +579,16 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              fleetRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              storeContactAgeMs_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -712,6 +810,106 @@
       return this;
     }
 
+    private long fleetRevision_ ;
+    /**
+     * <pre>
+     * Store revision of the latest change of the daemons' items that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 fleet_revision = 5;</code>
+     * @return The fleetRevision.
+     */
+    @java.lang.Override
+    public long getFleetRevision() {
+      return fleetRevision_;
+    }
+    /**
+     * <pre>
+     * Store revision of the latest change of the daemons' items that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 fleet_revision = 5;</code>
+     * @param value The fleetRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFleetRevision(long value) {
+
+      fleetRevision_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Store revision of the latest change of the daemons' items that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 fleet_revision = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFleetRevision() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      fleetRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int storeContactAgeMs_ ;
+    /**
+     * <pre>
+     * Set if the sender watches the store and passes its changes on to the receiver: age of its last contact with the store.
+     * </pre>
+     *
+     * <code>optional uint32 store_contact_age_ms = 6;</code>
+     * @return Whether the storeContactAgeMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasStoreContactAgeMs() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * Set if the sender watches the store and passes its changes on to the receiver: age of its last contact with the store.
+     * </pre>
+     *
+     * <code>optional uint32 store_contact_age_ms = 6;</code>
+     * @return The storeContactAgeMs.
+     */
+    @java.lang.Override
+    public int getStoreContactAgeMs() {
+      return storeContactAgeMs_;
+    }
+    /**
+     * <pre>
+     * Set if the sender watches the store and passes its changes on to the receiver: age of its last contact with the store.
+     * </pre>
+     *
+     * <code>optional uint32 store_contact_age_ms = 6;</code>
+     * @param value The storeContactAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreContactAgeMs(int value) {
+
+      storeContactAgeMs_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set if the sender watches the store and passes its changes on to the receiver: age of its last contact with the store.
+     * </pre>
+     *
+     * <code>optional uint32 store_contact_age_ms = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreContactAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      storeContactAgeMs_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.FleetLoad)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoadOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoadOrBuilder.java
@@ -51,4 +51,33 @@
    * @return The operatorRevision.
    */
   long getOperatorRevision();
+
+  /**
+   * <pre>
+   * Store revision of the latest change of the daemons' items that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 fleet_revision = 5;</code>
+   * @return The fleetRevision.
+   */
+  long getFleetRevision();
+
+  /**
+   * <pre>
+   * Set if the sender watches the store and passes its changes on to the receiver: age of its last contact with the store.
+   * </pre>
+   *
+   * <code>optional uint32 store_contact_age_ms = 6;</code>
+   * @return Whether the storeContactAgeMs field is set.
+   */
+  boolean hasStoreContactAgeMs();
+  /**
+   * <pre>
+   * Set if the sender watches the store and passes its changes on to the receiver: age of its last contact with the store.
+   * </pre>
+   *
+   * <code>optional uint32 store_contact_age_ms = 6;</code>
+   * @return The storeContactAgeMs.
+   */
+  int getStoreContactAgeMs();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -166,6 +166,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_daisyhoist_peer_FleetLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_StoreChanges_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_StoreChanges_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_StoreChanges_Change_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_StoreChanges_Change_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_daisyhoist_peer_OperatorItems_descriptor;
   static final 
@@ -185,7 +195,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017daisyhoist.peer\"\376\007\n\010Envelo" +
+      "\n\npeer.proto\022\017daisyhoist.peer\"\266\010\n\010Envelo" +
       "pe\022\022\n\nrequest_id\030\001 \001(\004\022\'\n\005hello\030\002 \001(\0132\026." +
       "daisyhoist.peer.HelloH\000\022/\n\theartbeat\030\003 \001" +
       "(\0132\032.daisyhoist.peer.HeartbeatH\000\0226\n\rhear" +
@@ -211,94 +221,102 @@
       ".peer.GroupFetchH\000\0220\n\nfleet_load\030\022 \001(\0132\032" +
       ".daisyhoist.peer.FleetLoadH\000\0228\n\016operator" +
       "_items\030\023 \001(\0132\036.daisyhoist.peer.OperatorI" +
-      "temsH\000B\006\n\004body\">\n\007Session\022\016\n\006daemon\030\001 \001(" +
-      "\t\022\023\n\013incarnation\030\002 \001(\006\022\016\n\006number\030\003 \001(\r\"W" +
-      "\n\005Hello\022\017\n\007cluster\030\001 \001(\t\022\016\n\006daemon\030\002 \001(\t" +
-      "\022\023\n\013incarnation\030\003 \001(\006\022\030\n\020protocol_versio" +
-      "n\030\004 \001(\r\"Z\n\010Versions\022\025\n\rgroup_version\030\001 \001" +
-      "(\004\022\026\n\016config_version\030\002 \001(\004\022\037\n\027config_con" +
-      "firmed_age_ms\030\003 \001(\r\"(\n\004Load\022\021\n\tin_flight" +
-      "\030\001 \001(\r\022\r\n\005limit\030\002 \001(\r\"\210\001\n\tHeartbeat\022)\n\007s" +
-      "ession\030\001 \001(\0132\030.daisyhoist.peer.Session\022+" +
-      "\n\010versions\030\002 \001(\0132\031.daisyhoist.peer.Versi" +
-      "ons\022#\n\004load\030\003 \001(\0132\025.daisyhoist.peer.Load" +
-      "\"\356\001\n\014HeartbeatAck\0224\n\006result\030\001 \001(\0162$.dais" +
-      "yhoist.peer.HeartbeatAck.Result\022\033\n\023witne" +
-      "ss_incarnation\030\002 \001(\006\022+\n\010versions\030\003 \001(\0132\031" +
-      ".daisyhoist.peer.Versions\022#\n\004load\030\004 \001(\0132" +
-      "\025.daisyhoist.peer.Load\"9\n\006Result\022\020\n\014ACKN" +
-      "OWLEDGED\020\000\022\n\n\006FENCED\020\001\022\021\n\rNOT_A_WITNESS\020" +
-      "\002\"V\n\014FenceRequest\022)\n\007session\030\001 \001(\0132\030.dai" +
-      "syhoist.peer.Session\022\033\n\023witness_incarnat" +
-      "ion\030\002 \001(\006\"\265\001\n\nFenceReply\0222\n\006result\030\001 \001(\016" +
-      "2\".daisyhoist.peer.FenceReply.Result\022\033\n\023" +
-      "witness_incarnation\030\002 \001(\006\022\017\n\007time_ms\030\003 \001" +
-      "(\r\"E\n\006Result\022\n\n\006FENCED\020\000\022\014\n\010PROMISED\020\001\022\021" +
-      "\n\rNOT_A_WITNESS\020\002\022\016\n\nSUPERSEDED\020\003\"E\n\013Gro" +
-      "upUpdate\022\017\n\007version\030\001 \001(\004\022\023\n\013record_json" +
-      "\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004\"\014\n\nGroupFetch\"$" +
-      "\n\013ConfigFetch\022\025\n\rknown_version\030\001 \001(\004\"b\n\014" +
-      "ConfigUpdate\022\017\n\007version\030\001 \001(\004\022\025\n\rdocumen" +
-      "t_json\030\002 \001(\014\022\030\n\020confirmed_age_ms\030\003 \001(\r\022\020" +
-      "\n\010revision\030\004 \001(\004\"+\n\tPartition\022\017\n\007service" +
-      "\030\001 \001(\t\022\r\n\005index\030\002 \001(\r\"y\n\013MoveRequest\022-\n\t" +
-      "partition\030\001 \001(\0132\032.daisyhoist.peer.Partit" +
-      "ion\022$\n\002to\030\002 \001(\0132\030.daisyhoist.peer.Sessio" +
-      "n\022\025\n\rgroup_version\030\003 \001(\004\"\342\001\n\rAttemptReco" +
-      "rd\022\r\n\005token\030\001 \001(\t\0223\n\005state\030\002 \001(\0162$.daisy" +
-      "hoist.peer.AttemptRecord.State\022\016\n\006age_ms" +
-      "\030\003 \001(\r\022\016\n\006status\030\004 \001(\005\022(\n\007headers\030\005 \003(\0132" +
-      "\027.daisyhoist.peer.Header\022\014\n\004body\030\006 \001(\014\022\021" +
-      "\n\tbody_kept\030\007 \001(\010\"\"\n\005State\022\013\n\007UNKNOWN\020\000\022" +
-      "\014\n\010FINISHED\020\001\"\353\002\n\020TransferAttempts\022-\n\tpa" +
-      "rtition\030\001 \001(\0132\032.daisyhoist.peer.Partitio" +
-      "n\022/\n\007records\030\003 \003(\0132\036.daisyhoist.peer.Att" +
-      "emptRecord\022(\n\006sender\030\004 \001(\0132\030.daisyhoist." +
-      "peer.Session\022\024\n\014source_epoch\030\005 \001(\004\022\024\n\014ta" +
-      "rget_epoch\030\006 \001(\004\022\025\n\rexport_number\030\007 \001(\r\022" +
-      "N\n\020dropped_up_to_ms\030\010 \003(\01324.daisyhoist.p" +
-      "eer.TransferAttempts.DroppedUpToMsEntry\032" +
-      "4\n\022DroppedUpToMsEntry\022\013\n\003key\030\001 \001(\004\022\r\n\005va" +
-      "lue\030\002 \001(\022:\0028\001J\004\010\002\020\003\"\037\n\013TransferAck\022\020\n\010ac" +
-      "cepted\030\001 \001(\010\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005" +
-      "value\030\002 \001(\t\"\220\004\n\016ForwardRequest\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\034\n\017partition_index\030\002 \001(\rH\000\210\001\001\022\020\n" +
-      "\003key\030\003 \001(\tH\001\210\001\001\022\016\n\006method\030\004 \001(\t\022\014\n\004path\030" +
-      "\005 \001(\t\022(\n\007headers\030\006 \003(\0132\027.daisyhoist.peer" +
-      ".Header\022\014\n\004body\030\007 \001(\014\022\035\n\025remaining_deadl" +
-      "ine_ms\030\010 \001(\r\022\014\n\004rank\030\t \001(\t\022\032\n\rattempt_to" +
-      "ken\030\n \001(\tH\002\210\001\001\022\023\n\013traceparent\030\013 \001(\t\022\022\n\nt" +
-      "oken_only\030\014 \001(\010\022\022\n\nrequest_id\030\r \001(\t\022\026\n\016c" +
-      "aller_service\030\016 \001(\t\022>\n\020expected_backend\030" +
-      "\017 \001(\0132\037.daisyhoist.peer.BackendProcessH\003" +
-      "\210\001\001\022\025\n\rqueue_wait_ms\030\020 \001(\r\022\026\n\016config_ver" +
-      "sion\030\021 \001(\004\022\027\n\017has_alternative\030\022 \001(\010B\022\n\020_" +
-      "partition_indexB\006\n\004_keyB\020\n\016_attempt_toke" +
-      "nB\023\n\021_expected_backend\"0\n\016BackendProcess" +
-      "\022\n\n\002id\030\001 \001(\t\022\022\n\nstarted_ms\030\002 \001(\006\"Y\n\013Back" +
-      "endLoad\022\021\n\tin_flight\030\001 \001(\r\022\016\n\006queued\030\002 \001" +
-      "(\r\022\r\n\005limit\030\003 \001(\r\022\030\n\020slowdown_percent\030\004 " +
-      "\001(\r\"\302\002\n\017ForwardResponse\022\016\n\006status\030\001 \001(\005\022" +
-      "(\n\007headers\030\002 \003(\0132\027.daisyhoist.peer.Heade" +
-      "r\022\014\n\004body\030\003 \001(\014\022.\n\007refusal\030\004 \001(\0132\030.daisy" +
-      "hoist.peer.RefusalH\000\210\001\001\022\025\n\rgroup_version" +
-      "\030\005 \001(\004\022\017\n\007backend\030\006 \001(\t\022\032\n\rattempt_token" +
-      "\030\007 \001(\tH\001\210\001\001\022/\n\004load\030\010 \001(\0132\034.daisyhoist.p" +
-      "eer.BackendLoadH\002\210\001\001\022\033\n\023answered_by_back" +
-      "end\030\t \001(\010B\n\n\010_refusalB\020\n\016_attempt_tokenB" +
-      "\007\n\005_load\"S\n\007Refusal\022\014\n\004code\030\001 \001(\t\022\021\n\trun" +
-      "_state\030\002 \001(\t\022\017\n\007message\030\003 \001(\t\022\026\n\016retry_a" +
-      "fter_ms\030\004 \001(\r\"-\n\rCancelRequest\022\034\n\024cancel" +
-      "led_request_id\030\001 \001(\004\"Q\n\013CrashReport\022\017\n\007b" +
-      "ackend\030\001 \001(\t\022\033\n\023backend_incarnation\030\002 \001(" +
-      "\006\022\024\n\014fingerprints\030\003 \003(\t\"c\n\tFleetLoad\022\016\n\006" +
-      "daemon\030\001 \001(\t\022\026\n\016key_busy_slots\030\002 \001(\001\022\023\n\013" +
-      "keys_follow\030\003 \001(\010\022\031\n\021operator_revision\030\004" +
-      " \001(\004\"\210\001\n\rOperatorItems\0222\n\005items\030\001 \003(\0132#." +
-      "daisyhoist.peer.OperatorItems.Item\022\r\n\005as" +
-      "_of\030\002 \001(\004\0324\n\004Item\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
-      "\002 \001(\014\022\020\n\010revision\030\003 \001(\004B\034\n\030io.daisyhoist" +
-      ".wire.protoP\001b\006proto3"
+      "temsH\000\0226\n\rstore_changes\030\024 \001(\0132\035.daisyhoi" +
+      "st.peer.StoreChangesH\000B\006\n\004body\">\n\007Sessio" +
+      "n\022\016\n\006daemon\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\016" +
+      "\n\006number\030\003 \001(\r\"W\n\005Hello\022\017\n\007cluster\030\001 \001(\t" +
+      "\022\016\n\006daemon\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\006\022\030\n" +
+      "\020protocol_version\030\004 \001(\r\"Z\n\010Versions\022\025\n\rg" +
+      "roup_version\030\001 \001(\004\022\026\n\016config_version\030\002 \001" +
+      "(\004\022\037\n\027config_confirmed_age_ms\030\003 \001(\r\"(\n\004L" +
+      "oad\022\021\n\tin_flight\030\001 \001(\r\022\r\n\005limit\030\002 \001(\r\"\210\001" +
+      "\n\tHeartbeat\022)\n\007session\030\001 \001(\0132\030.daisyhois" +
+      "t.peer.Session\022+\n\010versions\030\002 \001(\0132\031.daisy" +
+      "hoist.peer.Versions\022#\n\004load\030\003 \001(\0132\025.dais" +
+      "yhoist.peer.Load\"\356\001\n\014HeartbeatAck\0224\n\006res" +
+      "ult\030\001 \001(\0162$.daisyhoist.peer.HeartbeatAck" +
+      ".Result\022\033\n\023witness_incarnation\030\002 \001(\006\022+\n\010" +
+      "versions\030\003 \001(\0132\031.daisyhoist.peer.Version" +
+      "s\022#\n\004load\030\004 \001(\0132\025.daisyhoist.peer.Load\"9" +
+      "\n\006Result\022\020\n\014ACKNOWLEDGED\020\000\022\n\n\006FENCED\020\001\022\021" +
+      "\n\rNOT_A_WITNESS\020\002\"V\n\014FenceRequest\022)\n\007ses" +
+      "sion\030\001 \001(\0132\030.daisyhoist.peer.Session\022\033\n\023" +
+      "witness_incarnation\030\002 \001(\006\"\265\001\n\nFenceReply" +
+      "\0222\n\006result\030\001 \001(\0162\".daisyhoist.peer.Fence" +
+      "Reply.Result\022\033\n\023witness_incarnation\030\002 \001(" +
+      "\006\022\017\n\007time_ms\030\003 \001(\r\"E\n\006Result\022\n\n\006FENCED\020\000" +
+      "\022\014\n\010PROMISED\020\001\022\021\n\rNOT_A_WITNESS\020\002\022\016\n\nSUP" +
+      "ERSEDED\020\003\"E\n\013GroupUpdate\022\017\n\007version\030\001 \001(" +
+      "\004\022\023\n\013record_json\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004" +
+      "\"\014\n\nGroupFetch\"$\n\013ConfigFetch\022\025\n\rknown_v" +
+      "ersion\030\001 \001(\004\"b\n\014ConfigUpdate\022\017\n\007version\030" +
+      "\001 \001(\004\022\025\n\rdocument_json\030\002 \001(\014\022\030\n\020confirme" +
+      "d_age_ms\030\003 \001(\r\022\020\n\010revision\030\004 \001(\004\"+\n\tPart" +
+      "ition\022\017\n\007service\030\001 \001(\t\022\r\n\005index\030\002 \001(\r\"y\n" +
+      "\013MoveRequest\022-\n\tpartition\030\001 \001(\0132\032.daisyh" +
+      "oist.peer.Partition\022$\n\002to\030\002 \001(\0132\030.daisyh" +
+      "oist.peer.Session\022\025\n\rgroup_version\030\003 \001(\004" +
+      "\"\342\001\n\rAttemptRecord\022\r\n\005token\030\001 \001(\t\0223\n\005sta" +
+      "te\030\002 \001(\0162$.daisyhoist.peer.AttemptRecord" +
+      ".State\022\016\n\006age_ms\030\003 \001(\r\022\016\n\006status\030\004 \001(\005\022(" +
+      "\n\007headers\030\005 \003(\0132\027.daisyhoist.peer.Header" +
+      "\022\014\n\004body\030\006 \001(\014\022\021\n\tbody_kept\030\007 \001(\010\"\"\n\005Sta" +
+      "te\022\013\n\007UNKNOWN\020\000\022\014\n\010FINISHED\020\001\"\353\002\n\020Transf" +
+      "erAttempts\022-\n\tpartition\030\001 \001(\0132\032.daisyhoi" +
+      "st.peer.Partition\022/\n\007records\030\003 \003(\0132\036.dai" +
+      "syhoist.peer.AttemptRecord\022(\n\006sender\030\004 \001" +
+      "(\0132\030.daisyhoist.peer.Session\022\024\n\014source_e" +
+      "poch\030\005 \001(\004\022\024\n\014target_epoch\030\006 \001(\004\022\025\n\rexpo" +
+      "rt_number\030\007 \001(\r\022N\n\020dropped_up_to_ms\030\010 \003(" +
+      "\01324.daisyhoist.peer.TransferAttempts.Dro" +
+      "ppedUpToMsEntry\0324\n\022DroppedUpToMsEntry\022\013\n" +
+      "\003key\030\001 \001(\004\022\r\n\005value\030\002 \001(\022:\0028\001J\004\010\002\020\003\"\037\n\013T" +
+      "ransferAck\022\020\n\010accepted\030\001 \001(\010\"%\n\006Header\022\014" +
+      "\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\220\004\n\016ForwardR" +
+      "equest\022\017\n\007service\030\001 \001(\t\022\034\n\017partition_ind" +
+      "ex\030\002 \001(\rH\000\210\001\001\022\020\n\003key\030\003 \001(\tH\001\210\001\001\022\016\n\006metho" +
+      "d\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 \003(\0132\027" +
+      ".daisyhoist.peer.Header\022\014\n\004body\030\007 \001(\014\022\035\n" +
+      "\025remaining_deadline_ms\030\010 \001(\r\022\014\n\004rank\030\t \001" +
+      "(\t\022\032\n\rattempt_token\030\n \001(\tH\002\210\001\001\022\023\n\013tracep" +
+      "arent\030\013 \001(\t\022\022\n\ntoken_only\030\014 \001(\010\022\022\n\nreque" +
+      "st_id\030\r \001(\t\022\026\n\016caller_service\030\016 \001(\t\022>\n\020e" +
+      "xpected_backend\030\017 \001(\0132\037.daisyhoist.peer." +
+      "BackendProcessH\003\210\001\001\022\025\n\rqueue_wait_ms\030\020 \001" +
+      "(\r\022\026\n\016config_version\030\021 \001(\004\022\027\n\017has_altern" +
+      "ative\030\022 \001(\010B\022\n\020_partition_indexB\006\n\004_keyB" +
+      "\020\n\016_attempt_tokenB\023\n\021_expected_backend\"0" +
+      "\n\016BackendProcess\022\n\n\002id\030\001 \001(\t\022\022\n\nstarted_" +
+      "ms\030\002 \001(\006\"Y\n\013BackendLoad\022\021\n\tin_flight\030\001 \001" +
+      "(\r\022\016\n\006queued\030\002 \001(\r\022\r\n\005limit\030\003 \001(\r\022\030\n\020slo" +
+      "wdown_percent\030\004 \001(\r\"\302\002\n\017ForwardResponse\022" +
+      "\016\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003(\0132\027.daisy" +
+      "hoist.peer.Header\022\014\n\004body\030\003 \001(\014\022.\n\007refus" +
+      "al\030\004 \001(\0132\030.daisyhoist.peer.RefusalH\000\210\001\001\022" +
+      "\025\n\rgroup_version\030\005 \001(\004\022\017\n\007backend\030\006 \001(\t\022" +
+      "\032\n\rattempt_token\030\007 \001(\tH\001\210\001\001\022/\n\004load\030\010 \001(" +
+      "\0132\034.daisyhoist.peer.BackendLoadH\002\210\001\001\022\033\n\023" +
+      "answered_by_backend\030\t \001(\010B\n\n\010_refusalB\020\n" +
+      "\016_attempt_tokenB\007\n\005_load\"S\n\007Refusal\022\014\n\004c" +
+      "ode\030\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030" +
+      "\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n\rCancelR" +
+      "equest\022\034\n\024cancelled_request_id\030\001 \001(\004\"Q\n\013" +
+      "CrashReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_" +
+      "incarnation\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\t\"" +
+      "\267\001\n\tFleetLoad\022\016\n\006daemon\030\001 \001(\t\022\026\n\016key_bus" +
+      "y_slots\030\002 \001(\001\022\023\n\013keys_follow\030\003 \001(\010\022\031\n\021op" +
+      "erator_revision\030\004 \001(\004\022\026\n\016fleet_revision\030" +
+      "\005 \001(\004\022!\n\024store_contact_age_ms\030\006 \001(\rH\000\210\001\001" +
+      "B\027\n\025_store_contact_age_ms\"\302\001\n\014StoreChang" +
+      "es\022\016\n\006prefix\030\001 \001(\t\022\025\n\rfrom_revision\030\002 \001(" +
+      "\004\022\r\n\005as_of\030\003 \001(\004\0225\n\007changes\030\004 \003(\0132$.dais" +
+      "yhoist.peer.StoreChanges.Change\032E\n\006Chang" +
+      "e\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005valu" +
+      "e\030\003 \001(\014H\000\210\001\001B\010\n\006_value\"\210\001\n\rOperatorItems" +
+      "\0222\n\005items\030\001 \003(\0132#.daisyhoist.peer.Operat" +
+      "orItems.Item\022\r\n\005as_of\030\002 \001(\004\0324\n\004Item\022\013\n\003k" +
+      "ey\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(" +
+      "\004B\034\n\030io.daisyhoist.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -309,7 +327,7 @@
     internal_static_daisyhoist_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_Envelope_descriptor,
-        new java.lang.String[] { "RequestId", "Hello", "Heartbeat", "HeartbeatAck", "FenceRequest", "FenceReply", "GroupUpdate", "ConfigFetch", "ConfigUpdate", "MoveRequest", "TransferAttempts", "TransferAck", "ForwardRequest", "ForwardResponse", "CancelRequest", "CrashReport", "GroupFetch", "FleetLoad", "OperatorItems", "Body", });
+        new java.lang.String[] { "RequestId", "Hello", "Heartbeat", "HeartbeatAck", "FenceRequest", "FenceReply", "GroupUpdate", "ConfigFetch", "ConfigUpdate", "MoveRequest", "TransferAttempts", "TransferAck", "ForwardRequest", "ForwardResponse", "CancelRequest", "CrashReport", "GroupFetch", "FleetLoad", "OperatorItems", "StoreChanges", "Body", });
     internal_static_daisyhoist_peer_Session_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_daisyhoist_peer_Session_fieldAccessorTable = new
@@ -471,9 +489,21 @@
     internal_static_daisyhoist_peer_FleetLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_FleetLoad_descriptor,
-        new java.lang.String[] { "Daemon", "KeyBusySlots", "KeysFollow", "OperatorRevision", });
-    internal_static_daisyhoist_peer_OperatorItems_descriptor =
+        new java.lang.String[] { "Daemon", "KeyBusySlots", "KeysFollow", "OperatorRevision", "FleetRevision", "StoreContactAgeMs", });
+    internal_static_daisyhoist_peer_StoreChanges_descriptor =
       getDescriptor().getMessageType(27);
+    internal_static_daisyhoist_peer_StoreChanges_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_StoreChanges_descriptor,
+        new java.lang.String[] { "Prefix", "FromRevision", "AsOf", "Changes", });
+    internal_static_daisyhoist_peer_StoreChanges_Change_descriptor =
+      internal_static_daisyhoist_peer_StoreChanges_descriptor.getNestedType(0);
+    internal_static_daisyhoist_peer_StoreChanges_Change_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_StoreChanges_Change_descriptor,
+        new java.lang.String[] { "Key", "Revision", "Value", });
+    internal_static_daisyhoist_peer_OperatorItems_descriptor =
+      getDescriptor().getMessageType(28);
     internal_static_daisyhoist_peer_OperatorItems_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_OperatorItems_descriptor,
