--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
@@ -20,7 +19,6 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.request.ForwardReceiver;
-import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoreDelta;
@@ -29,9 +27,6 @@
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalBackendSnapshot;
 import io.daisyhoist.wire.proto.Envelope;
-import io.daisyhoist.wire.proto.FleetLoad;
-import io.daisyhoist.wire.proto.OperatorItems;
-import io.daisyhoist.wire.proto.StoreChanges;
 
 /**
  * Control state of one daemon: the fleet state read from the store, the daemon's registration, the local backend server
@@ -40,7 +35,7 @@
  * <p>All state is confined to the control thread, which publishes immutable snapshots for the request path. Public methods
  * may be called from any thread.
  */
-public final class FleetControl implements BackendReportHandler, ForwardReceiver.PeerMessageListener {
+public final class FleetControl implements BackendReportHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** Time for which key leases may be granted after the last confirmed registration; longer than most store outages. */
@@ -61,7 +56,6 @@
     private final FleetSettings settings;
     private final TimeSource time;
     private final ControlExecutor control;
-    private final FleetMetrics metrics;
     private final FleetState state;
     private final StoreCache operatorCache;
     private final StoreCache fleetCache;
@@ -75,6 +69,7 @@
     private final DepartureRecord departures;
     private final LocalBackendTracker tracker;
     private final StoreFollower follower;
+    private final PeerMessageHandler peerMessageHandler;
     private boolean operatorSynchronized;
     private boolean fleetSynchronized;
     private boolean registrationStarted;
@@ -111,7 +106,7 @@
         this.settings = settings;
         this.time = dependencies.time();
         this.control = dependencies.control();
-        this.metrics = dependencies.metrics();
+        FleetMetrics metrics = dependencies.metrics();
         MetadataStore store = dependencies.store();
         OperatorDocuments documents = dependencies.documents();
         StoreAccess access = new StoreAccess(store, control, time, new CallbackGuard(metrics::onFailedCallback));
@@ -131,6 +126,7 @@
                 this::fleet,
                 this::localReport,
                 dependencies.peerSender());
+        this.peerMessageHandler = new PeerMessageHandler(control, metrics, gossip, follower, documents.prefix());
         this.registration = new Registration(
                 FleetState.memberKey(settings.daemon()),
                 tracker.member(),
@@ -221,35 +217,9 @@
         control.execute(() -> keyLoad.onRequest(key, expectedDuration));
     }
 
-    @Override
-    public void onLoad(FleetLoad load) {
-        control.execute(() -> accept("load", PeerMessages.decode(load), report -> {
-            gossip.onLoad(report);
-            follower.onReport(report);
-        }));
-    }
-
-    @Override
-    public void onOperatorItems(OperatorItems items) {
-        control.execute(() ->
-                accept("operator_items", PeerMessages.decode(items, operatorCache.prefix()), gossip::onOperatorItems));
-    }
-
-    @Override
-    public void onStoreChanges(StoreChanges changes) {
-        control.execute(() -> accept(
-                "store_changes",
-                PeerMessages.decode(changes),
-                delta -> follower.onChanges(changes.getPrefix(), delta)));
-    }
-
-    private <T> void accept(String message, Decoded<T> decoded, Consumer<T> consumer) {
-        if (decoded instanceof Decoded.Valid<T> valid) {
-            consumer.accept(valid.value());
-        } else if (decoded instanceof Decoded.Rejected<T> rejected) {
-            metrics.onRejectedInput("peer");
-            LOGGER.atWarning().log("event=peer_message_rejected message=%s reason=\"%s\"", message, rejected.reason());
-        }
+    /** Returns the handler of control messages of other daemons. */
+    public ForwardReceiver.PeerMessageListener peerMessageListener() {
+        return peerMessageHandler;
     }
 
     private PeerMessages.LoadReport localReport() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -129,7 +129,7 @@
                 peerLoops,
                 identity,
                 PEER_LIMITS,
-                new ForwardReceiver(context, admission, time, fleetControl, this::isIdempotent));
+                new ForwardReceiver(context, admission, time, fleetControl.peerMessageListener(), this::isIdempotent));
         LoadBalancer loadBalancer = new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone());
         RequestContext requestContext = new RequestContext(
                 vertx,
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -142,11 +142,11 @@
     /** Handles a message of another daemon. */
     void receive(Envelope message) {
         if (message.hasFleetLoad()) {
-            control.onLoad(message.getFleetLoad());
+            control.peerMessageListener().onLoad(message.getFleetLoad());
         } else if (message.hasOperatorItems()) {
-            control.onOperatorItems(message.getOperatorItems());
+            control.peerMessageListener().onOperatorItems(message.getOperatorItems());
         } else if (message.hasStoreChanges()) {
-            control.onStoreChanges(message.getStoreChanges());
+            control.peerMessageListener().onStoreChanges(message.getStoreChanges());
         }
     }
 
