--- a/mesh/src/main/java/io/daisyhoist/mesh/process/PeerMessages.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/PeerMessages.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.StoreDelta;
@@ -18,6 +19,9 @@
 
 /** Converts control state to and from peer messages. Stateless. */
 final class PeerMessages {
+    /** Bounds the memory for changes of other daemons; a fleet's items are a small part of it. */
+    private static final int MAX_CHANGES_BYTES = 16 << 20;
+
     private PeerMessages() {}
 
     static Envelope loadReport(LoadReport report) {
@@ -32,12 +36,16 @@
     }
 
     static Envelope storeChanges(String prefix, StoreDelta delta) {
-        StoreChanges.Builder message = StoreChanges.newBuilder()
-                .setPrefix(prefix)
-                .setFromRevision(delta.fromRevision())
-                .setAsOf(delta.asOf());
-        delta.changes().forEach(event -> message.addChanges(change(event)));
-        return Envelope.newBuilder().setStoreChanges(message).build();
+        StoreChanges.ChangeList.Builder changes = StoreChanges.ChangeList.newBuilder();
+        delta.changes().forEach(event -> changes.addChanges(change(event)));
+        byte[] deflated = Compression.compress(changes.build().toByteArray());
+        return Envelope.newBuilder()
+                .setStoreChanges(StoreChanges.newBuilder()
+                        .setPrefix(prefix)
+                        .setFromRevision(delta.fromRevision())
+                        .setAsOf(delta.asOf())
+                        .setDeflatedChanges(ByteString.copyFrom(deflated)))
+                .build();
     }
 
     private static StoreChanges.Change change(StoreEvent event) {
@@ -150,21 +158,27 @@
 
     /** Decodes changes of the items under a key prefix that the receiver follows. */
     static Decoded<StoreDelta> decode(StoreChanges message) {
-        List<StoreEvent> changes = new ArrayList<>(message.getChangesCount());
-        for (StoreChanges.Change change : message.getChangesList()) {
-            if (!change.getKey().startsWith(message.getPrefix()) || change.getRevision() <= message.getFromRevision()) {
-                return Decoded.rejected("change of " + change.getKey() + " at revision " + change.getRevision()
-                        + " after " + message.getFromRevision() + " under " + message.getPrefix());
-            }
-            changes.add(event(change));
-        }
         try {
-            return Decoded.valid(new StoreDelta(message.getFromRevision(), changes, message.getAsOf()));
-        } catch (IllegalArgumentException e) {
+            byte[] changes = Compression.decompress(message.getDeflatedChanges().toByteArray(), MAX_CHANGES_BYTES);
+            List<StoreEvent> events = new ArrayList<>();
+            for (StoreChanges.Change change :
+                    StoreChanges.ChangeList.parseFrom(changes).getChangesList()) {
+                requireWithin(message, change);
+                events.add(event(change));
+            }
+            return Decoded.valid(new StoreDelta(message.getFromRevision(), events, message.getAsOf()));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             return Decoded.rejected(e.getMessage());
         }
     }
 
+    private static void requireWithin(StoreChanges message, StoreChanges.Change change) {
+        if (!change.getKey().startsWith(message.getPrefix()) || change.getRevision() <= message.getFromRevision()) {
+            throw new IllegalArgumentException("change of " + change.getKey() + " at revision " + change.getRevision()
+                    + " after " + message.getFromRevision() + " under " + message.getPrefix());
+        }
+    }
+
     private static StoreEvent event(StoreChanges.Change change) {
         Optional<StoredItem> item = change.hasValue()
                 ? Optional.of(new StoredItem(change.getKey(), change.getValue().toByteArray(), change.getRevision()))
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/DecoderFuzzTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/DecoderFuzzTest.java
@@ -19,6 +19,8 @@
 import io.daisyhoist.core.time.ManualTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.ForwardCodec;
+import io.daisyhoist.mesh.store.StoreDelta;
+import io.daisyhoist.mesh.store.StoreEvent;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.wire.proto.BackendProcess;
@@ -93,7 +95,7 @@
     /** Guards against exceptions that a damaged message of another daemon causes. */
     @Test
     void decode_damagedPeerMessages_noExceptionLeavesTheDecoders() {
-        List<Envelope> sound = List.of(load(), operatorItems(), forwardRequest(), forwardResponse());
+        List<Envelope> sound = List.of(load(), operatorItems(), storeChanges(), forwardRequest(), forwardResponse());
         int decoded = 0;
         for (int i = 0; i < INPUTS; i++) {
             byte[] input = mutator.mutate(sound.get(i % sound.size()).toByteArray());
@@ -110,6 +112,7 @@
     private void decode(Envelope message) {
         PeerMessages.decode(message.getFleetLoad());
         PeerMessages.decode(message.getOperatorItems(), "o/");
+        PeerMessages.decode(message.getStoreChanges());
         ForwardCodec.decode(message.getForwardResponse());
         ForwardCodec.load(message.getForwardResponse());
         try {
@@ -140,6 +143,12 @@
                 .build();
     }
 
+    private static Envelope storeChanges() {
+        StoredItem item = new StoredItem("o/a", FleetJson.write(TABLE), 6);
+        return PeerMessages.storeChanges(
+                "o/", new StoreDelta(5, List.of(new StoreEvent("o/a", 6, Optional.of(item))), 9));
+    }
+
     private static Envelope forwardRequest() {
         return Envelope.newBuilder()
                 .setRequestId(3)
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetScaleTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetScaleTest.java
@@ -28,6 +28,9 @@
 class FleetScaleTest {
     private static final Duration START = Duration.ofSeconds(5);
     private static final Duration CALM_TIME = Duration.ofSeconds(40);
+    /** Control messages of a daemon, sent; the budget of the two-year target. */
+    private static final double MAX_BYTES_PER_SECOND = 2_000;
+
     private static final int CONFIG_CHANGES = 30;
     private static final double RENEWAL_COST = 0.1;
 
@@ -56,6 +59,7 @@
         private final Map<DaemonId, SimulatedInstance> instances = new HashMap<>();
         private final Map<String, Integer> calls = new TreeMap<>();
         private int messages;
+        private long messageBytes;
         private int configVersion;
 
         private Fleet(int size) {
@@ -75,6 +79,7 @@
 
         private void deliver(DaemonId receiver, Envelope message) {
             messages++;
+            messageBytes += message.getSerializedSize();
             SimulatedInstance instance = instances.get(receiver);
             if (instance != null && !instance.process().isKilled()) {
                 simulation.at(Duration.ofMillis(1), () -> instance.receive(message));
@@ -105,6 +110,7 @@
         Fleet fleet = new Fleet(size);
         fleet.simulation.runFor(START);
         fleet.messages = 0;
+        fleet.messageBytes = 0;
         fleet.simulation.runFor(calmTime);
         assertEquals(0, fleet.behind());
         return fleet;
@@ -125,6 +131,8 @@
         Fleet large = calmFleet(300, Duration.ofSeconds(3));
         String calls = small.callsPerDaemon() + " and " + large.callsPerDaemon() + " calls";
         assertTrue(large.callsPerDaemon() <= 1.1 * small.callsPerDaemon(), calls);
+        double bytesPerSecond = (double) large.messageBytes / 300 / 3;
+        assertTrue(bytesPerSecond <= MAX_BYTES_PER_SECOND, bytesPerSecond + " bytes a second");
         String messages = small.messages / 30 + " and " + large.messages / 300 + " messages";
         assertTrue(large.messages / 300 <= 1.1 * small.messages / 30, messages);
     }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/PeerMessagesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/PeerMessagesTest.java
@@ -1,17 +1,26 @@
 package io.daisyhoist.mesh.process;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 
+import com.google.protobuf.ByteString;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.mesh.store.Decoded;
+import io.daisyhoist.mesh.store.StoreDelta;
+import io.daisyhoist.mesh.store.StoreEvent;
+import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.OperatorItems;
 import io.daisyhoist.wire.proto.StoreChanges;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class PeerMessagesTest {
     private static final String PREFIX = "o/";
@@ -58,14 +67,44 @@
     }
 
     private static StoreChanges changes(String prefix, String key, long revision, long from, long asOf) {
+        byte[] changes = StoreChanges.ChangeList.newBuilder()
+                .addChanges(StoreChanges.Change.newBuilder().setKey(key).setRevision(revision))
+                .build()
+                .toByteArray();
         return StoreChanges.newBuilder()
                 .setPrefix(prefix)
                 .setFromRevision(from)
                 .setAsOf(asOf)
-                .addChanges(StoreChanges.Change.newBuilder().setKey(key).setRevision(revision))
+                .setDeflatedChanges(ByteString.copyFrom(Compression.compress(changes)))
                 .build();
     }
 
+    /** Guards against changes that differ after the way to another daemon. */
+    @Test
+    void decode_encodedStoreChanges_isTheSame() {
+        StoredItem item = new StoredItem("o/a", "value".getBytes(StandardCharsets.UTF_8), 6);
+        StoreDelta delta = new StoreDelta(
+                5, List.of(new StoreEvent("o/a", 6, Optional.of(item)), new StoreEvent("o/b", 7, Optional.empty())), 9);
+        StoreChanges message = PeerMessages.storeChanges("o/", delta).getStoreChanges();
+        Decoded.Valid<StoreDelta> valid = assertInstanceOf(Decoded.Valid.class, PeerMessages.decode(message));
+        assertEquals(delta.asOf(), valid.value().asOf());
+        assertArrayEquals(
+                item.value(),
+                valid.value().changes().get(0).item().orElseThrow().value());
+        assertEquals(delta.changes().get(1), valid.value().changes().get(1));
+    }
+
+    /** Guards against memory that a small message of another daemon occupies. */
+    @Test
+    void decompress_largeOrDamagedData_throws() {
+        byte[] compressed = Compression.compress(new byte[10_000_000]);
+        assertTrue(compressed.length < 100_000, compressed.length + " bytes");
+        assertThrows(IllegalArgumentException.class, () -> Compression.decompress(compressed, 1_000_000));
+        assertThrows(IllegalArgumentException.class, () -> Compression.decompress(new byte[] {1, 2, 3}, 1_000));
+        byte[] cut = Arrays.copyOf(compressed, compressed.length / 2);
+        assertThrows(IllegalArgumentException.class, () -> Compression.decompress(cut, 20_000_000));
+    }
+
     private static OperatorItems listing(String key, long revision, long asOf) {
         return OperatorItems.newBuilder()
                 .setAsOf(asOf)
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -176,6 +176,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_daisyhoist_peer_StoreChanges_Change_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_StoreChanges_ChangeList_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_StoreChanges_ChangeList_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_daisyhoist_peer_OperatorItems_descriptor;
   static final 
@@ -307,12 +312,13 @@
       "y_slots\030\002 \001(\001\022\023\n\013keys_follow\030\003 \001(\010\022\031\n\021op" +
       "erator_revision\030\004 \001(\004\022\026\n\016fleet_revision\030" +
       "\005 \001(\004\022!\n\024store_contact_age_ms\030\006 \001(\rH\000\210\001\001" +
-      "B\027\n\025_store_contact_age_ms\"\302\001\n\014StoreChang" +
+      "B\027\n\025_store_contact_age_ms\"\352\001\n\014StoreChang" +
       "es\022\016\n\006prefix\030\001 \001(\t\022\025\n\rfrom_revision\030\002 \001(" +
-      "\004\022\r\n\005as_of\030\003 \001(\004\0225\n\007changes\030\004 \003(\0132$.dais" +
-      "yhoist.peer.StoreChanges.Change\032E\n\006Chang" +
-      "e\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005valu" +
-      "e\030\003 \001(\014H\000\210\001\001B\010\n\006_value\"\210\001\n\rOperatorItems" +
+      "\004\022\r\n\005as_of\030\003 \001(\004\022\030\n\020deflated_changes\030\004 \001" +
+      "(\014\032E\n\006Change\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 " +
+      "\001(\004\022\022\n\005value\030\003 \001(\014H\000\210\001\001B\010\n\006_value\032C\n\nCha" +
+      "ngeList\0225\n\007changes\030\001 \003(\0132$.daisyhoist.pe" +
+      "er.StoreChanges.Change\"\210\001\n\rOperatorItems" +
       "\0222\n\005items\030\001 \003(\0132#.daisyhoist.peer.Operat" +
       "orItems.Item\022\r\n\005as_of\030\002 \001(\004\0324\n\004Item\022\013\n\003k" +
       "ey\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(" +
@@ -495,13 +501,19 @@
     internal_static_daisyhoist_peer_StoreChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_StoreChanges_descriptor,
-        new java.lang.String[] { "Prefix", "FromRevision", "AsOf", "Changes", });
+        new java.lang.String[] { "Prefix", "FromRevision", "AsOf", "DeflatedChanges", });
     internal_static_daisyhoist_peer_StoreChanges_Change_descriptor =
       internal_static_daisyhoist_peer_StoreChanges_descriptor.getNestedType(0);
     internal_static_daisyhoist_peer_StoreChanges_Change_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_StoreChanges_Change_descriptor,
         new java.lang.String[] { "Key", "Revision", "Value", });
+    internal_static_daisyhoist_peer_StoreChanges_ChangeList_descriptor =
+      internal_static_daisyhoist_peer_StoreChanges_descriptor.getNestedType(1);
+    internal_static_daisyhoist_peer_StoreChanges_ChangeList_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_StoreChanges_ChangeList_descriptor,
+        new java.lang.String[] { "Changes", });
     internal_static_daisyhoist_peer_OperatorItems_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_daisyhoist_peer_OperatorItems_fieldAccessorTable = new
--- a/wire/src/main/java/io/daisyhoist/wire/proto/StoreChanges.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/StoreChanges.java
@@ -33,7 +33,7 @@
   }
   private StoreChanges() {
     prefix_ = "";
-    changes_ = java.util.Collections.emptyList();
+    deflatedChanges_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -777,6 +777,756 @@
 
   }
 
+  public interface ChangeListOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:daisyhoist.peer.StoreChanges.ChangeList)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> 
+        getChangesList();
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    io.daisyhoist.wire.proto.StoreChanges.Change getChanges(int index);
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    int getChangesCount();
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    java.util.List<? extends io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> 
+        getChangesOrBuilderList();
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder getChangesOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code daisyhoist.peer.StoreChanges.ChangeList}
+   */
+  public static final class ChangeList extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:daisyhoist.peer.StoreChanges.ChangeList)
+      ChangeListOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ChangeList");
+    }
+    // Use ChangeList.newBuilder() to construct.
+    private ChangeList(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ChangeList() {
+      changes_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_StoreChanges_ChangeList_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_StoreChanges_ChangeList_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_StoreChanges_ChangeList_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.daisyhoist.wire.proto.StoreChanges.ChangeList.class, io.daisyhoist.wire.proto.StoreChanges.ChangeList.Builder.class);
+    }
+
+    public static final int CHANGES_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> changes_;
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> getChangesList() {
+      return changes_;
+    }
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> 
+        getChangesOrBuilderList() {
+      return changes_;
+    }
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    @java.lang.Override
+    public int getChangesCount() {
+      return changes_.size();
+    }
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.StoreChanges.Change getChanges(int index) {
+      return changes_.get(index);
+    }
+    /**
+     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder getChangesOrBuilder(
+        int index) {
+      return changes_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < changes_.size(); i++) {
+        output.writeMessage(1, changes_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+
+          {
+            final int count = changes_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(changes_.get(i));
+            }
+            size += 1 * count;
+          }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.daisyhoist.wire.proto.StoreChanges.ChangeList)) {
+        return super.equals(obj);
+      }
+      io.daisyhoist.wire.proto.StoreChanges.ChangeList other = (io.daisyhoist.wire.proto.StoreChanges.ChangeList) obj;
+
+      if (!getChangesList()
+          .equals(other.getChangesList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getChangesCount() > 0) {
+        hash = (37 * hash) + CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getChangesList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.daisyhoist.wire.proto.StoreChanges.ChangeList prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code daisyhoist.peer.StoreChanges.ChangeList}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:daisyhoist.peer.StoreChanges.ChangeList)
+        io.daisyhoist.wire.proto.StoreChanges.ChangeListOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_StoreChanges_ChangeList_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_StoreChanges_ChangeList_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.daisyhoist.wire.proto.StoreChanges.ChangeList.class, io.daisyhoist.wire.proto.StoreChanges.ChangeList.Builder.class);
+      }
+
+      // Construct using io.daisyhoist.wire.proto.StoreChanges.ChangeList.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (changesBuilder_ == null) {
+          changes_ = java.util.Collections.emptyList();
+        } else {
+          changes_ = null;
+          changesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_StoreChanges_ChangeList_descriptor;
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.StoreChanges.ChangeList getDefaultInstanceForType() {
+        return io.daisyhoist.wire.proto.StoreChanges.ChangeList.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.StoreChanges.ChangeList build() {
+        io.daisyhoist.wire.proto.StoreChanges.ChangeList result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.StoreChanges.ChangeList buildPartial() {
+        io.daisyhoist.wire.proto.StoreChanges.ChangeList result = new io.daisyhoist.wire.proto.StoreChanges.ChangeList(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(io.daisyhoist.wire.proto.StoreChanges.ChangeList result) {
+        if (changesBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            changes_ = java.util.Collections.unmodifiableList(changes_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.changes_ = changes_;
+        } else {
+          result.changes_ = changesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(io.daisyhoist.wire.proto.StoreChanges.ChangeList result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.daisyhoist.wire.proto.StoreChanges.ChangeList) {
+          return mergeFrom((io.daisyhoist.wire.proto.StoreChanges.ChangeList)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.daisyhoist.wire.proto.StoreChanges.ChangeList other) {
+        if (other == io.daisyhoist.wire.proto.StoreChanges.ChangeList.getDefaultInstance()) return this;
+        if (changesBuilder_ == null) {
+          if (!other.changes_.isEmpty()) {
+            if (changes_.isEmpty()) {
+              changes_ = other.changes_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureChangesIsMutable();
+              changes_.addAll(other.changes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.changes_.isEmpty()) {
+            if (changesBuilder_.isEmpty()) {
+              changesBuilder_.dispose();
+              changesBuilder_ = null;
+              changes_ = other.changes_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              changesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetChangesFieldBuilder() : null;
+            } else {
+              changesBuilder_.addAllMessages(other.changes_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                io.daisyhoist.wire.proto.StoreChanges.Change m =
+                    input.readMessage(
+                        io.daisyhoist.wire.proto.StoreChanges.Change.parser(),
+                        extensionRegistry);
+                if (changesBuilder_ == null) {
+                  ensureChangesIsMutable();
+                  changes_.add(m);
+                } else {
+                  changesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> changes_ =
+        java.util.Collections.emptyList();
+      private void ensureChangesIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          changes_ = new java.util.ArrayList<io.daisyhoist.wire.proto.StoreChanges.Change>(changes_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.daisyhoist.wire.proto.StoreChanges.Change, io.daisyhoist.wire.proto.StoreChanges.Change.Builder, io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> changesBuilder_;
+
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> getChangesList() {
+        if (changesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(changes_);
+        } else {
+          return changesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public int getChangesCount() {
+        if (changesBuilder_ == null) {
+          return changes_.size();
+        } else {
+          return changesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public io.daisyhoist.wire.proto.StoreChanges.Change getChanges(int index) {
+        if (changesBuilder_ == null) {
+          return changes_.get(index);
+        } else {
+          return changesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder setChanges(
+          int index, io.daisyhoist.wire.proto.StoreChanges.Change value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.set(index, value);
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder setChanges(
+          int index, io.daisyhoist.wire.proto.StoreChanges.Change.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder addChanges(io.daisyhoist.wire.proto.StoreChanges.Change value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.add(value);
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder addChanges(
+          int index, io.daisyhoist.wire.proto.StoreChanges.Change value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.add(index, value);
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder addChanges(
+          io.daisyhoist.wire.proto.StoreChanges.Change.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder addChanges(
+          int index, io.daisyhoist.wire.proto.StoreChanges.Change.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder addAllChanges(
+          java.lang.Iterable<? extends io.daisyhoist.wire.proto.StoreChanges.Change> values) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, changes_);
+          onChanged();
+        } else {
+          changesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder clearChanges() {
+        if (changesBuilder_ == null) {
+          changes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          changesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public Builder removeChanges(int index) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.remove(index);
+          onChanged();
+        } else {
+          changesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public io.daisyhoist.wire.proto.StoreChanges.Change.Builder getChangesBuilder(
+          int index) {
+        return internalGetChangesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder getChangesOrBuilder(
+          int index) {
+        if (changesBuilder_ == null) {
+          return changes_.get(index);  } else {
+          return changesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public java.util.List<? extends io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> 
+           getChangesOrBuilderList() {
+        if (changesBuilder_ != null) {
+          return changesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(changes_);
+        }
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public io.daisyhoist.wire.proto.StoreChanges.Change.Builder addChangesBuilder() {
+        return internalGetChangesFieldBuilder().addBuilder(
+            io.daisyhoist.wire.proto.StoreChanges.Change.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public io.daisyhoist.wire.proto.StoreChanges.Change.Builder addChangesBuilder(
+          int index) {
+        return internalGetChangesFieldBuilder().addBuilder(
+            index, io.daisyhoist.wire.proto.StoreChanges.Change.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 1;</code>
+       */
+      public java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change.Builder> 
+           getChangesBuilderList() {
+        return internalGetChangesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.daisyhoist.wire.proto.StoreChanges.Change, io.daisyhoist.wire.proto.StoreChanges.Change.Builder, io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> 
+          internalGetChangesFieldBuilder() {
+        if (changesBuilder_ == null) {
+          changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.daisyhoist.wire.proto.StoreChanges.Change, io.daisyhoist.wire.proto.StoreChanges.Change.Builder, io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder>(
+                  changes_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          changes_ = null;
+        }
+        return changesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:daisyhoist.peer.StoreChanges.ChangeList)
+    }
+
+    // @@protoc_insertion_point(class_scope:daisyhoist.peer.StoreChanges.ChangeList)
+    private static final io.daisyhoist.wire.proto.StoreChanges.ChangeList DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.daisyhoist.wire.proto.StoreChanges.ChangeList();
+    }
+
+    public static io.daisyhoist.wire.proto.StoreChanges.ChangeList getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ChangeList>
+        PARSER = new com.google.protobuf.AbstractParser<ChangeList>() {
+      @java.lang.Override
+      public ChangeList parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ChangeList> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ChangeList> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.StoreChanges.ChangeList getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public static final int PREFIX_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object prefix_ = "";
@@ -842,45 +1592,19 @@
     return asOf_;
   }
 
-  public static final int CHANGES_FIELD_NUMBER = 4;
-  @SuppressWarnings("serial")
-  private java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> changes_;
-  /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> getChangesList() {
-    return changes_;
-  }
-  /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-   */
-  @java.lang.Override
-  public java.util.List<? extends io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> 
-      getChangesOrBuilderList() {
-    return changes_;
-  }
-  /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-   */
-  @java.lang.Override
-  public int getChangesCount() {
-    return changes_.size();
-  }
-  /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-   */
-  @java.lang.Override
-  public io.daisyhoist.wire.proto.StoreChanges.Change getChanges(int index) {
-    return changes_.get(index);
-  }
+  public static final int DEFLATED_CHANGES_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString deflatedChanges_ = com.google.protobuf.ByteString.EMPTY;
   /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
+   * <pre>
+   * ChangeList, compressed with deflate, because the items repeat names and go to many daemons over one link.
+   * </pre>
+   *
+   * <code>bytes deflated_changes = 4;</code>
+   * @return The deflatedChanges.
    */
   @java.lang.Override
-  public io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder getChangesOrBuilder(
-      int index) {
-    return changes_.get(index);
+  public com.google.protobuf.ByteString getDeflatedChanges() {
+    return deflatedChanges_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -906,8 +1630,8 @@
     if (asOf_ != 0L) {
       output.writeUInt64(3, asOf_);
     }
-    for (int i = 0; i < changes_.size(); i++) {
-      output.writeMessage(4, changes_.get(i));
+    if (!deflatedChanges_.isEmpty()) {
+      output.writeBytes(4, deflatedChanges_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -929,15 +1653,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, asOf_);
     }
-
-        {
-          final int count = changes_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(changes_.get(i));
-          }
-          size += 1 * count;
-        }
+    if (!deflatedChanges_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(4, deflatedChanges_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -959,8 +1678,8 @@
         != other.getFromRevision()) return false;
     if (getAsOf()
         != other.getAsOf()) return false;
-    if (!getChangesList()
-        .equals(other.getChangesList())) return false;
+    if (!getDeflatedChanges()
+        .equals(other.getDeflatedChanges())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -980,10 +1699,8 @@
     hash = (37 * hash) + AS_OF_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAsOf());
-    if (getChangesCount() > 0) {
-      hash = (37 * hash) + CHANGES_FIELD_NUMBER;
-      hash = (53 * hash) + getChangesList().hashCode();
-    }
+    hash = (37 * hash) + DEFLATED_CHANGES_FIELD_NUMBER;
+    hash = (53 * hash) + getDeflatedChanges().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1122,13 +1839,7 @@
       prefix_ = "";
       fromRevision_ = 0L;
       asOf_ = 0L;
-      if (changesBuilder_ == null) {
-        changes_ = java.util.Collections.emptyList();
-      } else {
-        changes_ = null;
-        changesBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000008);
+      deflatedChanges_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -1155,24 +1866,11 @@
     @java.lang.Override
     public io.daisyhoist.wire.proto.StoreChanges buildPartial() {
       io.daisyhoist.wire.proto.StoreChanges result = new io.daisyhoist.wire.proto.StoreChanges(this);
-      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(io.daisyhoist.wire.proto.StoreChanges result) {
-      if (changesBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
-          changes_ = java.util.Collections.unmodifiableList(changes_);
-          bitField0_ = (bitField0_ & ~0x00000008);
-        }
-        result.changes_ = changes_;
-      } else {
-        result.changes_ = changesBuilder_.build();
-      }
-    }
-
     private void buildPartial0(io.daisyhoist.wire.proto.StoreChanges result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -1184,6 +1882,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.asOf_ = asOf_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.deflatedChanges_ = deflatedChanges_;
+      }
     }
 
     @java.lang.Override
@@ -1209,31 +1910,8 @@
       if (other.getAsOf() != 0L) {
         setAsOf(other.getAsOf());
       }
-      if (changesBuilder_ == null) {
-        if (!other.changes_.isEmpty()) {
-          if (changes_.isEmpty()) {
-            changes_ = other.changes_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-          } else {
-            ensureChangesIsMutable();
-            changes_.addAll(other.changes_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.changes_.isEmpty()) {
-          if (changesBuilder_.isEmpty()) {
-            changesBuilder_.dispose();
-            changesBuilder_ = null;
-            changes_ = other.changes_;
-            bitField0_ = (bitField0_ & ~0x00000008);
-            changesBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetChangesFieldBuilder() : null;
-          } else {
-            changesBuilder_.addAllMessages(other.changes_);
-          }
-        }
+      if (!other.getDeflatedChanges().isEmpty()) {
+        setDeflatedChanges(other.getDeflatedChanges());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -1277,16 +1955,8 @@
               break;
             } // case 24
             case 34: {
-              io.daisyhoist.wire.proto.StoreChanges.Change m =
-                  input.readMessage(
-                      io.daisyhoist.wire.proto.StoreChanges.Change.parser(),
-                      extensionRegistry);
-              if (changesBuilder_ == null) {
-                ensureChangesIsMutable();
-                changes_.add(m);
-              } else {
-                changesBuilder_.addMessage(m);
-              }
+              deflatedChanges_ = input.readBytes();
+              bitField0_ |= 0x00000008;
               break;
             } // case 34
             default: {
@@ -1454,245 +2124,49 @@
       return this;
     }
 
-    private java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> changes_ =
-      java.util.Collections.emptyList();
-    private void ensureChangesIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
-        changes_ = new java.util.ArrayList<io.daisyhoist.wire.proto.StoreChanges.Change>(changes_);
-        bitField0_ |= 0x00000008;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.daisyhoist.wire.proto.StoreChanges.Change, io.daisyhoist.wire.proto.StoreChanges.Change.Builder, io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> changesBuilder_;
-
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> getChangesList() {
-      if (changesBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(changes_);
-      } else {
-        return changesBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public int getChangesCount() {
-      if (changesBuilder_ == null) {
-        return changes_.size();
-      } else {
-        return changesBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public io.daisyhoist.wire.proto.StoreChanges.Change getChanges(int index) {
-      if (changesBuilder_ == null) {
-        return changes_.get(index);
-      } else {
-        return changesBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public Builder setChanges(
-        int index, io.daisyhoist.wire.proto.StoreChanges.Change value) {
-      if (changesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureChangesIsMutable();
-        changes_.set(index, value);
-        onChanged();
-      } else {
-        changesBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public Builder setChanges(
-        int index, io.daisyhoist.wire.proto.StoreChanges.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        changesBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public Builder addChanges(io.daisyhoist.wire.proto.StoreChanges.Change value) {
-      if (changesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureChangesIsMutable();
-        changes_.add(value);
-        onChanged();
-      } else {
-        changesBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public Builder addChanges(
-        int index, io.daisyhoist.wire.proto.StoreChanges.Change value) {
-      if (changesBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureChangesIsMutable();
-        changes_.add(index, value);
-        onChanged();
-      } else {
-        changesBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public Builder addChanges(
-        io.daisyhoist.wire.proto.StoreChanges.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.add(builderForValue.build());
-        onChanged();
-      } else {
-        changesBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public Builder addChanges(
-        int index, io.daisyhoist.wire.proto.StoreChanges.Change.Builder builderForValue) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        changesBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
+    private com.google.protobuf.ByteString deflatedChanges_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
+     * <pre>
+     * ChangeList, compressed with deflate, because the items repeat names and go to many daemons over one link.
+     * </pre>
+     *
+     * <code>bytes deflated_changes = 4;</code>
+     * @return The deflatedChanges.
      */
-    public Builder addAllChanges(
-        java.lang.Iterable<? extends io.daisyhoist.wire.proto.StoreChanges.Change> values) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, changes_);
-        onChanged();
-      } else {
-        changesBuilder_.addAllMessages(values);
-      }
-      return this;
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDeflatedChanges() {
+      return deflatedChanges_;
     }
     /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
+     * <pre>
+     * ChangeList, compressed with deflate, because the items repeat names and go to many daemons over one link.
+     * </pre>
+     *
+     * <code>bytes deflated_changes = 4;</code>
+     * @param value The deflatedChanges to set.
+     * @return This builder for chaining.
      */
-    public Builder clearChanges() {
-      if (changesBuilder_ == null) {
-        changes_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
-        onChanged();
-      } else {
-        changesBuilder_.clear();
-      }
+    public Builder setDeflatedChanges(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      deflatedChanges_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
+     * <pre>
+     * ChangeList, compressed with deflate, because the items repeat names and go to many daemons over one link.
+     * </pre>
+     *
+     * <code>bytes deflated_changes = 4;</code>
+     * @return This builder for chaining.
      */
-    public Builder removeChanges(int index) {
-      if (changesBuilder_ == null) {
-        ensureChangesIsMutable();
-        changes_.remove(index);
-        onChanged();
-      } else {
-        changesBuilder_.remove(index);
-      }
+    public Builder clearDeflatedChanges() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      deflatedChanges_ = getDefaultInstance().getDeflatedChanges();
+      onChanged();
       return this;
     }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public io.daisyhoist.wire.proto.StoreChanges.Change.Builder getChangesBuilder(
-        int index) {
-      return internalGetChangesFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder getChangesOrBuilder(
-        int index) {
-      if (changesBuilder_ == null) {
-        return changes_.get(index);  } else {
-        return changesBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public java.util.List<? extends io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> 
-         getChangesOrBuilderList() {
-      if (changesBuilder_ != null) {
-        return changesBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(changes_);
-      }
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public io.daisyhoist.wire.proto.StoreChanges.Change.Builder addChangesBuilder() {
-      return internalGetChangesFieldBuilder().addBuilder(
-          io.daisyhoist.wire.proto.StoreChanges.Change.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public io.daisyhoist.wire.proto.StoreChanges.Change.Builder addChangesBuilder(
-        int index) {
-      return internalGetChangesFieldBuilder().addBuilder(
-          index, io.daisyhoist.wire.proto.StoreChanges.Change.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-     */
-    public java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change.Builder> 
-         getChangesBuilderList() {
-      return internalGetChangesFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        io.daisyhoist.wire.proto.StoreChanges.Change, io.daisyhoist.wire.proto.StoreChanges.Change.Builder, io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> 
-        internalGetChangesFieldBuilder() {
-      if (changesBuilder_ == null) {
-        changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.daisyhoist.wire.proto.StoreChanges.Change, io.daisyhoist.wire.proto.StoreChanges.Change.Builder, io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder>(
-                changes_,
-                ((bitField0_ & 0x00000008) != 0),
-                getParentForChildren(),
-                isClean());
-        changes_ = null;
-      }
-      return changesBuilder_;
-    }
 
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.StoreChanges)
   }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/StoreChangesOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/StoreChangesOrBuilder.java
@@ -39,26 +39,12 @@
   long getAsOf();
 
   /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-   */
-  java.util.List<io.daisyhoist.wire.proto.StoreChanges.Change> 
-      getChangesList();
-  /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-   */
-  io.daisyhoist.wire.proto.StoreChanges.Change getChanges(int index);
-  /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-   */
-  int getChangesCount();
-  /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
-   */
-  java.util.List<? extends io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder> 
-      getChangesOrBuilderList();
-  /**
-   * <code>repeated .daisyhoist.peer.StoreChanges.Change changes = 4;</code>
+   * <pre>
+   * ChangeList, compressed with deflate, because the items repeat names and go to many daemons over one link.
+   * </pre>
+   *
+   * <code>bytes deflated_changes = 4;</code>
+   * @return The deflatedChanges.
    */
-  io.daisyhoist.wire.proto.StoreChanges.ChangeOrBuilder getChangesOrBuilder(
-      int index);
+  com.google.protobuf.ByteString getDeflatedChanges();
 }
