Write an entry at once after its lease has ended

Cause: since the registration writes before it reads, an entry whose lease had ended was first written under its old revision, which conflicts, then read and written again: one call more than before.

Change: the end of the lease ends the entry, so the next write expects none.

Measured: RegistrationTest.leaseEnded_entryIsWrittenAtOnce, red before (four calls besides renewals instead of two).

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -260,6 +260,8 @@
             LOGGER.atWarning().log("event=lease_ended key=%s lease=%d outcome=register_again", key, lease);
             lease = Transaction.NO_LEASE;
             registered = false;
+            // The entry has ended with its lease.
+            revision = Transaction.ABSENT;
             scheduleStep(Duration.ZERO);
             return;
         }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/RegistrationTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/RegistrationTest.java
@@ -1,18 +1,23 @@
 package io.daisyhoist.mesh.process;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.TreeMap;
 
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.time.ElapsedTimer;
+import io.daisyhoist.mesh.store.CountedStore;
+import io.daisyhoist.mesh.store.MetadataStore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class RegistrationTest {
@@ -22,6 +27,7 @@
     private final SimulatedStore store = new SimulatedStore(simulation, new Random(1));
     private final SimulatedStore.Client client = store.client();
     private final Simulation.Process process = simulation.process();
+    private final Map<String, Integer> calls = new TreeMap<>();
     private String failingCallback = "";
     private int failures;
     private int confirmations;
@@ -59,7 +65,8 @@
                 1000,
                 new ServiceName("s"),
                 Optional.empty());
-        StoreAccess access = new StoreAccess(client, process, process, new CallbackGuard(() -> failures++));
+        MetadataStore counted = new CountedStore(client, kind -> calls.merge(kind, 1, Integer::sum));
+        StoreAccess access = new StoreAccess(counted, process, process, new CallbackGuard(() -> failures++));
         new Registration(KEY, member, access, Duration.ofSeconds(1), new FailingListener()).start();
     }
 
@@ -75,6 +82,19 @@
         assertTrue(confirmations > 20, confirmations + " confirmations");
     }
 
+    /** Guards against calls that delay the return of an entry after an outage of the store. */
+    @Test
+    void leaseEnded_entryIsWrittenAtOnce() {
+        start();
+        runFor(5);
+        calls.clear();
+        store.revoke(KEY);
+        runFor(2);
+        assertTrue(store.item(KEY).isPresent());
+        calls.remove("renew");
+        assertEquals(Map.of("lease", 1, "commit", 1), calls);
+    }
+
     /** Guards against renewals that end silently after an exception, whereupon the daemon loses its registration. */
     @ParameterizedTest
     @ValueSource(strings = {"confirmed", "recovered", "registered"})
