--- a/mesh/src/main/java/io/daisyhoist/mesh/process/CallbackGuard.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/CallbackRunner.java
@@ -8,17 +8,17 @@
  * <p>Invariant: an exception of a callback is logged and counted, and does not reach the loop. Errors are passed on.
  * Thread-safe if the failure listener is.
  */
-final class CallbackGuard {
+final class CallbackRunner {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Runnable onFailure;
 
     /**
-     * Creates a guard.
+     * Creates a runner.
      *
      * @param onFailure called after each failed callback, for example to count it
      */
-    CallbackGuard(Runnable onFailure) {
+    CallbackRunner(Runnable onFailure) {
         this.onFailure = onFailure;
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/ChangeFeed.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/ChangeRelay.java
@@ -23,7 +23,7 @@
  * daemon depends on a particular other one. Confined to the control thread, except {@link #mustWatch}, which any thread may
  * call.
  */
-final class ChangeFeed {
+final class ChangeRelay {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     /** Bounds the messages of a watcher for each change. */
@@ -50,7 +50,7 @@
         void send(List<FleetMember> receivers, String prefix, StoreDelta delta);
     }
 
-    ChangeFeed(DaemonId self, AvailabilityZone zone, TimeSource time, Sender sender) {
+    ChangeRelay(DaemonId self, AvailabilityZone zone, TimeSource time, Sender sender) {
         this.self = self;
         this.zone = zone;
         this.time = time;
@@ -89,7 +89,7 @@
         return zoneMembers.stream()
                 .map(FleetMember::daemon)
                 .filter(absent.negate())
-                .sorted(Comparator.comparingLong(ChangeFeed::hash).thenComparing(Comparator.naturalOrder()))
+                .sorted(Comparator.comparingLong(ChangeRelay::hash).thenComparing(Comparator.naturalOrder()))
                 .limit(count)
                 .toList();
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/DepartureRecord.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/DepartureRecord.java
@@ -35,7 +35,7 @@
     private final String key;
     private final MetadataStore store;
     private final ControlExecutor control;
-    private final CallbackGuard guard;
+    private final CallbackRunner callbacks;
     private final Runnable onLoaded;
     private Optional<BackendProcessId> departed = Optional.empty();
 
@@ -48,7 +48,7 @@
         this.key = KEY_PREFIX + daemon;
         this.store = access.store();
         this.control = access.control();
-        this.guard = access.guard();
+        this.callbacks = access.callbacks();
         this.onLoaded = onLoaded;
     }
 
@@ -68,7 +68,7 @@
         if (decoded instanceof Decoded.Valid<BackendProcessId> valid && departed.isEmpty()) {
             departed = Optional.of(valid.value());
             LOGGER.atInfo().log("event=departure_known backend=%s revision=%d", valid.value(), item.revision());
-            guard.run("departure_loaded", key, onLoaded);
+            callbacks.run("departure_loaded", key, onLoaded);
         } else if (decoded instanceof Decoded.Rejected<BackendProcessId> rejected) {
             LOGGER.atWarning().log(
                     "event=store_item_ignored key=%s revision=%d reason=\"%s\"",
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -109,7 +109,7 @@
         FleetMetrics metrics = dependencies.metrics();
         MetadataStore store = dependencies.store();
         OperatorDocuments documents = dependencies.documents();
-        StoreAccess access = new StoreAccess(store, control, time, new CallbackGuard(metrics::onFailedCallback));
+        StoreAccess access = new StoreAccess(store, control, time, new CallbackRunner(metrics::onFailedCallback));
         this.state = new FleetState(
                 time, documents, MEMBER_EXPIRY, this::publishFleet, () -> metrics.onRejectedInput("store"));
         this.departures = new DepartureRecord(settings.daemon(), access, this::onDepartureLoaded);
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -41,7 +41,7 @@
     private final ControlExecutor control;
     private final TimeSource time;
     private final Listener listener;
-    private final CallbackGuard guard;
+    private final CallbackRunner callbacks;
     private final Duration leaseTtl;
     private final Backoff retryBackoff = new Backoff(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     private FleetMember member;
@@ -73,7 +73,7 @@
         this.store = access.store();
         this.control = access.control();
         this.time = access.time();
-        this.guard = access.guard();
+        this.callbacks = access.callbacks();
         this.listener = listener;
         this.leaseTtl = minLeaseTtl.compareTo(LEASE_TTL) > 0 ? minLeaseTtl : LEASE_TTL;
     }
@@ -166,7 +166,7 @@
     }
 
     private void notifyListener(String callback, Runnable action) {
-        guard.run(callback, key, action);
+        callbacks.run(callback, key, action);
     }
 
     /** Passes the response of a store call to the continuation, or schedules a retry after a failure. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreAccess.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreAccess.java
@@ -10,6 +10,6 @@
  * @param store metadata store
  * @param control control thread
  * @param time clock
- * @param guard runs the callbacks to which results are reported
+ * @param callbacks runs the callbacks to which results are reported
  */
-record StoreAccess(MetadataStore store, ControlExecutor control, TimeSource time, CallbackGuard guard) {}
+record StoreAccess(MetadataStore store, ControlExecutor control, TimeSource time, CallbackRunner callbacks) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -59,7 +59,7 @@
     private final ControlExecutor control;
     private final TimeSource time;
     private final Listener listener;
-    private final CallbackGuard guard;
+    private final CallbackRunner callbacks;
     private final Backoff retryBackoff = new Backoff(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     private final Map<String, StoredItem> items = new HashMap<>();
     private long lastChangeRevision;
@@ -98,7 +98,7 @@
         this.store = access.store();
         this.control = access.control();
         this.time = access.time();
-        this.guard = access.guard();
+        this.callbacks = access.callbacks();
         this.listener = listener;
         this.watchSentAt = ElapsedTimer.start(time);
     }
@@ -171,7 +171,7 @@
             onStoreRecovered();
             apply(listing);
             listed = true;
-            guard.run("store_synchronized", prefix, () -> listener.onSynchronized(sentAt));
+            callbacks.run("store_synchronized", prefix, () -> listener.onSynchronized(sentAt));
             // The listener may have started a listing of its own.
             if (startedGeneration == generation && watching) {
                 watch(startedGeneration);
@@ -259,14 +259,14 @@
 
     private void applyChanges(List<StoreEvent> changes, long changesAsOf) {
         long fromRevision = asOf;
-        guard.run("store_batch", prefix, () -> listener.onBatch(() -> changes.forEach(this::onEvent)));
+        callbacks.run("store_batch", prefix, () -> listener.onBatch(() -> changes.forEach(this::onEvent)));
         asOf = Math.max(asOf, changesAsOf);
         List<StoreEvent> newChanges = changes.stream()
                 .filter(change -> change.revision() > fromRevision)
                 .toList();
         if (fromRevision > 0 && !newChanges.isEmpty()) {
             StoreDelta delta = new StoreDelta(fromRevision, newChanges, asOf);
-            guard.run("store_advanced", prefix, () -> listener.onAdvanced(delta));
+            callbacks.run("store_advanced", prefix, () -> listener.onAdvanced(delta));
         }
     }
 
@@ -284,13 +284,13 @@
     private void onItem(StoredItem item) {
         items.put(item.key(), item);
         lastChangeRevision = Math.max(lastChangeRevision, item.revision());
-        guard.run("store_item", item.key() + "@" + item.revision(), () -> listener.onItem(item));
+        callbacks.run("store_item", item.key() + "@" + item.revision(), () -> listener.onItem(item));
     }
 
     private void delete(String key, long revision) {
         items.remove(key);
         lastChangeRevision = Math.max(lastChangeRevision, revision);
-        guard.run("store_deletion", key + "@" + revision, () -> listener.onDeleted(key));
+        callbacks.run("store_deletion", key + "@" + revision, () -> listener.onDeleted(key));
     }
 
     private void watch(long startedGeneration) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreFollower.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreFollower.java
@@ -30,7 +30,7 @@
 
     private final StoreCache operatorCache;
     private final StoreCache fleetCache;
-    private final ChangeFeed feed;
+    private final ChangeRelay relay;
     private final ControlExecutor control;
     private final FleetControl.PeerSender sender;
     private boolean catchUpScheduled;
@@ -47,7 +47,7 @@
         this.fleetCache = fleetCache;
         this.control = access.control();
         this.sender = sender;
-        this.feed = new ChangeFeed(
+        this.relay = new ChangeRelay(
                 self,
                 zone,
                 access.time(),
@@ -56,33 +56,33 @@
 
     /** Chooses again whether this daemon watches the store; to be called several times per second. */
     void update(Collection<FleetMember> members, Predicate<DaemonId> absent, Optional<Duration> storeContactAge) {
-        feed.update(members, absent, storeContactAge);
-        operatorCache.setWatching(feed.mustWatch());
-        fleetCache.setWatching(feed.mustWatch());
+        relay.update(members, absent, storeContactAge);
+        operatorCache.setWatching(relay.mustWatch());
+        fleetCache.setWatching(relay.mustWatch());
     }
 
     /** Returns whether the copies follow the store by watches of their own. */
     boolean isWatching() {
-        return feed.mustWatch();
+        return relay.mustWatch();
     }
 
     /** Tells the daemons to which this one passes changes on, if there are any, when it last had contact with the store. */
     void report(Supplier<LoadReport> localReport) {
-        List<FleetMember> followers = feed.followers();
+        List<FleetMember> followers = relay.followers();
         if (!followers.isEmpty()) {
-            LoadReport report = localReport.get().forFollowers(feed.storeContactAge());
+            LoadReport report = localReport.get().forFollowers(relay.storeContactAge());
             sender.send(followers, PeerMessages.loadReport(report));
         }
     }
 
     /** Handles changes that have been read from the store. */
     void onAdvanced(StoreCache cache, StoreDelta delta) {
-        feed.passOn(cache.prefix(), delta);
+        relay.passOn(cache.prefix(), delta);
     }
 
     /** Handles changes that another daemon passes on. */
     void onChanges(String prefix, StoreDelta delta) {
-        feed.onHeard(Duration.ZERO);
+        relay.onHeard(Duration.ZERO);
         for (StoreCache cache : List.of(operatorCache, fleetCache)) {
             if (cache.prefix().equals(prefix) && !cache.applyDelta(delta)) {
                 LOGGER.atInfo().log(
@@ -95,7 +95,7 @@
 
     /** Handles the revisions that another daemon knows. */
     void onReport(LoadReport report) {
-        report.storeContactAge().ifPresent(feed::onHeard);
+        report.storeContactAge().ifPresent(relay::onHeard);
         if (report.fleetRevision() > fleetCache.asOf() && !catchUpScheduled) {
             catchUpScheduled = true;
             control.scheduleOnce(() -> catchUp(report.fleetRevision()), CATCH_UP_DELAY);
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetGossipTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetGossipTest.java
@@ -73,7 +73,7 @@
                         new SimulatedStore(simulation, new Random(1)).client(),
                         process,
                         process,
-                        new CallbackGuard(() -> {})),
+                        new CallbackRunner(() -> {})),
                 new IgnoringListener());
         return new FleetGossip(
                 daemon(self),
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/RegistrationTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/RegistrationTest.java
@@ -66,7 +66,7 @@
                 new ServiceName("s"),
                 Optional.empty());
         MetadataStore counted = new CountedStore(client, kind -> calls.merge(kind, 1, Integer::sum));
-        StoreAccess access = new StoreAccess(counted, process, process, new CallbackGuard(() -> failures++));
+        StoreAccess access = new StoreAccess(counted, process, process, new CallbackRunner(() -> failures++));
         new Registration(KEY, member, access, Duration.ofSeconds(1), new FailingListener()).start();
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
@@ -29,7 +29,7 @@
     private int failures;
     private final StoreCache cache = new StoreCache(
             "p/",
-            new StoreAccess(client, process, process, new CallbackGuard(() -> failures++)),
+            new StoreAccess(client, process, process, new CallbackRunner(() -> failures++)),
             new StoreCache.Listener() {
                 @Override
                 public void onItem(StoredItem item) {
