--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -18,6 +18,7 @@
             case "lost-leave" -> lostLeave();
             case "many-ranges" -> manyRanges();
             case "early-takeover" -> earlyTakeover();
+            case "unreadable-table" -> unreadableTable();
             default -> throw new Main.CannotRun("no such case: " + name);
         };
     }
@@ -235,7 +236,7 @@
             cluster.start(Cluster.config(1, List.of(
                     Cluster.route("orders", "/orders/", "non_idempotent", "orders", 1_000, 2),
                     Cluster.service("orders", false))));
-            Traffic traffic = new Traffic(cluster, "POST", "/orders/1?work=50", false, 30);
+            Traffic traffic = new Traffic(cluster, "POST", "/orders/1?work=300", false, 30);
             Thread.sleep(4_000);
             Cluster.Machine machine = cluster.machines.get(0);
             Worker worker = machine.worker;
@@ -278,7 +279,8 @@
             }
             Thread.sleep(8_000);
             worker.crash();
-            Main.record("worker_ended worker=%s", worker.id);
+            int running = worker.running();
+            Main.record("worker_ended worker=%s requests that it had begun and that get no answer of it=%d", worker.id, running);
             traffic.stop();
             // In touch again: the daemon has run for contact-ms; later than drain-ms after the acknowledgement.
             double from = acknowledged + 2 + 0.5 + 3 + 0.5;
@@ -508,4 +510,37 @@
         Main.record("the store serves machine=%s again", machine.name);
         cluster.store.setMode(machine.storePort, Store.Mode.SOUND);
     }
+
+    /** RECOVER: the assignment table is unreadable, and all processes are killed and started again. */
+    private static boolean unreadableTable() throws Exception {
+        try (Cluster cluster = cluster(List.of("lookups"), "lookups", "lookups", "lookups")) {
+            cluster.start(Cluster.config(1, List.of(
+                    Cluster.route("lookups", "/lookups/", "idempotent", "lookups", 1_000, 2),
+                    Cluster.service("lookups", true))));
+            Traffic before = new Traffic(cluster, "GET", "/lookups/1?work=20", true, 30);
+            Thread.sleep(5_000);
+            if (Main.TROUBLE) {
+                cluster.store.write("daisyhoist/ranges/lookups", "{\"service\":\"lookups\",\"assignments\":7}");
+                Main.record("another writer has written daisyhoist/ranges/lookups");
+            }
+            Thread.sleep(10_000);
+            before.stop();
+            for (Cluster.Machine machine : cluster.machines) {
+                machine.killDaemon();
+                machine.worker.crash();
+            }
+            Thread.sleep(1_500);
+            for (Cluster.Machine machine : cluster.machines) {
+                machine.startDaemon();
+                machine.startWorker(2);
+            }
+            Thread.sleep(15_500);
+            Traffic after = new Traffic(cluster, "GET", "/lookups/1?work=20", true, 30);
+            Thread.sleep(20_000);
+            after.stop();
+            Main.record("before the fault: sent=%d served=%d; later than 15 s after the machines are back: sent=%d served=%d",
+                    before.sent.get(), before.served.get(), after.sent.get(), after.served.get());
+            return before.share() >= 0.25 && after.share() < 0.25;
+        }
+    }
 }
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -169,6 +169,11 @@
                 && holds.stream().anyMatch(hold -> hold.from() <= key && key <= hold.to());
     }
 
+    /** Returns the number of requests that it has begun and not answered. */
+    int running() {
+        return slots - free.availablePermits();
+    }
+
     synchronized int heldRows() {
         return System.nanoTime() < holdsEndNanos ? holds.size() : 0;
     }
