Take over the keys of many lost daemons in several transactions

Callers: when more than 30 daemons of one keyed service were lost at once, requests for their keys were refused for good. Cause: one transaction had a condition for each lost daemon, and the store accepts 32 entries. Change: at most 10 daemons in one transaction. The simulated store now rejects larger transactions.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendProcessId;
@@ -57,6 +57,9 @@
     /** Missed heartbeats after which the keys of an unresponsive backend server move. */
     private static final int MAX_MISSED_HEARTBEATS = 4;
 
+    /** Three entries each at most; the store accepts 32 entries in a transaction. */
+    private static final int MAX_DAEMONS_PER_TAKEOVER = 10;
+
     private final DaemonId self;
     private final FleetState state;
     private final KeyLeases keyLeases;
@@ -266,11 +269,12 @@
         if (!isCoordinator(owners)) {
             return false;
         }
-        Set<DaemonId> expired = new HashSet<>();
-        stored.table().assignments().stream()
+        Set<DaemonId> expired = stored.table().assignments().stream()
                 .map(RangeAssignment::daemon)
                 .filter(state::isUnknown)
-                .forEach(expired::add);
+                .distinct()
+                .limit(MAX_DAEMONS_PER_TAKEOVER)
+                .collect(Collectors.toSet());
         if (expired.isEmpty() || !hasObservedFleetLongEnough()) {
             return false;
         }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
@@ -50,10 +50,14 @@
         private boolean generatingRequests = true;
 
         private History(long seed) {
+            this(seed, INSTANCES);
+        }
+
+        private History(long seed, int instanceCount) {
             random = new Random(seed);
             store = new SimulatedStore(simulation, random);
             store.put("operators/config", "1".getBytes(StandardCharsets.UTF_8));
-            for (int i = 0; i < INSTANCES; i++) {
+            for (int i = 0; i < instanceCount; i++) {
                 instances.add(new SimulatedInstance(simulation, store, new SingleServiceDocuments(), i, this::deliver));
             }
             generateRequests();
@@ -274,6 +278,21 @@
             assertEquals(0, history.unheldKeys());
         }
 
+        /** Guards against a takeover that needs more conditions than the store accepts in one transaction. */
+        @Test
+        void manyDaemonsLost_keysAreTakenOver() {
+            History fleet = new History(1, 40);
+            fleet.generatingRequests = false;
+            fleet.run(Duration.ofSeconds(12));
+            assertEquals(0, fleet.unheldKeys());
+            fleet.instances.subList(1, 40).forEach(lost -> {
+                lost.killDaemon();
+                lost.crashBackend();
+            });
+            fleet.run(Duration.ofSeconds(20));
+            assertEquals(0, fleet.unheldKeys());
+        }
+
         /** Guards against a restart of all daemons that has to wait until leases expire. */
         @Test
         void allDaemonsRestartedAtOnce_keysAreKept() {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
@@ -27,6 +27,7 @@
  */
 final class SimulatedStore {
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+    private static final int MAX_TRANSACTION_ENTRIES = 32;
 
     private final Simulation simulation;
     private final Random random;
@@ -239,6 +240,12 @@
         }
 
         private TransactionResult apply(Transaction transaction) {
+            int entries = transaction.conditions().size()
+                    + transaction.writes().size()
+                    + transaction.deletes().size();
+            if (entries > MAX_TRANSACTION_ENTRIES) {
+                throw new IllegalArgumentException("transaction with " + entries + " entries");
+            }
             boolean conflict = transaction.conditions().stream()
                     .anyMatch(condition -> condition.revision()
                             != item(condition.key()).map(StoredItem::revision).orElse(Transaction.ABSENT));
