Count the absence of a daemon only from what the store shows

Cause: the takeover took the time since the start of the process for time of absence. The same on a related path: a running daemon whose copy was read anew counted an absence from before a registration that it had not seen. Change: a creation record, written in each transaction that creates a registration. The absence is counted from the first known state without the entry and begins again when the record changes; the takeover requires the same record.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -127,12 +127,8 @@
                 this::localReport,
                 dependencies.peerSender());
         this.peerMessageHandler = new PeerMessageHandler(control, metrics, gossip, follower, documents.prefix());
-        this.registration = new Registration(
-                FleetState.memberKey(settings.daemon()),
-                tracker.member(),
-                access,
-                settings.bounds().minLeaseTtl(),
-                new RegistrationListener());
+        this.registration =
+                new Registration(tracker.member(), access, settings.bounds().minLeaseTtl(), new RegistrationListener());
         Duration keyLeaseDuration =
                 KEY_LEASE_DURATION.compareTo(settings.bounds().maxKeyLease()) < 0
                         ? KEY_LEASE_DURATION
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
@@ -21,6 +21,7 @@
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoredItem;
+import io.daisyhoist.mesh.store.Transaction;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 
 /**
@@ -32,6 +33,10 @@
  */
 final class FleetState {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** Sorts before the entries, so that a listing of several pages reads the record of a daemon before its entry. */
+    static final String CREATION_PREFIX = "daisyhoist/creations/";
+
     static final String MEMBER_PREFIX = "daisyhoist/members/";
     static final String RANGE_PREFIX = "daisyhoist/ranges/";
 
@@ -43,6 +48,7 @@
     private Optional<FleetConfig> config = Optional.empty();
     private final Set<AvailabilityZone> evacuatedZones = new HashSet<>();
     private final Map<DaemonId, MemberEntry> members = new TreeMap<>();
+    private final Map<String, Long> creationRevisions = new HashMap<>();
     private final Map<ServiceName, StoredTable> tables = new HashMap<>();
     private Optional<FleetSnapshot> currentSnapshot = Optional.empty();
     private boolean inBatch;
@@ -138,6 +144,8 @@
                     item,
                     requireKey(item, decoded, table -> rangeKey(table.service())),
                     table -> onTable(table, item.revision()));
+        } else if (item.key().startsWith(CREATION_PREFIX)) {
+            creationRevisions.put(item.key(), item.revision());
         }
     }
 
@@ -197,6 +205,9 @@
 
     /** Handles the deletion of an item that a daemon wrote. */
     void onFleetDeleted(String key) {
+        if (creationRevisions.remove(key) != null) {
+            return;
+        }
         if (!key.startsWith(MEMBER_PREFIX)) {
             LOGGER.atWarning().log("event=fleet_item_deleted key=%s outcome=kept", key);
             return;
@@ -235,9 +246,9 @@
         return entry == null || entry.absentSinceNanos.isPresent();
     }
 
-    /** Returns whether a daemon is not a member, because it never registered or its absence has exceeded the limit. */
-    boolean isUnknown(DaemonId daemon) {
-        return !members.containsKey(daemon);
+    /** Returns the store revision at which a daemon last created its entry, or {@link Transaction#ABSENT}. */
+    long creationRevision(DaemonId daemon) {
+        return creationRevisions.getOrDefault(creationKey(daemon), Transaction.ABSENT);
     }
 
     Optional<StoredTable> table(ServiceName service) {
@@ -268,6 +279,10 @@
         return MEMBER_PREFIX + daemon;
     }
 
+    static String creationKey(DaemonId daemon) {
+        return CREATION_PREFIX + daemon;
+    }
+
     static String rangeKey(ServiceName service) {
         return RANGE_PREFIX + service;
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
@@ -39,7 +39,7 @@
  * Keeps the key assignments of one service complete and balanced.
  *
  * <p>Each daemon changes its own assignments; those of an expired daemon are changed by the coordinator, which is the first
- * remaining daemon of the service, in a transaction that fails if the expired daemon has registered again. Invariants: at
+ * remaining daemon of the service, in a transaction that fails if the expired daemon has registered since. Invariants: at
  * most one write of the table is in progress; keys move away from the local backend server only after it has released them
  * or its key leases have expired. Confined to the control thread.
  */
@@ -57,7 +57,7 @@
     /** Missed heartbeats after which the keys of an unresponsive backend server move. */
     private static final int MAX_MISSED_HEARTBEATS = 4;
 
-    /** Three entries each at most; the store accepts 32 entries in a transaction. */
+    /** Two conditions and a deletion each; the store accepts 32 entries in a transaction. */
     private static final int MAX_DAEMONS_PER_TAKEOVER = 10;
 
     private final DaemonId self;
@@ -71,6 +71,7 @@
     private final PeerLoadExchange peerLoadExchange;
     private final Supplier<OptionalLong> firstRegistrationRevision;
     private final RegistrationLease registrationLease;
+    private final AbsenceClock absences;
     private final long startedNanos;
     private boolean committing;
     private long lastRebalanceNanos;
@@ -120,6 +121,7 @@
         this.peerLoadExchange = peerLoadExchange;
         this.firstRegistrationRevision = dependencies.firstRegistrationRevision();
         this.registrationLease = dependencies.registrationLease();
+        this.absences = new AbsenceClock(time);
         this.startedNanos = time.monotonicNanos();
         this.lastRebalanceNanos = startedNanos;
     }
@@ -147,6 +149,7 @@
             commitInitialTable(service, owners, stored);
             return;
         }
+        absences.update(absentHolders(stored.get().table()), state::creationRevision);
         if (fencePredecessor(stored.get())
                 || commitReadyMoves(stored.get())
                 || reassignToNewProcess(stored.get(), backend)
@@ -193,8 +196,7 @@
         commit(
                 "first_table",
                 RangePlanner.initial(service, owners),
-                stored.map(StoredTable::revision).orElse(Transaction.ABSENT),
-                Set.of());
+                stored.map(StoredTable::revision).orElse(Transaction.ABSENT));
     }
 
     /**
@@ -207,7 +209,7 @@
                 || firstRegistrationRevision.get().isEmpty()) {
             return false;
         }
-        commit("supersede_predecessor", stored.table(), stored.revision(), Set.of());
+        commit("supersede_predecessor", stored.table(), stored.revision());
         return true;
     }
 
@@ -227,7 +229,7 @@
             keyLeases.resolveMoves(ready);
             return false;
         }
-        commit("move", next, stored.revision(), Set.of(), ready);
+        commit(new TableChange("move", next, stored.revision(), Map.of(), ready));
         return true;
     }
 
@@ -245,7 +247,7 @@
         if (next.equals(stored.table())) {
             return false;
         }
-        commit("backend_restarted", next, stored.revision(), Set.of());
+        commit("backend_restarted", next, stored.revision());
         return true;
     }
 
@@ -265,30 +267,33 @@
         }
     }
 
+    private Set<DaemonId> absentHolders(RangeTable table) {
+        return table.assignments().stream()
+                .map(RangeAssignment::daemon)
+                .filter(state::isAbsent)
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Reassigns the keys of daemons whose registration leases have expired. The transaction fails if one of them has created
+     * its entry since its absence was first seen.
+     */
     private boolean reassignExpired(StoredTable stored, List<RangeOwner> owners) {
         if (!isCoordinator(owners)) {
             return false;
         }
-        Set<DaemonId> expired = stored.table().assignments().stream()
-                .map(RangeAssignment::daemon)
-                .filter(state::isUnknown)
-                .distinct()
+        Map<DaemonId, Long> expired = absences.absentLongerThan(FleetControl.MEMBER_EXPIRY).entrySet().stream()
                 .limit(MAX_DAEMONS_PER_TAKEOVER)
-                .collect(Collectors.toSet());
-        if (expired.isEmpty() || !hasObservedFleetLongEnough()) {
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        if (expired.isEmpty()) {
             return false;
         }
         RangeTable next =
-                RangePlanner.reassign(stored.table(), assignment -> expired.contains(assignment.daemon()), owners);
-        commit("daemon_gone", next, stored.revision(), expired);
+                RangePlanner.reassign(stored.table(), assignment -> expired.containsKey(assignment.daemon()), owners);
+        commit(new TableChange("daemon_gone", next, stored.revision(), expired, List.of()));
         return true;
     }
 
-    /** Returns false for a recently started process, which cannot know since when an entry has been absent. */
-    private boolean hasObservedFleetLongEnough() {
-        return time.monotonicNanos() - startedNanos > FleetControl.MEMBER_EXPIRY.toNanos();
-    }
-
     private List<RangeOwner> others(List<RangeOwner> owners) {
         return owners.stream().filter(owner -> !owner.daemon().equals(self)).toList();
     }
@@ -333,43 +338,62 @@
                 .sum();
     }
 
-    private void commit(String cause, RangeTable newTable, long expectedRevision, Set<DaemonId> mustBeAbsent) {
-        commit(cause, newTable, expectedRevision, mustBeAbsent, List.of());
+    /**
+     * Change of the table. Immutable.
+     *
+     * @param cause cause, for the log
+     * @param table new table
+     * @param expectedRevision revision of the table that it replaces
+     * @param expired daemons that must have stayed unregistered, with the revisions of their creation records
+     * @param moves moves that it completes
+     */
+    private record TableChange(
+            String cause, RangeTable table, long expectedRevision, Map<DaemonId, Long> expired, List<RangeMove> moves) {
+        private String key() {
+            return FleetState.rangeKey(table.service());
+        }
+
+        private Transaction transaction() {
+            List<Transaction.Condition> conditions = new ArrayList<>();
+            conditions.add(new Transaction.Condition(key(), expectedRevision));
+            List<String> deletes = new ArrayList<>();
+            expired.forEach((daemon, creationRevision) -> {
+                String creationKey = FleetState.creationKey(daemon);
+                conditions.add(new Transaction.Condition(FleetState.memberKey(daemon), Transaction.ABSENT));
+                conditions.add(new Transaction.Condition(creationKey, creationRevision));
+                deletes.add(creationKey);
+            });
+            return new Transaction(
+                    conditions,
+                    List.of(new Transaction.Write(key(), FleetJson.write(table), Transaction.NO_LEASE)),
+                    deletes);
+        }
+    }
+
+    private void commit(String cause, RangeTable newTable, long expectedRevision) {
+        commit(new TableChange(cause, newTable, expectedRevision, Map.of(), List.of()));
     }
 
-    private void commit(
-            String cause,
-            RangeTable newTable,
-            long expectedRevision,
-            Set<DaemonId> mustBeAbsent,
-            List<RangeMove> moves) {
+    private void commit(TableChange change) {
         committing = true;
+        List<RangeMove> moves = change.moves();
         keyLeases.onWriteStarted(moves);
-        String key = FleetState.rangeKey(newTable.service());
-        List<Transaction.Condition> conditions = new ArrayList<>();
-        conditions.add(new Transaction.Condition(key, expectedRevision));
-        mustBeAbsent.forEach(
-                daemon -> conditions.add(new Transaction.Condition(FleetState.memberKey(daemon), Transaction.ABSENT)));
-        Transaction change = new Transaction(
-                conditions,
-                List.of(new Transaction.Write(key, FleetJson.write(newTable), Transaction.NO_LEASE)),
-                List.of());
-        control.whenComplete(store.commit(change), (result, failure) -> {
+        control.whenComplete(store.commit(change.transaction()), (result, failure) -> {
             committing = false;
             String outcome = failure != null
                     ? "unknown"
                     : result instanceof TransactionResult.Committed ? "committed" : "conflict";
             LOGGER.atInfo().log(
                     "event=range_commit service=%s cause=%s expected_revision=%d outcome=%s",
-                    newTable.service(), cause, expectedRevision, outcome);
+                    change.table().service(), change.cause(), change.expectedRevision(), outcome);
             if (result instanceof TransactionResult.Committed committed) {
-                state.onCommittedTable(newTable, committed.revision());
+                state.onCommittedTable(change.table(), committed.revision());
                 return;
             }
             if (StoreUnavailableException.isCertainlyNotApplied(failure)) {
                 keyLeases.onWriteNotApplied(moves);
             }
-            refresh(newTable.service());
+            refresh(change.table().service());
         });
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.mesh.process;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -22,7 +23,7 @@
  *
  * <p>Invariant: {@link Listener#onConfirmed} is called only with the send time of a call after which the entry still existed
  * in the store; after a failed call, an expired lease or a deleted entry, the entry is read or written again before the
- * next confirmation. Confined to the control thread.
+ * next confirmation. Each transaction that creates the entry also writes the creation record. Confined to the control thread.
  */
 final class Registration {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -31,12 +32,17 @@
     private static final Duration LEASE_TTL = Duration.ofMillis(3_000);
 
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(900);
+
+    /** Of a creation record only the revision matters. */
+    private static final byte[] NO_VALUE = {};
+
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(250);
 
     /** Entries have to be back within about two seconds of the store's return. */
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(1_000);
 
     private final String key;
+    private final String creationKey;
     private final MetadataStore store;
     private final ControlExecutor control;
     private final TimeSource time;
@@ -67,8 +73,15 @@
         void onRegistered();
     }
 
-    Registration(String key, FleetMember member, StoreAccess access, Duration minLeaseTtl, Listener listener) {
-        this.key = key;
+    /**
+     * Creates a registration that has not started.
+     *
+     * @param member content of the entry
+     * @param minLeaseTtl shortest lease that the store grants
+     */
+    Registration(FleetMember member, StoreAccess access, Duration minLeaseTtl, Listener listener) {
+        this.key = FleetState.memberKey(member.daemon());
+        this.creationKey = FleetState.creationKey(member.daemon());
         this.member = member;
         this.store = access.store();
         this.control = access.control();
@@ -203,10 +216,12 @@
 
     private void write() {
         FleetMember writtenMember = member;
-        Transaction entry = new Transaction(
-                List.of(new Transaction.Condition(key, revision)),
-                List.of(new Transaction.Write(key, FleetJson.write(writtenMember), lease)),
-                List.of());
+        List<Transaction.Write> writes = new ArrayList<>();
+        writes.add(new Transaction.Write(key, FleetJson.write(writtenMember), lease));
+        if (revision == Transaction.ABSENT) {
+            writes.add(new Transaction.Write(creationKey, NO_VALUE, Transaction.NO_LEASE));
+        }
+        Transaction entry = new Transaction(List.of(new Transaction.Condition(key, revision)), writes, List.of());
         onResponse("entry_write", store.commit(entry), result -> onWritten(writtenMember, result));
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
@@ -156,9 +156,9 @@
             return Duration.ofMillis(1_000L * min + random.nextInt(1_000 * (max - min) + 1));
         }
 
-        private void injectFault() {
+        private void injectFault(int kinds) {
             SimulatedInstance target = randomInstance();
-            int kind = random.nextInt(11);
+            int kind = random.nextInt(kinds);
             faults.add(simulation.nowNanos() / 1_000_000 + ":" + kind + "@" + target.daemon());
             switch (kind) {
                 case 0 -> {
@@ -174,7 +174,9 @@
                 case 7 -> loseResponses();
                 case 8 -> restartBackend(target);
                 case 9 -> suspendHeartbeats(target);
-                default -> store.discardHistory();
+                case 10 -> store.discardHistory();
+                case 11 -> restartDaemonWithoutStore(target);
+                default -> disconnectAndForget(target);
             }
         }
 
@@ -195,6 +197,26 @@
             simulation.at(randomSeconds(1, 20), () -> target.store().setDisconnected(false));
         }
 
+        /** The store rejects the daemon before and after its restart, so that it has seen nothing when it is served again. */
+        private void restartDaemonWithoutStore(SimulatedInstance target) {
+            disconnectFromStore(target);
+            restartDaemon(target);
+        }
+
+        /** The daemon cannot read what has happened while it was disconnected, only the resulting state. */
+        private void disconnectAndForget(SimulatedInstance target) {
+            target.store().setDisconnected(true);
+            simulation.at(randomSeconds(1, 14), () -> {
+                store.discardHistory();
+                target.store().setDisconnected(false);
+            });
+        }
+
+        private void rejectByStore(SimulatedInstance target) {
+            target.store().setDisconnected(true);
+            store.revoke(FleetState.memberKey(target.daemon()));
+        }
+
         private void outage(boolean pauseLeases) {
             store.setDown(true, pauseLeases);
             simulation.at(randomSeconds(1, 16), () -> store.setDown(false, false));
@@ -222,12 +244,12 @@
         }
     }
 
-    private static void runHistory(long seed) {
+    private static void runHistory(long seed, int faultKinds) {
         try {
             History history = new History(seed);
             history.run(Duration.ofSeconds(8));
             for (int i = 0; i < 5; i++) {
-                history.injectFault();
+                history.injectFault(faultKinds);
                 history.run(history.randomSeconds(0, 9));
             }
             history.run(Duration.ofSeconds(20));
@@ -244,14 +266,24 @@
         /** Guards against two holders of a key, decreasing fencing tokens, and keys that remain without a holder. */
         @Test
         void histories_neverTwoHoldersAndAllKeysHeldAtEnd() {
+            runHistories(11);
+        }
+
+        /** Guards against a takeover by a daemon that counts time in which it could not see the store as absence. */
+        @Test
+        void historiesWithUnseenChanges_neverTwoHoldersAndAllKeysHeldAtEnd() {
+            runHistories(13);
+        }
+
+        private void runHistories(int faultKinds) {
             Long seed = Long.getLong("daisyhoist.model.seed");
             if (seed != null) {
-                runHistory(seed);
+                runHistory(seed, faultKinds);
                 return;
             }
             int histories = Integer.getInteger("daisyhoist.model.histories", 40);
             for (int i = 1; i <= histories; i++) {
-                runHistory(i);
+                runHistory(i, faultKinds);
             }
         }
     }
@@ -278,6 +310,47 @@
             assertEquals(0, history.unheldKeys());
         }
 
+        /** Guards against a takeover by a daemon that started while the store rejected it and so has seen no registration. */
+        @Test
+        void daemonStartedWithoutStore_doesNotTakeKeysThatAreStillGranted() {
+            SimulatedInstance restarted = history.instances.get(0);
+            SimulatedInstance rejectedLater = history.instances.get(2);
+            history.run(Duration.ofSeconds(8));
+            history.rejectByStore(restarted);
+            restarted.killDaemon();
+            history.run(Duration.ofMillis(500));
+            restarted.startDaemon();
+            history.run(Duration.ofMillis(5_500));
+            history.rejectByStore(rejectedLater);
+            history.run(Duration.ofSeconds(3));
+            restarted.store().setDisconnected(false);
+            history.run(Duration.ofSeconds(6));
+            rejectedLater.store().setDisconnected(false);
+            history.run(RECOVERY_TIME);
+            assertEquals(0, history.unheldKeys());
+        }
+
+        /** Guards against counting an absence from before a registration that was renewed unseen. */
+        @Test
+        void renewedRegistrationNotSeen_absenceIsCountedAnew() {
+            SimulatedInstance observer = history.instances.get(0);
+            SimulatedInstance absent = history.instances.get(2);
+            history.run(Duration.ofSeconds(8));
+            history.rejectByStore(absent);
+            history.run(Duration.ofMillis(500));
+            observer.store().setDisconnected(true);
+            history.run(Duration.ofMillis(500));
+            absent.store().setDisconnected(false);
+            history.run(Duration.ofSeconds(7));
+            history.rejectByStore(absent);
+            history.store.discardHistory();
+            observer.store().setDisconnected(false);
+            history.run(Duration.ofSeconds(6));
+            absent.store().setDisconnected(false);
+            history.run(RECOVERY_TIME);
+            assertEquals(0, history.unheldKeys());
+        }
+
         /** Guards against a takeover that needs more conditions than the store accepts in one transaction. */
         @Test
         void manyDaemonsLost_keysAreTakenOver() {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/RegistrationTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/RegistrationTest.java
@@ -21,7 +21,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class RegistrationTest {
-    private static final String KEY = "members/d";
+    private static final String KEY = "daisyhoist/members/d";
 
     private final Simulation simulation = new Simulation();
     private final SimulatedStore store = new SimulatedStore(simulation, new Random(1));
@@ -67,7 +67,7 @@
                 Optional.empty());
         MetadataStore counted = new CountedStore(client, kind -> calls.merge(kind, 1, Integer::sum));
         StoreAccess access = new StoreAccess(counted, process, process, new CallbackRunner(() -> failures++));
-        new Registration(KEY, member, access, Duration.ofSeconds(1), new FailingListener()).start();
+        new Registration(member, access, Duration.ofSeconds(1), new FailingListener()).start();
     }
 
     private void runFor(int seconds) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
@@ -264,6 +264,11 @@
                 items.put(write.key(), new Stored(item, write.lease()));
                 append(new StoreEvent(write.key(), revision, Optional.of(item)));
             }
+            for (String key : transaction.deletes()) {
+                if (items.remove(key) != null) {
+                    append(new StoreEvent(key, revision, Optional.empty()));
+                }
+            }
             return new TransactionResult.Committed(revision);
         }
 
