Refuse requests that crash backend servers in the fleet mode

Cause: the request path of the fleet mode kept nothing about requests during which a backend server was lost. Change: CrashGuard beside each backend server counts confirmed losses for each request in flight, exchanges them with the daemons of the service, repeats them for daemons that restarted or missed a message, and refuses a request after three losses without a completion (two, if it was alone in flight). Dispatch gives such a refusal to the client at once.

--- a/daemon/src/main/java/io/daisyhoist/daemon/request/CrashDetector.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/CrashDetector.java
@@ -1,4 +1,4 @@
-package io.daisyhoist.daemon.request;
+package io.daisyhoist.core.retry;
 
 import java.time.Duration;
 import java.util.HashSet;
@@ -6,8 +6,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
-import io.daisyhoist.core.retry.BackendLoss;
-import io.daisyhoist.core.retry.Fingerprint;
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.core.time.TimeSource;
 
@@ -17,23 +15,28 @@
  * <p>A connection lost after the write may be caused by either, so the requests in flight are only suspects until a
  * refused connection or a new incarnation confirms that the backend server itself was lost. Confined to one thread.
  */
-final class CrashDetector {
-    /** A restarted backend server announces itself within a second; later evidence is attributed to another event. */
-    private static final Duration CONFIRMATION_WINDOW = Duration.ofSeconds(5);
-
+public final class CrashDetector {
     private final String backend;
     private final TimeSource time;
+    private final Duration confirmationWindow;
     private final Set<Fingerprint> suspects = new HashSet<>();
     private Optional<ElapsedTimer> lossTimer = Optional.empty();
     private OptionalLong incarnation = OptionalLong.empty();
 
-    CrashDetector(String backend, TimeSource time) {
+    /**
+     * Creates a detector for a backend server of which nothing is known.
+     *
+     * @param backend name of the daemon of the backend server
+     * @param confirmationWindow time in which a lost backend server restarts; later evidence is attributed to another event
+     */
+    public CrashDetector(String backend, TimeSource time, Duration confirmationWindow) {
         this.backend = backend;
         this.time = time;
+        this.confirmationWindow = confirmationWindow;
     }
 
     /** Records the loss of a connection with a written request, and all requests in flight at that time. */
-    void onConnectionLost(Fingerprint lost, Set<Fingerprint> inFlight) {
+    public void onConnectionLost(Fingerprint lost, Set<Fingerprint> inFlight) {
         expireSuspects();
         if (lossTimer.isEmpty()) {
             lossTimer = Optional.of(ElapsedTimer.start(time));
@@ -43,17 +46,17 @@
     }
 
     /** Records a complete response, which proves that its request did not crash the backend server. */
-    void onResponse(Fingerprint fingerprint) {
+    public void onResponse(Fingerprint fingerprint) {
         suspects.remove(fingerprint);
     }
 
     /** Records a refused connection; returns the loss that it confirms, if any. */
-    Optional<BackendLoss> onConnectionRefused() {
+    public Optional<BackendLoss> onConnectionRefused() {
         return confirmLoss();
     }
 
     /** Records an announced incarnation; returns the loss that a new incarnation confirms, if any. */
-    Optional<BackendLoss> onIncarnation(long announced) {
+    public Optional<BackendLoss> onIncarnation(long announced) {
         boolean restarted = incarnation.isPresent() && incarnation.getAsLong() != announced;
         Optional<BackendLoss> loss = restarted ? confirmLoss() : Optional.empty();
         incarnation = OptionalLong.of(announced);
@@ -61,11 +64,17 @@
     }
 
     /** Returns whether a request was in flight at an unconfirmed loss; such a request must run exclusively. */
-    boolean isPendingSuspect(Fingerprint fingerprint) {
+    public boolean isPendingSuspect(Fingerprint fingerprint) {
         expireSuspects();
         return suspects.contains(fingerprint);
     }
 
+    /** Returns whether requests were in flight at an unconfirmed loss. */
+    public boolean hasSuspects() {
+        expireSuspects();
+        return !suspects.isEmpty();
+    }
+
     private Optional<BackendLoss> confirmLoss() {
         expireSuspects();
         if (suspects.isEmpty()) {
@@ -78,7 +87,7 @@
 
     private void expireSuspects() {
         boolean expired = lossTimer
-                .map(timer -> timer.elapsed(time).compareTo(CONFIRMATION_WINDOW) > 0)
+                .map(timer -> timer.elapsed(time).compareTo(confirmationWindow) > 0)
                 .orElse(false);
         if (expired) {
             reset();
--- a/core/src/main/java/io/daisyhoist/core/retry/CrashSuspects.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/CrashSuspects.java
@@ -2,12 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.core.time.TimeSource;
@@ -41,8 +42,13 @@
 
     private static final class Suspicion {
         private final Map<LossId, BackendLoss> countedLosses = new HashMap<>();
-        private final Set<LossId> clearedLosses = new HashSet<>();
+        private final Map<LossId, BackendLoss> clearedLosses = new HashMap<>();
         private ElapsedTimer lastNewLoss;
+
+        private void clear(LossId id, BackendLoss loss) {
+            countedLosses.remove(id);
+            clearedLosses.put(id, loss);
+        }
     }
 
     public CrashSuspects(TimeSource time) {
@@ -62,6 +68,17 @@
         return refused ? Verdict.REFUSE : Verdict.RUN_EXCLUSIVELY;
     }
 
+    /** Returns whether no request is known that was in flight during a loss. */
+    public boolean isEmpty() {
+        removeExpired();
+        return suspicions.isEmpty();
+    }
+
+    /** Returns the number of losses that count against a request. */
+    public int lossCount(Fingerprint fingerprint) {
+        return lossesOf(fingerprint).size();
+    }
+
     /**
      * Records a loss, detected by this daemon or reported by another.
      *
@@ -76,19 +93,70 @@
         return changed;
     }
 
-    /** Records that a request completed; its earlier losses no longer count, even if they are reported again. */
-    public void onSuccess(Fingerprint fingerprint) {
+    /**
+     * Records a loss as another daemon knows it.
+     *
+     * @return whether it was new, or no longer counts, for at least one request
+     */
+    public boolean onReport(LossReport report) {
+        boolean changed = onLoss(report.loss());
+        for (Fingerprint fingerprint : report.cleared()) {
+            Suspicion suspicion = suspicions.get(fingerprint);
+            if (suspicion != null && suspicion.countedLosses.containsKey(idOf(report.loss()))) {
+                suspicion.clear(idOf(report.loss()), report.loss());
+                changed = true;
+            }
+        }
+        return changed;
+    }
+
+    /**
+     * Records that a request completed; its earlier losses no longer count, even if they are reported again.
+     *
+     * @return the losses that counted against it until now
+     */
+    public Set<BackendLoss> onSuccess(Fingerprint fingerprint) {
         Suspicion suspicion = suspicions.get(fingerprint);
-        if (suspicion != null) {
-            suspicion.clearedLosses.addAll(suspicion.countedLosses.keySet());
-            suspicion.countedLosses.clear();
+        if (suspicion == null) {
+            return Set.of();
         }
+        Map<LossId, BackendLoss> counted = Map.copyOf(suspicion.countedLosses);
+        counted.forEach(suspicion::clear);
+        return Set.copyOf(counted.values());
+    }
+
+    /** Returns reports of the latest losses, so that daemons that have missed or forgotten them learn of them. */
+    public List<LossReport> reports(int maxReports) {
+        removeExpired();
+        Map<LossId, BackendLoss> losses = new LinkedHashMap<>();
+        suspicions.values().forEach(suspicion -> {
+            losses.putAll(suspicion.countedLosses);
+            losses.putAll(suspicion.clearedLosses);
+        });
+        return losses.values().stream()
+                .skip(Math.max(0, losses.size() - maxReports))
+                .map(this::report)
+                .toList();
+    }
+
+    /** Returns a loss with those of its requests against which it no longer counts. */
+    public LossReport report(BackendLoss loss) {
+        Set<Fingerprint> cleared = loss.inFlight().stream()
+                .filter(fingerprint -> Optional.ofNullable(suspicions.get(fingerprint))
+                        .filter(suspicion -> suspicion.clearedLosses.containsKey(idOf(loss)))
+                        .isPresent())
+                .collect(Collectors.toSet());
+        return new LossReport(loss, cleared);
+    }
+
+    private static LossId idOf(BackendLoss loss) {
+        return new LossId(loss.backend(), loss.incarnation());
     }
 
     private boolean add(Fingerprint fingerprint, BackendLoss loss) {
-        LossId id = new LossId(loss.backend(), loss.incarnation());
+        LossId id = idOf(loss);
         Suspicion suspicion = suspicions.computeIfAbsent(fingerprint, any -> new Suspicion());
-        if (suspicion.clearedLosses.contains(id) || suspicion.countedLosses.putIfAbsent(id, loss) != null) {
+        if (suspicion.clearedLosses.containsKey(id) || suspicion.countedLosses.putIfAbsent(id, loss) != null) {
             return false;
         }
         suspicion.lastNewLoss = ElapsedTimer.start(time);
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/BackendRunner.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/BackendRunner.java
@@ -20,6 +20,7 @@
 import io.daisyhoist.core.config.ServiceSettings;
 import io.daisyhoist.core.error.RefusalCode;
 import io.daisyhoist.core.retry.BackendLoss;
+import io.daisyhoist.core.retry.CrashDetector;
 import io.daisyhoist.core.retry.CrashSuspects;
 import io.daisyhoist.daemon.connection.BackendCall;
 import io.daisyhoist.daemon.connection.BackendClient;
@@ -46,6 +47,9 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long QUEUE_POLL_INTERVAL_MILLIS = 5;
 
+    /** A restarted backend server announces itself within a second. */
+    private static final Duration RESTART_ANNOUNCEMENT_TIME = Duration.ofSeconds(5);
+
     /** Queue capacity of the admission controller per slot; see section 7 of docs/design.md. */
     public static final int QUEUE_CAPACITY_PER_SLOT = 2;
 
@@ -81,7 +85,8 @@
         this.backend = backend;
         this.suspects = suspects;
         this.lossListener = lossListener;
-        this.crashDetector = new CrashDetector(traffic.self().daemon().name(), traffic.time());
+        this.crashDetector =
+                new CrashDetector(traffic.self().daemon().name(), traffic.time(), RESTART_ANNOUNCEMENT_TIME);
         this.publishedLimit = admissionController.limit();
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -53,6 +53,9 @@
         /** Called when the request is written. */
         void onWrite();
 
+        /** Called when the backend server refused the connection, because no process listens at its address. */
+        void onConnectionRefused();
+
         /** Called with the slowdown factor in the load header of a response. */
         void onSlowdown(double slowdown);
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.mesh.connection;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -13,6 +14,7 @@
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
 import io.daisyhoist.mesh.connection.BackendOutcome.Unknown;
 import io.daisyhoist.mesh.connection.BackendOutcome.UnknownReason;
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -104,7 +106,15 @@
                 .setPort(backend.port())
                 .setMethod(HttpMethod.valueOf(request.method()))
                 .setURI(request.uri());
-        client.request(options).onSuccess(this::write).onFailure(failure -> completeNotRun(NotRunReason.UNREACHABLE));
+        client.request(options).onSuccess(this::write).onFailure(this::onUnreachable);
+    }
+
+    private void onUnreachable(Throwable failure) {
+        boolean timedOut = failure instanceof ConnectTimeoutException;
+        if (failure instanceof ConnectException && !timedOut) {
+            observer.onConnectionRefused();
+        }
+        completeNotRun(NotRunReason.UNREACHABLE);
     }
 
     private void write(HttpClientRequest connectedRequest) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
@@ -57,6 +57,8 @@
         UNREACHABLE,
         /** The backend server responded that it did not run the request. */
         REJECTED,
+        /** The request has crashed backend servers. */
+        CRASH_SUSPECT,
         /** The request cannot be written to a backend server, or its message cannot be decoded. */
         INVALID,
         /** The deadline passed before the request was sent. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -26,9 +26,11 @@
 import io.daisyhoist.daemon.process.ControlThread;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.BackendRequestData;
+import io.daisyhoist.mesh.connection.CrashReportCodec;
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.daisyhoist.mesh.request.BackendAdmission;
 import io.daisyhoist.mesh.request.ClientServer;
+import io.daisyhoist.mesh.request.CrashGuard;
 import io.daisyhoist.mesh.request.ForwardReceiver;
 import io.daisyhoist.mesh.request.Forwarder;
 import io.daisyhoist.mesh.request.RequestContext;
@@ -56,6 +58,7 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final String CLUSTER = "fleet";
 
+    private static final long CRASH_CHECK_INTERVAL_MILLIS = 1_000;
     private static final long STORE_CALLS_LOG_INTERVAL_MILLIS = 10_000;
 
     /** Maximum connections to the local backend server; includes spare ones beyond those that its slots use. */
@@ -85,6 +88,7 @@
     private final EventLoopGroup peerLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final PeerClient peerClient;
     private final PeerServer peerServer;
+    private final CrashGuard crashGuard;
     private final BackendAdmission admission;
     private final ClientServer clientServer;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -117,19 +121,24 @@
                         metrics));
         BackendHttpClient backendClient =
                 new BackendHttpClient(vertx, context, headerNames, MAX_BACKEND_CONNECTIONS, time);
+        this.crashGuard = new CrashGuard(
+                settings.daemon(),
+                time,
+                this::peersOfService,
+                (receivers, report) -> sendToPeers(receivers, CrashReportCodec.encode(report)));
         this.admission = new BackendAdmission(
                 time,
-                settings.zone(),
-                fleetControl::fleet,
-                fleetControl::localBackend,
+                new BackendAdmission.KnownState(settings.zone(), fleetControl::fleet, fleetControl::localBackend),
                 backendClient,
                 fleetControl::onKeyRequest,
+                crashGuard,
                 metrics);
         this.peerServer = new PeerServer(
                 peerLoops,
                 identity,
                 PEER_LIMITS,
-                new ForwardReceiver(context, admission, time, fleetControl.peerMessageListener(), this::isIdempotent));
+                new ForwardReceiver(
+                        context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent));
         LoadBalancer loadBalancer = new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone());
         RequestContext requestContext = new RequestContext(
                 vertx,
@@ -149,6 +158,14 @@
         addGauges();
     }
 
+    /** Returns the other daemons whose backend servers run the same service. */
+    private List<FleetMember> peersOfService() {
+        return fleetControl.fleet().members().values().stream()
+                .filter(member -> member.service().equals(settings.service()))
+                .filter(member -> !member.daemon().equals(settings.daemon()))
+                .toList();
+    }
+
     private boolean isIdempotent(BackendRequestData request) {
         return fleetControl
                 .fleet()
@@ -194,12 +211,20 @@
         CompletionStage<Endpoint> listening = peerServer.listen(
                 settings.peerAddress().host(), settings.peerAddress().port());
         listening.whenComplete((address, failure) -> failIfPresent(failure));
-        context.runOnContext(run -> eventLoopDelay.start());
+        context.runOnContext(run -> {
+            eventLoopDelay.start();
+            vertx.setPeriodic(CRASH_CHECK_INTERVAL_MILLIS, fired -> checkCrashes());
+        });
         vertx.setPeriodic(STORE_CALLS_LOG_INTERVAL_MILLIS, fired -> logStoreCalls());
         context.runOnContext(
                 run -> clientServer.listen(settings.clientAddress()).onFailure(this::failIfPresent));
     }
 
+    private void checkCrashes() {
+        admission.checkProcess();
+        crashGuard.repeatReports();
+    }
+
     private void logStoreCalls() {
         LOGGER.atInfo().log(
                 "event=store_calls totals=\"%s\" watching=%s", metrics.storeCalls(), fleetControl.isWatchingStore());
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
@@ -34,6 +34,7 @@
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.daisyhoist.mesh.request.BackendAdmission;
 import io.daisyhoist.mesh.request.ClientServer;
+import io.daisyhoist.mesh.request.CrashGuard;
 import io.daisyhoist.mesh.request.ForwardReceiver;
 import io.daisyhoist.mesh.request.Forwarder;
 import io.daisyhoist.mesh.request.RequestContext;
@@ -103,15 +104,21 @@
         this.time = time;
         this.headerNames = headerNames;
         this.backendClient = new BackendHttpClient(vertx, context, headerNames, SLOTS, time);
+        CrashGuard crashGuard = new CrashGuard(SELF, time, List::of, (receivers, report) -> {});
         BackendAdmission admission = new BackendAdmission(
-                time, ZONE, () -> fleet, () -> localBackend, backendClient, (key, duration) -> {}, metrics);
+                time,
+                new BackendAdmission.KnownState(ZONE, () -> fleet, () -> localBackend),
+                backendClient,
+                (key, duration) -> {},
+                crashGuard,
+                metrics);
         PeerIdentity identity = new PeerIdentity(NAME, new ProcessId(SELF, 1));
         this.peerClient = new PeerClient(peerLoops, identity, PeerLimits.DEFAULT, ThreadLocalRandom.current());
         this.peerServer = new PeerServer(
                 peerLoops,
                 identity,
                 PeerLimits.DEFAULT,
-                new ForwardReceiver(context, admission, time, new NoControlMessages(), request -> true));
+                new ForwardReceiver(context, admission, crashGuard, time, new NoControlMessages(), request -> true));
         this.clientServer = new ClientServer(vertx, requestContext(admission), headerNames);
         this.backend = vertx.createHttpServer().requestHandler(this::respond);
         this.client = vertx.createHttpClient();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -38,7 +38,7 @@
  * Admission control of the local backend server; all requests to it pass through this class.
  *
  * <p>Invariants: a request is written only if, at that moment, the backend server is the expected process, is not leaving,
- * its availability zone is known not to be evacuated, it holds the key of the request, and it has capacity for another request;
+ * its availability zone is known not to be evacuated, the request has not crashed backend servers, it holds the key of the request, and it has capacity for another request;
  * otherwise the request is refused as not run. Confined to the traffic event loop.
  */
 public final class BackendAdmission {
@@ -63,6 +63,7 @@
     private final SlotLimit slots = new SlotLimit(1);
     private final ColdStartLimiter coldStartLimiter;
     private final KeyRequestListener keyRequestListener;
+    private final CrashGuard crashGuard;
     private final FleetMetrics metrics;
     private final ServiceTimeEstimator serviceTimeEstimator = new ServiceTimeEstimator();
     private final Map<Long, PendingRequest> queuedRequests = new HashMap<>();
@@ -79,21 +80,31 @@
         void onKeyRequest(int key, Duration expectedDuration);
     }
 
+    /**
+     * What the daemon knows. Immutable.
+     *
+     * @param zone availability zone of the backend server
+     * @param fleet present state of the fleet
+     * @param localBackend present state of the backend server
+     */
+    public record KnownState(
+            AvailabilityZone zone, Supplier<FleetSnapshot> fleet, Supplier<LocalBackendSnapshot> localBackend) {}
+
     /** Creates admission control that accepts requests. */
     public BackendAdmission(
             TimeSource time,
-            AvailabilityZone zone,
-            Supplier<FleetSnapshot> fleet,
-            Supplier<LocalBackendSnapshot> localBackend,
+            KnownState state,
             BackendHttpClient client,
             KeyRequestListener keyRequestListener,
+            CrashGuard crashGuard,
             FleetMetrics metrics) {
         this.time = time;
-        this.zone = zone;
-        this.fleet = fleet;
-        this.localBackend = localBackend;
+        this.zone = state.zone();
+        this.fleet = state.fleet();
+        this.localBackend = state.localBackend();
         this.client = client;
         this.keyRequestListener = keyRequestListener;
+        this.crashGuard = crashGuard;
         this.metrics = metrics;
         this.admissionController = new AdmissionController(time, slots, MAX_QUEUED_PER_SLOT);
         this.coldStartLimiter = new ColdStartLimiter(time);
@@ -117,6 +128,11 @@
         return admissionController.inFlight() + admissionController.queued();
     }
 
+    /** Looks for a restart of the backend server; to be called about once per second, also while no requests arrive. */
+    public void checkProcess() {
+        localBackend.get().backend().map(LocalBackend::process).ifPresent(crashGuard::onProcess);
+    }
+
     /** Refuses all further requests; requests in flight continue. */
     public void close() {
         closed = true;
@@ -129,6 +145,7 @@
      * @param cancelled completes when the caller no longer needs the response
      */
     public Future<BackendOutcome> run(BackendRequestData request, Duration queueWait, Future<Void> cancelled) {
+        checkProcess();
         Optional<NotRunReason> refusedReason = refusalReason(request);
         if (refusedReason.isPresent()) {
             return Future.succeededFuture(refuse(request, refusedReason.get(), DEFAULT_RETRY_AFTER));
@@ -213,6 +230,9 @@
         if (fleet.get().isEvacuated(zone)) {
             return Optional.of(NotRunReason.ZONE_EVACUATED);
         }
+        if (crashGuard.mustRefuse(request)) {
+            return Optional.of(NotRunReason.CRASH_SUSPECT);
+        }
         boolean held = request.key().isEmpty() || snapshot.holds(request.key().getAsInt(), time.monotonicNanos());
         if (held) {
             return Optional.empty();
@@ -266,6 +286,7 @@
             return;
         }
         long sentNanos = time.monotonicNanos();
+        crashGuard.onSent(request);
         client.send(
                         backend.heartbeat().address(),
                         request,
@@ -275,6 +296,7 @@
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     logRun(pendingRequest, outcome, sentNanos, latency);
                     serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
+                    crashGuard.onOutcome(request, outcome);
                     detectConnectionFailure(outcome);
                     pendingRequest.outcome().complete(outcome);
                     apply(admissionController.complete(permit, admissionOutcome(outcome), latency));
@@ -333,6 +355,11 @@
             coldStartLimiter.recordSend();
         }
 
+        @Override
+        public void onConnectionRefused() {
+            crashGuard.onConnectionRefused();
+        }
+
         @Override
         public void onSlowdown(double reported) {
             slowdownTracker.onReport(reported);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -11,11 +11,13 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.core.retry.LossReport;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.PeerHandler;
 import io.daisyhoist.daemon.connection.PeerReply;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendRequestData;
+import io.daisyhoist.mesh.connection.CrashReportCodec;
 import io.daisyhoist.mesh.connection.ForwardCodec;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
@@ -38,6 +40,7 @@
 
     private final Context context;
     private final BackendAdmission admission;
+    private final CrashGuard crashGuard;
     private final TimeSource time;
     private final PeerMessageListener messageListener;
     private final Predicate<BackendRequestData> idempotent;
@@ -70,11 +73,13 @@
     public ForwardReceiver(
             Context context,
             BackendAdmission admission,
+            CrashGuard crashGuard,
             TimeSource time,
             PeerMessageListener messageListener,
             Predicate<BackendRequestData> idempotent) {
         this.context = context;
         this.admission = admission;
+        this.crashGuard = crashGuard;
         this.time = time;
         this.messageListener = messageListener;
         this.idempotent = idempotent;
@@ -88,6 +93,10 @@
                 onCancel(new CallId(from, message.getCancelRequest().getCancelledRequestId()));
             case FLEET_LOAD -> messageListener.onLoad(message.getFleetLoad());
             case STORE_CHANGES -> messageListener.onStoreChanges(message.getStoreChanges());
+            case CRASH_REPORT -> {
+                LossReport report = CrashReportCodec.decode(message.getCrashReport());
+                context.runOnContext(run -> crashGuard.onReport(report));
+            }
             case OPERATOR_ITEMS -> messageListener.onOperatorItems(message.getOperatorItems());
             default ->
                 LOGGER.atWarning().log("event=peer_message_ignored peer=%s body=%s", from, message.getBodyCase());
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -275,6 +275,11 @@
         if (notRun.reason() == NotRunReason.KEY_MOVING && waitForMove(daemon)) {
             return;
         }
+        if (notRun.reason() == NotRunReason.CRASH_SUSPECT) {
+            retryAfter = Optional.of(remaining());
+            finish(failureResponse());
+            return;
+        }
         if (notRun.reason() == NotRunReason.SLOW) {
             refusedAsSlow = true;
             slowDaemon = Optional.of(daemon);
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -107,6 +107,9 @@
                         }
                     }
 
+                    @Override
+                    public void onConnectionRefused() {}
+
                     @Override
                     public void onSlowdown(double slowdown) {
                         // Not used by these tests.
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendResponseFuzzTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendResponseFuzzTest.java
@@ -53,6 +53,9 @@
             // Nothing is recorded.
         }
 
+        @Override
+        public void onConnectionRefused() {}
+
         @Override
         public void onSlowdown(double slowdown) {
             // Nothing is recorded.
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
@@ -12,6 +12,7 @@
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.route.ClientLimits;
@@ -38,7 +39,7 @@
 final class AdmissionFixture {
     static final ServiceName SERVICE = new ServiceName("s");
 
-    private static final BackendProcessId BACKEND = new BackendProcessId("b", 1);
+    private static final BackendProcessId FIRST_PROCESS = new BackendProcessId("b", 1);
     final Vertx vertx = Vertx.vertx();
     final Context context = vertx.getOrCreateContext();
     final TimeSource time = new SystemTimeSource();
@@ -47,42 +48,60 @@
             Set.of(),
             Map.of(),
             Map.of());
+    final CrashGuard crashGuard = new CrashGuard(new DaemonId("d"), time, List::of, (receivers, report) -> {});
     final BackendAdmission admission;
+    private final int slots;
+    private final Endpoint backend;
+    private volatile LocalBackendSnapshot snapshot;
 
     AdmissionFixture(int slots, Handler<NetSocket> backendConnections) {
         NetServer server = vertx.createNetServer().connectHandler(backendConnections);
         result(server.listen(0, "127.0.0.1"));
-        admission = admission(slots, new Endpoint("127.0.0.1", server.actualPort()));
-    }
-
-    private BackendAdmission admission(int slots, Endpoint backend) {
-        BackendHeartbeat heartbeat =
-                new BackendHeartbeat(BACKEND, 1, backend, SERVICE, slots, false, Duration.ZERO, List.of(), List.of());
-        LocalBackendSnapshot snapshot = new LocalBackendSnapshot(
-                Optional.of(LocalBackend.afterHeartbeat(Optional.empty(), heartbeat, time)), List.of(), 0, false);
-        return new BackendAdmission(
+        this.slots = slots;
+        this.backend = new Endpoint("127.0.0.1", server.actualPort());
+        this.snapshot = snapshot(FIRST_PROCESS);
+        this.admission = new BackendAdmission(
                 time,
-                new AvailabilityZone("z"),
-                () -> fleet,
-                () -> snapshot,
+                new BackendAdmission.KnownState(new AvailabilityZone("z"), () -> fleet, () -> snapshot),
                 new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, 4, time),
                 (key, duration) -> {},
+                crashGuard,
                 new FleetMetrics());
     }
 
+    private LocalBackendSnapshot snapshot(BackendProcessId process) {
+        BackendHeartbeat heartbeat =
+                new BackendHeartbeat(process, 1, backend, SERVICE, slots, false, Duration.ZERO, List.of(), List.of());
+        return new LocalBackendSnapshot(
+                Optional.of(LocalBackend.afterHeartbeat(Optional.empty(), heartbeat, time)), List.of(), 0, false);
+    }
+
+    private BackendProcessId process() {
+        return snapshot.backend().orElseThrow().process();
+    }
+
+    /** Replaces the process of the backend server, as its first heartbeat after a restart does. */
+    void restartBackend() {
+        snapshot = snapshot(new BackendProcessId("b", process().startedMillis() + 1));
+    }
+
     BackendRequestData request(String id) {
+        return request(id, "/x");
+    }
+
+    BackendRequestData request(String id, String uri) {
         return new BackendRequestData(
                 id,
                 SERVICE,
                 OptionalInt.empty(),
                 "GET",
-                "/x",
+                uri,
                 List.of(),
                 Buffer.buffer(),
                 1,
                 Deadline.after(time, Duration.ofSeconds(20)),
                 "caller",
-                BACKEND,
+                process(),
                 false);
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
@@ -15,6 +15,7 @@
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests against a backend server that reads requests and never responds. */
 class BackendAdmissionTest {
@@ -63,4 +64,33 @@
         assertEquals(NotRunReason.NO_CONFIGURATION, refused.reason());
         assertEquals(0, arrivals.get());
     }
+
+    /** Guards against a request that reaches the backend server again and again although it crashes each process of it. */
+    @Test
+    void run_requestThatCrashesItsBackend_isRefusedAfterThreeLosses() {
+        AtomicInteger crashes = new AtomicInteger();
+        AdmissionFixture crashing = new AdmissionFixture(
+                2,
+                socket -> socket.handler(request -> {
+                    crashes.incrementAndGet();
+                    socket.close();
+                }));
+        try {
+            for (int i = 0; i < 10; i++) {
+                Promise<BackendOutcome> outcome = Promise.promise();
+                String id = Integer.toString(i);
+                crashing.context.runOnContext(run -> crashing.admission
+                        .run(
+                                crashing.request(id, "/crash"),
+                                Duration.ZERO,
+                                Promise.<Void>promise().future())
+                        .onComplete(outcome));
+                AdmissionFixture.result(outcome.future());
+                crashing.restartBackend();
+            }
+            assertTrue(crashes.get() <= 3, "crashes: " + crashes);
+        } finally {
+            crashing.close();
+        }
+    }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
@@ -32,7 +32,12 @@
     private final AdmissionFixture fixture = new AdmissionFixture(6, this::onBackendConnection);
     private boolean idempotent = true;
     private final ForwardReceiver receiver = new ForwardReceiver(
-            fixture.context, fixture.admission, fixture.time, new NoControlMessages(), request -> idempotent);
+            fixture.context,
+            fixture.admission,
+            fixture.crashGuard,
+            fixture.time,
+            new NoControlMessages(),
+            request -> idempotent);
 
     /** Connection to the sender that can be closed. */
     private static final class Connection implements PeerReply {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
@@ -193,6 +193,15 @@
             assertEquals(1, sentTo.size());
         }
 
+        /** Guards against sending a request that crashes backend servers to one daemon after the other. */
+        @Test
+        void start_crashSuspect_isRefusedAtOnce() {
+            NotRun suspect = new NotRun(NotRunReason.CRASH_SUSPECT, false, Duration.ofMillis(100));
+            ClientResponse response = run(RouteKind.IDEMPOTENT, suspect, OK);
+            assertEquals(ClientResponse.NOT_RUN, response.status());
+            assertEquals(1, sentTo.size());
+        }
+
         @Test
         void start_rejectedAsNotRun_retriesOnAnotherBackend() {
             assertEquals(200, run(RouteKind.NON_IDEMPOTENT, REJECTED, OK).status());
--- a/wire/src/main/java/io/daisyhoist/wire/proto/CrashReport.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/CrashReport.java
@@ -35,6 +35,8 @@
     backend_ = "";
     fingerprints_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    clearedFingerprints_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -142,6 +144,59 @@
     return fingerprints_.getByteString(index);
   }
 
+  public static final int CLEARED_FINGERPRINTS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList clearedFingerprints_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Those of them that have completed since.
+   * </pre>
+   *
+   * <code>repeated string cleared_fingerprints = 4;</code>
+   * @return A list containing the clearedFingerprints.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getClearedFingerprintsList() {
+    return clearedFingerprints_;
+  }
+  /**
+   * <pre>
+   * Those of them that have completed since.
+   * </pre>
+   *
+   * <code>repeated string cleared_fingerprints = 4;</code>
+   * @return The count of clearedFingerprints.
+   */
+  public int getClearedFingerprintsCount() {
+    return clearedFingerprints_.size();
+  }
+  /**
+   * <pre>
+   * Those of them that have completed since.
+   * </pre>
+   *
+   * <code>repeated string cleared_fingerprints = 4;</code>
+   * @param index The index of the element to return.
+   * @return The clearedFingerprints at the given index.
+   */
+  public java.lang.String getClearedFingerprints(int index) {
+    return clearedFingerprints_.get(index);
+  }
+  /**
+   * <pre>
+   * Those of them that have completed since.
+   * </pre>
+   *
+   * <code>repeated string cleared_fingerprints = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the clearedFingerprints at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getClearedFingerprintsBytes(int index) {
+    return clearedFingerprints_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -165,6 +220,9 @@
     for (int i = 0; i < fingerprints_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, fingerprints_.getRaw(i));
     }
+    for (int i = 0; i < clearedFingerprints_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, clearedFingerprints_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -189,6 +247,14 @@
       size += dataSize;
       size += 1 * getFingerprintsList().size();
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < clearedFingerprints_.size(); i++) {
+        dataSize += computeStringSizeNoTag(clearedFingerprints_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getClearedFingerprintsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -210,6 +276,8 @@
         != other.getBackendIncarnation()) return false;
     if (!getFingerprintsList()
         .equals(other.getFingerprintsList())) return false;
+    if (!getClearedFingerprintsList()
+        .equals(other.getClearedFingerprintsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -230,6 +298,10 @@
       hash = (37 * hash) + FINGERPRINTS_FIELD_NUMBER;
       hash = (53 * hash) + getFingerprintsList().hashCode();
     }
+    if (getClearedFingerprintsCount() > 0) {
+      hash = (37 * hash) + CLEARED_FINGERPRINTS_FIELD_NUMBER;
+      hash = (53 * hash) + getClearedFingerprintsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -369,6 +441,8 @@
       backendIncarnation_ = 0L;
       fingerprints_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      clearedFingerprints_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -412,6 +486,10 @@
         fingerprints_.makeImmutable();
         result.fingerprints_ = fingerprints_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        clearedFingerprints_.makeImmutable();
+        result.clearedFingerprints_ = clearedFingerprints_;
+      }
     }
 
     @java.lang.Override
@@ -444,6 +522,16 @@
         }
         onChanged();
       }
+      if (!other.clearedFingerprints_.isEmpty()) {
+        if (clearedFingerprints_.isEmpty()) {
+          clearedFingerprints_ = other.clearedFingerprints_;
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureClearedFingerprintsIsMutable();
+          clearedFingerprints_.addAll(other.clearedFingerprints_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -485,6 +573,11 @@
               fingerprints_.add(input.readStringRequireUtf8());
               break;
             } // case 26
+            case 34: {
+              ensureClearedFingerprintsIsMutable();
+              clearedFingerprints_.add(input.readStringRequireUtf8());
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -717,6 +810,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList clearedFingerprints_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureClearedFingerprintsIsMutable() {
+      if (!clearedFingerprints_.isModifiable()) {
+        clearedFingerprints_ = new com.google.protobuf.LazyStringArrayList(clearedFingerprints_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @return A list containing the clearedFingerprints.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getClearedFingerprintsList() {
+      clearedFingerprints_.makeImmutable();
+      return clearedFingerprints_;
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @return The count of clearedFingerprints.
+     */
+    public int getClearedFingerprintsCount() {
+      return clearedFingerprints_.size();
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @param index The index of the element to return.
+     * @return The clearedFingerprints at the given index.
+     */
+    public java.lang.String getClearedFingerprints(int index) {
+      return clearedFingerprints_.get(index);
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the clearedFingerprints at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getClearedFingerprintsBytes(int index) {
+      return clearedFingerprints_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The clearedFingerprints to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClearedFingerprints(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureClearedFingerprintsIsMutable();
+      clearedFingerprints_.set(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @param value The clearedFingerprints to add.
+     * @return This builder for chaining.
+     */
+    public Builder addClearedFingerprints(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureClearedFingerprintsIsMutable();
+      clearedFingerprints_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @param values The clearedFingerprints to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllClearedFingerprints(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureClearedFingerprintsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, clearedFingerprints_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClearedFingerprints() {
+      clearedFingerprints_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000008);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Those of them that have completed since.
+     * </pre>
+     *
+     * <code>repeated string cleared_fingerprints = 4;</code>
+     * @param value The bytes of the clearedFingerprints to add.
+     * @return This builder for chaining.
+     */
+    public Builder addClearedFingerprintsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureClearedFingerprintsIsMutable();
+      clearedFingerprints_.add(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.CrashReport)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/CrashReportOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/CrashReportOrBuilder.java
@@ -52,4 +52,45 @@
    */
   com.google.protobuf.ByteString
       getFingerprintsBytes(int index);
+
+  /**
+   * <pre>
+   * Those of them that have completed since.
+   * </pre>
+   *
+   * <code>repeated string cleared_fingerprints = 4;</code>
+   * @return A list containing the clearedFingerprints.
+   */
+  java.util.List<java.lang.String>
+      getClearedFingerprintsList();
+  /**
+   * <pre>
+   * Those of them that have completed since.
+   * </pre>
+   *
+   * <code>repeated string cleared_fingerprints = 4;</code>
+   * @return The count of clearedFingerprints.
+   */
+  int getClearedFingerprintsCount();
+  /**
+   * <pre>
+   * Those of them that have completed since.
+   * </pre>
+   *
+   * <code>repeated string cleared_fingerprints = 4;</code>
+   * @param index The index of the element to return.
+   * @return The clearedFingerprints at the given index.
+   */
+  java.lang.String getClearedFingerprints(int index);
+  /**
+   * <pre>
+   * Those of them that have completed since.
+   * </pre>
+   *
+   * <code>repeated string cleared_fingerprints = 4;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the clearedFingerprints at the given index.
+   */
+  com.google.protobuf.ByteString
+      getClearedFingerprintsBytes(int index);
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -305,24 +305,25 @@
       "\016_attempt_tokenB\007\n\005_load\"S\n\007Refusal\022\014\n\004c" +
       "ode\030\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030" +
       "\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n\rCancelR" +
-      "equest\022\034\n\024cancelled_request_id\030\001 \001(\004\"Q\n\013" +
+      "equest\022\034\n\024cancelled_request_id\030\001 \001(\004\"o\n\013" +
       "CrashReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_" +
-      "incarnation\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\t\"" +
-      "\267\001\n\tFleetLoad\022\016\n\006daemon\030\001 \001(\t\022\026\n\016key_bus" +
-      "y_slots\030\002 \001(\001\022\023\n\013keys_follow\030\003 \001(\010\022\031\n\021op" +
-      "erator_revision\030\004 \001(\004\022\026\n\016fleet_revision\030" +
-      "\005 \001(\004\022!\n\024store_contact_age_ms\030\006 \001(\rH\000\210\001\001" +
-      "B\027\n\025_store_contact_age_ms\"\352\001\n\014StoreChang" +
-      "es\022\016\n\006prefix\030\001 \001(\t\022\025\n\rfrom_revision\030\002 \001(" +
-      "\004\022\r\n\005as_of\030\003 \001(\004\022\030\n\020deflated_changes\030\004 \001" +
-      "(\014\032E\n\006Change\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 " +
-      "\001(\004\022\022\n\005value\030\003 \001(\014H\000\210\001\001B\010\n\006_value\032C\n\nCha" +
-      "ngeList\0225\n\007changes\030\001 \003(\0132$.daisyhoist.pe" +
-      "er.StoreChanges.Change\"\210\001\n\rOperatorItems" +
-      "\0222\n\005items\030\001 \003(\0132#.daisyhoist.peer.Operat" +
-      "orItems.Item\022\r\n\005as_of\030\002 \001(\004\0324\n\004Item\022\013\n\003k" +
-      "ey\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(" +
-      "\004B\034\n\030io.daisyhoist.wire.protoP\001b\006proto3"
+      "incarnation\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\t\022" +
+      "\034\n\024cleared_fingerprints\030\004 \003(\t\"\267\001\n\tFleetL" +
+      "oad\022\016\n\006daemon\030\001 \001(\t\022\026\n\016key_busy_slots\030\002 " +
+      "\001(\001\022\023\n\013keys_follow\030\003 \001(\010\022\031\n\021operator_rev" +
+      "ision\030\004 \001(\004\022\026\n\016fleet_revision\030\005 \001(\004\022!\n\024s" +
+      "tore_contact_age_ms\030\006 \001(\rH\000\210\001\001B\027\n\025_store" +
+      "_contact_age_ms\"\352\001\n\014StoreChanges\022\016\n\006pref" +
+      "ix\030\001 \001(\t\022\025\n\rfrom_revision\030\002 \001(\004\022\r\n\005as_of" +
+      "\030\003 \001(\004\022\030\n\020deflated_changes\030\004 \001(\014\032E\n\006Chan" +
+      "ge\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005val" +
+      "ue\030\003 \001(\014H\000\210\001\001B\010\n\006_value\032C\n\nChangeList\0225\n" +
+      "\007changes\030\001 \003(\0132$.daisyhoist.peer.StoreCh" +
+      "anges.Change\"\210\001\n\rOperatorItems\0222\n\005items\030" +
+      "\001 \003(\0132#.daisyhoist.peer.OperatorItems.It" +
+      "em\022\r\n\005as_of\030\002 \001(\004\0324\n\004Item\022\013\n\003key\030\001 \001(\t\022\r" +
+      "\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004B\034\n\030io.da" +
+      "isyhoist.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -489,7 +490,7 @@
     internal_static_daisyhoist_peer_CrashReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_CrashReport_descriptor,
-        new java.lang.String[] { "Backend", "BackendIncarnation", "Fingerprints", });
+        new java.lang.String[] { "Backend", "BackendIncarnation", "Fingerprints", "ClearedFingerprints", });
     internal_static_daisyhoist_peer_FleetLoad_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_daisyhoist_peer_FleetLoad_fieldAccessorTable = new
