Acknowledge a shutdown only when the store has it

Cause: the notification was acknowledged before its record was written to the store. The same for the reply to a draining heartbeat, and for a notification that identifies no process.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/BackendReportHandler.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/BackendReportHandler.java
@@ -12,7 +12,8 @@
     /**
      * Handles a heartbeat.
      *
-     * @return key ranges that the backend server has to hold; empty when no key lease is renewed
+     * @return completes when the shutdown that the heartbeat may announce is in the store, with the key ranges that the backend
+     *     server has to hold; empty when no key lease is renewed
      */
     CompletableFuture<Optional<KeyLeases.Reply>> onHeartbeat(BackendHeartbeat heartbeat);
 
@@ -21,6 +22,8 @@
      *
      * @param backendId id of its process
      * @param startedMillis Unix start time of its process; empty if the notification does not contain it
+     * @return completes when the notification is in the store; fails with an IllegalArgumentException if it does not identify
+     *     a process
      */
     CompletableFuture<Void> onLeaving(String backendId, OptionalLong startedMillis);
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/DepartureRecord.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/DepartureRecord.java
@@ -19,7 +19,8 @@
  * Last process of the local backend server that has announced its shutdown, kept in the store for a later process of this
  * daemon: a heartbeat from before the announcement may arrive after a restart of the daemon.
  *
- * <p>Invariant: a recorded process stays recorded until another one is recorded. The item lies outside the prefix that all
+ * <p>Invariants: a recorded process stays recorded until another one is recorded; {@link #recorded} completes only once the
+ * store has the process, so that a shutdown is acknowledged only if a later process of this daemon will know it. The item lies outside the prefix that all
  * daemons watch, and its lease ends some time after the last heartbeat that can still arrive. Confined to the control
  * thread.
  */
@@ -38,6 +39,7 @@
     private final CallbackRunner callbacks;
     private final Runnable onLoaded;
     private Optional<BackendProcessId> departed = Optional.empty();
+    private CompletableFuture<Void> written = CompletableFuture.completedFuture(null);
 
     /**
      * Creates a record that has not been loaded.
@@ -85,27 +87,36 @@
     void add(BackendProcessId process) {
         if (!contains(process)) {
             departed = Optional.of(process);
-            write(process);
+            written = new CompletableFuture<>();
+            write(process, written);
         }
     }
 
-    private void write(BackendProcessId process) {
-        CompletableFuture<TransactionResult> written = store.createLease(LIFETIME)
+    /** Returns a future that completes when the store has a process; completed if the process has announced no shutdown. */
+    CompletableFuture<Void> recorded(BackendProcessId process) {
+        return contains(process) ? written : CompletableFuture.completedFuture(null);
+    }
+
+    private void write(BackendProcessId process, CompletableFuture<Void> done) {
+        CompletableFuture<TransactionResult> response = store.createLease(LIFETIME)
                 .thenCompose(lease -> store.commit(new Transaction(
                         List.of(),
                         List.of(new Transaction.Write(key, FleetJson.write(process), lease.id())),
                         List.of())));
-        control.whenComplete(written, (result, failure) -> {
-            boolean committed = result instanceof TransactionResult.Committed;
-            if (!committed && contains(process)) {
-                control.scheduleOnce(() -> writeAgain(process), RETRY_DELAY);
+        control.whenComplete(response, (result, failure) -> {
+            if (result instanceof TransactionResult.Committed) {
+                done.complete(null);
+            } else {
+                control.scheduleOnce(() -> writeAgain(process, done), RETRY_DELAY);
             }
         });
     }
 
-    private void writeAgain(BackendProcessId process) {
+    private void writeAgain(BackendProcessId process, CompletableFuture<Void> done) {
         if (contains(process)) {
-            write(process);
+            write(process, done);
+        } else {
+            done.completeExceptionally(new IllegalStateException("replaced by another process"));
         }
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -8,6 +8,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
+import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.keyrange.GrantedRange;
 import io.daisyhoist.core.keyrange.KeyLeases;
@@ -233,16 +234,31 @@
 
     @Override
     public CompletableFuture<Optional<KeyLeases.Reply>> onHeartbeat(BackendHeartbeat heartbeat) {
-        CompletableFuture<Optional<KeyLeases.Reply>> reply = new CompletableFuture<>();
+        CompletableFuture<Optional<KeyLeases.Reply>> acknowledgement = new CompletableFuture<>();
         control.execute(() -> {
             try {
+                CompletableFuture<Optional<KeyLeases.Reply>> reply = new CompletableFuture<>();
                 handleHeartbeat(heartbeat, reply);
+                completeWhenRecorded(heartbeat.process(), reply, acknowledgement);
             } catch (RuntimeException e) {
-                reply.completeExceptionally(e);
+                acknowledgement.completeExceptionally(e);
                 throw e;
             }
         });
-        return reply;
+        return acknowledgement;
+    }
+
+    /** Acknowledges a report only once the store has the shutdown of the process, which a restart would forget otherwise. */
+    private <T> void completeWhenRecorded(
+            BackendProcessId process, CompletableFuture<T> reply, CompletableFuture<T> acknowledgement) {
+        reply.thenCombine(departures.recorded(process), (content, recorded) -> content)
+                .whenComplete((content, failure) -> {
+                    if (failure == null) {
+                        acknowledgement.complete(content);
+                    } else {
+                        acknowledgement.completeExceptionally(failure);
+                    }
+                });
     }
 
     private void handleHeartbeat(BackendHeartbeat heartbeat, CompletableFuture<Optional<KeyLeases.Reply>> reply) {
@@ -286,14 +302,19 @@
 
     @Override
     public CompletableFuture<Void> onLeaving(String backendId, OptionalLong startedMillis) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
+        CompletableFuture<Void> acknowledgement = new CompletableFuture<>();
         control.execute(() -> {
-            tracker.onLeaving(backendId, startedMillis);
+            Optional<BackendProcessId> process = tracker.onLeaving(backendId, startedMillis);
             publishLocal();
             registration.update(tracker.member());
-            done.complete(null);
+            if (process.isPresent()) {
+                completeWhenRecorded(process.get(), CompletableFuture.completedFuture(null), acknowledgement);
+            } else {
+                acknowledgement.completeExceptionally(
+                        new IllegalArgumentException("unknown backend server without a start time"));
+            }
         });
-        return done;
+        return acknowledgement;
     }
 
     private void onDepartureLoaded() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/LocalBackendTracker.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/LocalBackendTracker.java
@@ -78,17 +78,22 @@
         }
     }
 
-    /** Handles the announcement of a shutdown; the start time is empty if the announcement does not contain it. */
-    void onLeaving(String backendId, OptionalLong startedMillis) {
+    /**
+     * Handles the announcement of a shutdown; the start time is empty if the announcement does not contain it.
+     *
+     * @return the process that is leaving; empty if the announcement does not identify it
+     */
+    Optional<BackendProcessId> onLeaving(String backendId, OptionalLong startedMillis) {
         Optional<LocalBackend> leaving = backend.filter(known -> known.process().matches(backendId, startedMillis));
         backend = leaving.map(LocalBackend::asLeaving).or(() -> backend);
-        leaving.map(LocalBackend::process)
-                .or(() -> processId(backendId, startedMillis))
-                .ifPresent(departures::add);
+        Optional<BackendProcessId> process =
+                leaving.map(LocalBackend::process).or(() -> processId(backendId, startedMillis));
+        process.ifPresent(departures::add);
         LOGGER.atInfo().log(
                 "event=backend_leaving backend=%s known=%s",
                 backendId,
                 backend.map(LocalBackend::process).map(Object::toString).orElse("none"));
+        return process;
     }
 
     private static Optional<BackendProcessId> processId(String backendId, OptionalLong startedMillis) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -2,12 +2,15 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.LocalBackend;
+import io.daisyhoist.core.keyrange.KeyLeases;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
@@ -75,11 +78,15 @@
     }
 
     private void heartbeat(BackendProcessId sender, long sequence, boolean draining) {
-        control.onHeartbeat(new BackendHeartbeat(
-                sender, sequence, ADDRESS, SERVICE, 6, draining, Duration.ZERO, List.of(), List.of()));
+        control.onHeartbeat(heartbeatMessage(sender, sequence, draining));
         simulation.runFor(Duration.ofSeconds(1));
     }
 
+    private static BackendHeartbeat heartbeatMessage(BackendProcessId sender, long sequence, boolean draining) {
+        return new BackendHeartbeat(
+                sender, sequence, ADDRESS, SERVICE, 6, draining, Duration.ZERO, List.of(), List.of());
+    }
+
     private boolean isLeaving() {
         return control.localBackend().backend().map(LocalBackend::leaving).orElseThrow();
     }
@@ -106,6 +113,61 @@
             assertTrue(isLeaving());
         }
 
+        /** Guards against acknowledging a departure that is lost with the daemon, because it is not in the store yet. */
+        @Test
+        void onHeartbeat_daemonEndedRightAfterAcknowledgedDeparture_staysLeaving() {
+            heartbeat(PROCESS, 5, false);
+            killWhenDone(control.onLeaving(PROCESS.id(), OptionalLong.of(PROCESS.startedMillis())));
+            heartbeat(PROCESS, 4, false);
+            assertTrue(isLeaving());
+        }
+
+        /** Guards against the same for a shutdown that a heartbeat announces. */
+        @Test
+        void onHeartbeat_daemonEndedRightAfterAcknowledgedDraining_staysLeaving() {
+            heartbeat(PROCESS, 5, false);
+            killWhenDone(control.onHeartbeat(heartbeatMessage(PROCESS, 6, true)));
+            heartbeat(PROCESS, 4, false);
+            assertTrue(isLeaving());
+        }
+
+        /** Guards against acknowledging a departure that cannot be recorded, and against using the backend server meanwhile. */
+        @Test
+        void onLeaving_storeDown_isAppliedAndAcknowledgedWhenRecorded() {
+            heartbeat(PROCESS, 5, false);
+            store.setDown(true, true);
+            CompletableFuture<Void> acknowledged = control.onLeaving(PROCESS.id(), OptionalLong.empty());
+            CompletableFuture<Optional<KeyLeases.Reply>> laterHeartbeat =
+                    control.onHeartbeat(heartbeatMessage(PROCESS, 6, true));
+            simulation.runFor(Duration.ofSeconds(4));
+            assertTrue(isLeaving());
+            assertFalse(acknowledged.isDone());
+            assertFalse(laterHeartbeat.isDone());
+            store.setDown(false, false);
+            simulation.runFor(Duration.ofSeconds(3));
+            assertTrue(acknowledged.isDone());
+            assertTrue(laterHeartbeat.isDone());
+        }
+
+        /** Guards against acknowledging the departure of a process that cannot be told from its successor. */
+        @Test
+        void onLeaving_unknownProcessWithoutStartTime_isNotAcknowledged() {
+            CompletableFuture<Void> acknowledged = control.onLeaving(PROCESS.id(), OptionalLong.empty());
+            simulation.runFor(Duration.ofSeconds(2));
+            assertTrue(acknowledged.isCompletedExceptionally());
+        }
+
+        private void killWhenDone(CompletableFuture<?> acknowledgement) {
+            acknowledgement.thenRun(() -> {
+                process.kill();
+                client.setDisconnected(true);
+            });
+            simulation.runFor(Duration.ofSeconds(5));
+            assertTrue(process.isKilled());
+            client.setDisconnected(false);
+            start();
+        }
+
         /** Guards against a shutdown notice that is lost because the store did not respond when it arrived. */
         @Test
         void onHeartbeat_storeWasDownDuringTheNotice_staysLeaving() {
