Bound the memory of all responses that are read at the same time

Callers: a backend server that answers without end on many connections ended its daemon, and with it the requests of all clients on that instance. Cause: each response is bounded, but not all of them together (48 connections of 4 MiB, a heap of 160 MB).

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BoundedBody.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BoundedBody.java
@@ -1,7 +1,6 @@
 package io.daisyhoist.daemon.connection;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.streams.ReadStream;
 
@@ -24,17 +23,6 @@
      * <p>The rest of a body that is too large is read and discarded, until the caller closes the connection.
      */
     public static Future<Buffer> read(ReadStream<Buffer> stream, long maxBytes) {
-        Promise<Buffer> result = Promise.promise();
-        Buffer body = Buffer.buffer();
-        stream.handler(chunk -> {
-            if (body.length() + chunk.length() > maxBytes) {
-                result.tryFail(new TooLargeException(maxBytes));
-                return;
-            }
-            body.appendBuffer(chunk);
-        });
-        stream.exceptionHandler(result::tryFail);
-        stream.endHandler(end -> result.tryComplete(body));
-        return result.future();
+        return new BodyBudget(maxBytes).read(stream, maxBytes);
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -2,6 +2,7 @@
 
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.connection.BodyBudget;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -16,6 +17,9 @@
  * connection on which a response was incomplete, invalid or abandoned is closed. Confined to the traffic event loop.
  */
 public final class BackendHttpClient implements AutoCloseable {
+    /** Bytes of all responses that are read at the same time; a small part of the heap, since a response is copied. */
+    private static final long MAX_RESPONSE_BYTES = 24L << 20;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
     private static final int MAX_QUEUED_PER_CONNECTION = 4;
 
@@ -42,7 +46,8 @@
                 new PoolOptions()
                         .setHttp1MaxSize(maxConnections)
                         .setMaxWaitQueueSize(MAX_QUEUED_PER_CONNECTION * maxConnections));
-        this.exchangeDependencies = new BackendHttpExchange.Dependencies(context, client, headerNames, time);
+        this.exchangeDependencies = new BackendHttpExchange.Dependencies(
+                context, client, new BodyBudget(MAX_RESPONSE_BYTES), headerNames, time);
     }
 
     /** Receives events of one exchange, on the traffic event loop. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -6,6 +6,7 @@
 
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.connection.BodyBudget;
 import io.daisyhoist.daemon.connection.BoundedBody;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
@@ -34,7 +35,7 @@
  * Confined to the traffic event loop.
  */
 final class BackendHttpExchange {
-    /** With its headers and those of other responses that are read meanwhile, a body has to fit into the heap. */
+    /** A response is also copied for the daemon or the client that waits for it, and has to fit into the heap. */
     static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
 
     private static final int MISDIRECTED_REQUEST = 421;
@@ -47,6 +48,7 @@
 
     private final Context context;
     private final HttpClient client;
+    private final BodyBudget responseBudget;
     private final HeaderNames headerNames;
     private final TimeSource time;
     private final Endpoint backend;
@@ -61,10 +63,12 @@
      *
      * @param context traffic event loop
      * @param client HTTP client with its connection pool
+     * @param responseBudget memory for the bodies of responses
      * @param headerNames names of header fields
      * @param time clock
      */
-    record Dependencies(Context context, HttpClient client, HeaderNames headerNames, TimeSource time) {}
+    record Dependencies(
+            Context context, HttpClient client, BodyBudget responseBudget, HeaderNames headerNames, TimeSource time) {}
 
     BackendHttpExchange(
             Dependencies dependencies,
@@ -73,6 +77,7 @@
             BackendHttpClient.Observer observer) {
         this.context = dependencies.context();
         this.client = dependencies.client();
+        this.responseBudget = dependencies.responseBudget();
         this.headerNames = dependencies.headerNames();
         this.time = dependencies.time();
         this.backend = backend;
@@ -189,8 +194,8 @@
         });
     }
 
-    private static Future<Buffer> readBody(HttpClientResponse response) {
-        return BoundedBody.read(response, MAX_RESPONSE_BODY_BYTES);
+    private Future<Buffer> readBody(HttpClientResponse response) {
+        return responseBudget.read(response, MAX_RESPONSE_BODY_BYTES);
     }
 
     /**
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -158,6 +158,27 @@
                     sendToServer("HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 9\r\n\r\nbody", true));
         }
 
+        /**
+         * Guards against delivering a response whose backend server stopped in the middle of its head and closed; its body
+         * would be empty or short, and framed as complete.
+         */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: id-1\r\nSignature: s\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nConnection: close\r\n\r\n",
+                    "HTTP/1.1 500 Error\r\nId: id-1\r\nContent-Length: 0\r\n\r\n",
+                    "HTTP/1.1 503 Full\r\nId: id-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                })
+        void send_closedWithinHead_isNotDelivered(String response) {
+            for (int length = 0; length < response.length(); length++) {
+                String part = response.substring(0, length);
+                assertInstanceOf(Unknown.class, sendToServer(part, true), "delivered after: " + part);
+            }
+        }
+
         @Test
         void send_malformedResponse_isNotDelivered() {
             assertInstanceOf(Unknown.class, sendToServer("garbage\r\n\r\n", true));
