Refuse requests that a planned stop could cut off and that must not be repeated

Callers: requests that came late in a planned stop were passed on, and cut off without an answer when the process exited. Cause: they were accepted without regard to the planned exit. Change: while stopping, a request that must not be repeated is accepted only if its deadline passes before the exit, at the daemon of the client and beside the backend server.

--- a/core/src/main/java/io/daisyhoist/core/time/Deadline.java
+++ b/core/src/main/java/io/daisyhoist/core/time/Deadline.java
@@ -18,6 +18,11 @@
         return Duration.ofNanos(Math.max(0, atNanos - time.monotonicNanos()));
     }
 
+    /** Returns whether this deadline passes before another one of the same process. */
+    public boolean isBefore(Deadline other) {
+        return atNanos - other.atNanos < 0;
+    }
+
     public boolean hasPassed(TimeSource time) {
         return atNanos - time.monotonicNanos() <= 0;
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -16,6 +16,7 @@
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.Route;
 import io.daisyhoist.core.routing.LoadBalancer;
+import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.PeerChannel;
@@ -259,15 +260,11 @@
             LOGGER.atInfo().log(
                     "event=daemon_stopping in_flight=%d busy=%d", clientServer.inFlight(), admission.busy());
             fleetControl.stopAccepting();
-            clientServer.closeConnectionsAfterResponses();
-            new GracefulShutdown(
-                            vertx,
-                            time,
-                            settings.bounds().stopGrace(),
-                            this::isIdle,
-                            this::refuseRequests,
-                            this::completeStop)
-                    .start();
+            Deadline exit = Deadline.after(
+                    time, GracefulShutdown.maxDuration(settings.bounds().stopGrace()));
+            clientServer.prepareStop(exit);
+            admission.prepareStop(exit, this::isIdempotent);
+            new GracefulShutdown(vertx, time, exit, this::isIdle, this::refuseRequests, this::completeStop).start();
         });
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/GracefulShutdown.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/GracefulShutdown.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 
+import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.TimeSource;
 import io.vertx.core.Vertx;
 
@@ -24,30 +25,45 @@
 
     private final Vertx vertx;
     private final TimeSource time;
-    private final Duration grace;
+    private final Deadline exit;
     private final BooleanSupplier idle;
     private final Runnable refuseRequests;
     private final Runnable onFinished;
-    private long startedNanos;
     private long lastBusyNanos;
 
+    /**
+     * Creates a shutdown that has not started.
+     *
+     * @param exit latest time of its end
+     * @param idle whether no request is in flight
+     * @param refuseRequests makes the daemon refuse all further requests
+     * @param onFinished called when the process can exit
+     */
     GracefulShutdown(
             Vertx vertx,
             TimeSource time,
-            Duration grace,
+            Deadline exit,
             BooleanSupplier idle,
             Runnable refuseRequests,
             Runnable onFinished) {
         this.vertx = vertx;
         this.time = time;
-        this.grace = grace;
+        this.exit = exit;
         this.idle = idle;
         this.refuseRequests = refuseRequests;
         this.onFinished = onFinished;
     }
 
+    /**
+     * Returns the longest duration of a shutdown.
+     *
+     * @param grace time after which the process is killed
+     */
+    static Duration maxDuration(Duration grace) {
+        return grace.minus(EXIT_MARGIN);
+    }
+
     void start() {
-        startedNanos = time.monotonicNanos();
         vertx.setTimer(READINESS_DETECTION_TIME.toMillis(), fired -> {
             refuseRequests.run();
             lastBusyNanos = time.monotonicNanos();
@@ -61,8 +77,7 @@
             lastBusyNanos = now;
         }
         boolean quiet = now - lastBusyNanos >= QUIET_TIME.toNanos();
-        Duration elapsed = Duration.ofNanos(now - startedNanos);
-        if (quiet || elapsed.compareTo(grace.minus(EXIT_MARGIN)) >= 0) {
+        if (quiet || exit.hasPassed(time)) {
             onFinished.run();
             return;
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -21,6 +22,7 @@
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.route.ServicePolicy;
 import io.daisyhoist.core.routing.LoadBalancer;
+import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.BackendOutcome;
@@ -69,6 +71,7 @@
     private final Map<Long, PendingRequest> queuedRequests = new HashMap<>();
     private final SlowdownTracker slowdownTracker;
     private int configuredSlots = 1;
+    private Predicate<BackendRequestData> mayBeInterrupted = request -> false;
     private boolean closed;
 
     private record PendingRequest(
@@ -133,6 +136,16 @@
         localBackend.get().backend().map(LocalBackend::process).ifPresent(crashGuard::onProcess);
     }
 
+    /**
+     * Refuses requests that the exit of the process could interrupt although they must not be repeated.
+     *
+     * @param exit latest time at which the process exits
+     * @param idempotent whether a request may be repeated, according to its route
+     */
+    public void prepareStop(Deadline exit, Predicate<BackendRequestData> idempotent) {
+        mayBeInterrupted = request -> exit.isBefore(request.deadline()) && !idempotent.test(request);
+    }
+
     /** Refuses all further requests; requests in flight continue. */
     public void close() {
         closed = true;
@@ -213,7 +226,9 @@
 
     private Optional<NotRunReason> refusalReason(BackendRequestData request) {
         LocalBackendSnapshot snapshot = localBackend.get();
-        if (closed || snapshot.backend().filter(LocalBackend::leaving).isPresent()) {
+        if (closed
+                || mayBeInterrupted.test(request)
+                || snapshot.backend().filter(LocalBackend::leaving).isPresent()) {
             return Optional.of(NotRunReason.LEAVING);
         }
         boolean isExpectedProcess = snapshot.backend()
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -50,7 +50,7 @@
     private final HttpServer server;
     private final PollBarrier pollBarrier;
     private int inFlight;
-    private boolean closing;
+    private Optional<Deadline> plannedExit = Optional.empty();
     private boolean refusing;
 
     /** Creates a server that is not listening. */
@@ -81,9 +81,14 @@
         return server.close();
     }
 
-    /** Closes each connection after its next response. */
-    public void closeConnectionsAfterResponses() {
-        closing = true;
+    /**
+     * Closes each connection after its next response, and refuses requests that the exit could interrupt although they must
+     * not be repeated.
+     *
+     * @param exit latest time at which the process exits
+     */
+    public void prepareStop(Deadline exit) {
+        plannedExit = Optional.of(exit);
     }
 
     /** Refuses all further requests as not run, because they may not complete before the process exits. */
@@ -154,6 +159,12 @@
         if (route.isEmpty()) {
             return refuse(http, "no_route version=" + config.get().version(), ClientResponse.noRoute());
         }
+        Deadline deadline = deadline(http, route.get(), arrivedNanos);
+        boolean mayBeInterrupted =
+                plannedExit.filter(exit -> exit.isBefore(deadline)).isPresent();
+        if (mayBeInterrupted && !route.get().isIdempotent()) {
+            return refuse(http, "stopping", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
+        }
         ClientRequest request = new ClientRequest(
                 id,
                 route.get(),
@@ -164,7 +175,7 @@
                 headers(http),
                 body,
                 arrivedNanos,
-                deadline(http, route.get(), arrivedNanos),
+                deadline,
                 clientClosed);
         return new RequestDispatch(
                         context, request, serviceSelector.next(config.get().version(), route.get()))
@@ -239,7 +250,7 @@
                 .retryAfter()
                 .ifPresent(wait -> response.putHeader(
                         "Retry-After", String.format(Locale.ROOT, "%.3f", wait.toMillis() / MILLIS_PER_SECOND)));
-        if (closing || !http.isEnded()) {
+        if (plannedExit.isPresent() || !http.isEnded()) {
             response.putHeader("Connection", "close");
         }
         return response.end(clientResponse.body());
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/GracefulShutdownTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/GracefulShutdownTest.java
@@ -5,7 +5,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
+import io.daisyhoist.core.time.TimeSource;
 import io.vertx.core.Vertx;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -25,8 +27,14 @@
     }
 
     private void start(Duration grace) {
+        TimeSource time = new SystemTimeSource();
         GracefulShutdown shutdown = new GracefulShutdown(
-                vertx, new SystemTimeSource(), grace, idle::get, () -> refusing.set(true), finished::countDown);
+                vertx,
+                time,
+                Deadline.after(time, GracefulShutdown.maxDuration(grace)),
+                idle::get,
+                () -> refusing.set(true),
+                finished::countDown);
         vertx.runOnContext(run -> shutdown.start());
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -93,4 +94,23 @@
             crashing.close();
         }
     }
+
+    /** Guards against running a request during a planned stop whose answer the exit would cut off, and that is not repeated. */
+    @Test
+    void run_unrepeatableThatMayOutliveStop_isRefusedAsNotRun() {
+        Deadline exit = Deadline.after(fixture.time, Duration.ofSeconds(5));
+        fixture.context.runOnContext(run -> fixture.admission.prepareStop(exit, request -> false));
+        NotRun refused = assertInstanceOf(NotRun.class, AdmissionFixture.result(run("1", Duration.ZERO)));
+        assertEquals(NotRunReason.LEAVING, refused.reason());
+        assertEquals(0, arrivals.get());
+    }
+
+    /** Guards against refusing requests during a planned stop that their clients repeat. */
+    @Test
+    void run_repeatableDuringStop_isSent() {
+        Deadline exit = Deadline.after(fixture.time, Duration.ofSeconds(5));
+        fixture.context.runOnContext(run -> fixture.admission.prepareStop(exit, request -> true));
+        run("1", Duration.ZERO);
+        await().untilAsserted(() -> assertEquals(1, arrivals.get()));
+    }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -1,6 +1,8 @@
 package io.daisyhoist.mesh.request;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -27,6 +29,7 @@
 import io.daisyhoist.core.route.RouteTable;
 import io.daisyhoist.core.route.WeightedService;
 import io.daisyhoist.core.routing.LoadBalancer;
+import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
@@ -44,6 +47,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ClientServerTest {
     private static final FleetSnapshot WITHOUT_ROUTES = new FleetSnapshot(
@@ -53,9 +57,11 @@
             Map.of());
 
     private static final ServiceName SERVICE = new ServiceName("s");
+    private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration PAUSE = Duration.ofMillis(300);
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final TimeSource time = new SystemTimeSource();
     private final AtomicInteger sends = new AtomicInteger();
     private Buffer responseBody = Buffer.buffer("body");
     private FleetSnapshot fleet = WITHOUT_ROUTES;
@@ -72,7 +78,6 @@
     }
 
     private RequestContext context() {
-        TimeSource time = new SystemTimeSource();
         return new RequestContext(
                 vertx,
                 time,
@@ -107,12 +112,16 @@
     }
 
     private static FleetSnapshot withRoute() {
+        return withRoute(RouteKind.IDEMPOTENT);
+    }
+
+    private static FleetSnapshot withRoute(RouteKind kind) {
         Route route = new Route(
                 "r",
                 "h",
                 "/x/",
-                RouteKind.IDEMPOTENT,
-                Duration.ofSeconds(5),
+                kind,
+                ROUTE_TIMEOUT,
                 Duration.ofMillis(200),
                 1,
                 List.of(new WeightedService(SERVICE, 1)),
@@ -174,13 +183,40 @@
     /** Guards against a request that is accepted late in a graceful shutdown and interrupted by the process exit. */
     @Test
     void request_duringStop_isRefusedAndConnectionCloses() {
-        server.closeConnectionsAfterResponses();
+        server.prepareStop(Deadline.after(time, Duration.ofSeconds(5)));
         server.refuseNewRequests();
         HttpClientResponse response = get();
         assertEquals(503, response.statusCode());
         assertEquals("close", response.getHeader("connection"));
     }
 
+    /** Guards against passing a request on during a planned stop that would be cut off without an answer and not be repeated. */
+    @Test
+    void request_unrepeatableThatMayOutliveStop_isRefused() throws Exception {
+        fleet = withRoute(RouteKind.NON_IDEMPOTENT);
+        server.prepareStop(Deadline.after(time, ROUTE_TIMEOUT.minusSeconds(1)));
+        assertTrue(statusLine(sendRequest("1")).contains("503"));
+        assertEquals(0, sends.get());
+    }
+
+    /** Guards against refusing requests during a planned stop that end before it, or that clients repeat. */
+    @Test
+    void request_duringStopWithEnoughTimeOrRepeatable_isSent() throws Exception {
+        fleet = withRoute(RouteKind.NON_IDEMPOTENT);
+        server.prepareStop(Deadline.after(time, ROUTE_TIMEOUT.plusSeconds(1)));
+        assertTrue(statusLine(sendRequest("1")).contains("200"));
+        fleet = withRoute(RouteKind.IDEMPOTENT);
+        server.prepareStop(Deadline.after(time, ROUTE_TIMEOUT.minusSeconds(1)));
+        assertTrue(statusLine(sendRequest("2")).contains("200"));
+    }
+
+    private static String statusLine(Socket socket) throws IOException {
+        try (socket) {
+            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine();
+        }
+    }
+
     /** Guards against a process exit that cuts off a response which its client is still reading. */
     @Test
     void inFlight_responseNotReadCompletely_isCounted() throws Exception {
