Take a listing without the own entry for no confirmation

Callers: keys could be granted for 9 s by a daemon whose registration had ended before, while others counted its absence (OWNER). Cause: the listing after a registration confirmed it, also if the entry was missing in that listing. Change: the listing confirms the registration only if it contains the entry. Evidence: FleetControlTest.onSynchronized_ownEntryNotListed_confirmsNothing failed before and passes; found by reading.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -405,7 +405,8 @@
         @Override
         public void onSynchronized(ElapsedTimer sentAt) {
             fleetSynchronized = true;
-            if (registration.isRegistered()) {
+            // The entry may have ended after the write that the listing follows.
+            if (registration.isRegistered() && !state.isAbsent(settings.daemon())) {
                 registrationLease.onConfirmed(sentAt);
                 heartbeatResponder.onChange();
             }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.mesh.process;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +16,8 @@
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.mesh.store.CountedStore;
+import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -36,6 +39,10 @@
 
     @BeforeEach
     void start() {
+        start(client);
+    }
+
+    private void start(MetadataStore metadataStore) {
         process = simulation.process();
         FleetBounds bounds = new FleetBounds(
                 Duration.ofSeconds(6),
@@ -63,7 +70,7 @@
                 new FleetControl.Dependencies(
                         process,
                         process,
-                        client,
+                        metadataStore,
                         new SingleServiceDocuments(),
                         (receivers, message) -> {},
                         new FleetMetrics()));
@@ -91,6 +98,37 @@
         return control.localBackend().backend().map(LocalBackend::leaving).orElseThrow();
     }
 
+    /**
+     * Guards against key leases under a registration that ended before the listing that should confirm it; other daemons count
+     * its absence from then on.
+     */
+    @Test
+    void onSynchronized_ownEntryNotListed_confirmsNothing() {
+        process.kill();
+        simulation.runFor(Duration.ofSeconds(5));
+        start(new CountedStore(client, call -> {
+            if (call.equals("list")) {
+                store.revoke(FleetState.memberKey(new DaemonId("d")));
+            }
+        }));
+        store.put("operators/config", "1".getBytes(StandardCharsets.UTF_8));
+        for (int sequence = 1; sequence <= 5; sequence++) {
+            control.onHeartbeat(new BackendHeartbeat(
+                    PROCESS,
+                    sequence,
+                    ADDRESS,
+                    SimulatedInstance.SERVICE,
+                    6,
+                    false,
+                    Duration.ZERO,
+                    List.of(),
+                    List.of()));
+            simulation.runFor(Duration.ofMillis(500));
+        }
+        assertTrue(control.fleet().config().isPresent());
+        assertFalse(control.localBackend().mayGrant());
+    }
+
     /** A heartbeat that was sent before the shutdown notice may arrive after a restart of the daemon. */
     @Nested
     class LateHeartbeatAfterRestart {
