Test that responses which are given up leave room for others

The memory budget of responses must not count bodies whose exchange has ended: 16 stalled bodies of 2 MiB, then one of 3 MiB. Passes without a change.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BodyBudget.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BodyBudget.java
@@ -61,6 +61,11 @@
         return read.result.future();
     }
 
+    /** Returns the number of bytes that bodies hold while they are read. */
+    public long heldBytes() {
+        return heldBytes;
+    }
+
     private void onChunk(BodyRead read, Buffer chunk, long maxBodyBytes) {
         if (!reads.contains(read)) {
             return;
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -27,6 +27,7 @@
     private static final int KEEP_ALIVE_SECONDS = 4;
 
     private final HttpClient client;
+    private final BodyBudget responseBudget = new BodyBudget(MAX_RESPONSE_BYTES);
     private final BackendHttpExchange.Dependencies exchangeDependencies;
 
     /**
@@ -46,8 +47,13 @@
                 new PoolOptions()
                         .setHttp1MaxSize(maxConnections)
                         .setMaxWaitQueueSize(MAX_QUEUED_PER_CONNECTION * maxConnections));
-        this.exchangeDependencies = new BackendHttpExchange.Dependencies(
-                context, client, new BodyBudget(MAX_RESPONSE_BYTES), headerNames, time);
+        this.exchangeDependencies =
+                new BackendHttpExchange.Dependencies(context, client, responseBudget, headerNames, time);
+    }
+
+    /** Returns the number of bytes that responses hold while they are read. */
+    long responseBytes() {
+        return responseBudget.heldBytes();
     }
 
     /** Receives events of one exchange, on the traffic event loop. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/DepartureRecord.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/DepartureRecord.java
@@ -20,9 +20,9 @@
  * daemon: a heartbeat from before the announcement may arrive after a restart of the daemon.
  *
  * <p>Invariants: a recorded process stays recorded until another one is recorded; {@link #recorded} completes only once the
- * store has the process, so that a shutdown is acknowledged only if a later process of this daemon will know it. The item lies outside the prefix that all
- * daemons watch, and its lease ends some time after the last heartbeat that can still arrive. Confined to the control
- * thread.
+ * store has the process, so that a shutdown is acknowledged only if a later process of this daemon will know it. The item
+ * lies outside the prefix that all daemons watch, and its lease ends some time after the last heartbeat that can still
+ * arrive. Confined to the control thread.
  */
 final class DepartureRecord {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/GracefulShutdown.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/GracefulShutdown.java
@@ -63,6 +63,7 @@
         return grace.minus(EXIT_MARGIN);
     }
 
+    /** Starts the shutdown, on the event loop. */
     void start() {
         vertx.setTimer(READINESS_DETECTION_TIME.toMillis(), fired -> {
             refuseRequests.run();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -40,8 +40,9 @@
  * Admission control of the local backend server; all requests to it pass through this class.
  *
  * <p>Invariants: a request is written only if, at that moment, the backend server is the expected process, is not leaving,
- * its availability zone is known not to be evacuated, the request has not crashed backend servers, it holds the key of the request, and it has capacity for another request;
- * otherwise the request is refused as not run. Confined to the traffic event loop.
+ * its availability zone is known not to be evacuated, the request has not crashed backend servers, the backend server holds
+ * its key and has capacity for another request; otherwise the request is refused as not run. Confined to the traffic event
+ * loop.
  */
 public final class BackendAdmission {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/CrashGuard.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/CrashGuard.java
@@ -34,7 +34,7 @@
 public final class CrashGuard {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** Requests that are in flight by chance during this many losses, and never complete in between, are rare. */
+    /** A harmless request is rarely in flight during this many losses without completing in between. */
     private static final int LOSSES_TO_REFUSE = 3;
 
     /** Backend servers are back some seconds after a crash. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -321,6 +321,22 @@
             assertClosedByClient();
         }
 
+        /** Guards against counting responses that were given up, which would end the reads of later ones. */
+        @Test
+        void send_stalledBodies_leaveRoomForOthers() {
+            String head = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: ";
+            int bodyBytes = 2 << 20;
+            Endpoint stalling = startServer(head + 2 * bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes), false);
+            for (int i = 0; i < 16; i++) {
+                assertInstanceOf(Unknown.class, send(stalling, Duration.ofMillis(150)));
+            }
+            int largeBytes = 3 << 20;
+            Endpoint sound = startServer(head + largeBytes + "\r\n\r\n" + "x".repeat(largeBytes), false);
+            Answered answered = assertInstanceOf(Answered.class, send(sound, DEADLINE));
+            assertEquals(largeBytes, answered.body().length());
+            assertEquals(0, client.responseBytes());
+        }
+
         @Test
         void send_endlessHeaders_isCutOff() {
             Endpoint backend = startEndlessServer("HTTP/1.1 200 OK\r\n", "Name: value\r\n");
