Start a listing again that was interrupted by a failure of the store

Callers: a daemon whose store failed for a moment while it read everything again after a registration granted no keys any more; requests for its keys were refused until it registered anew. Cause: StoreCache.restartWatch dropped the listing that confirms the registration. Change: a listing in progress is started again.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -66,6 +66,7 @@
     private long asOf;
     private boolean connected = true;
     private boolean listed;
+    private boolean listingInProgress;
     private boolean watching = true;
     private boolean watchLoopActive;
     private boolean catchUpInProgress;
@@ -117,9 +118,12 @@
         }
     }
 
-    /** Replaces a watch that may never return, because the connection to the store was interrupted. */
+    /**
+     * Replaces a watch that may never return, because the connection to the store was interrupted; a listing in progress
+     * starts again.
+     */
     void restartWatch() {
-        if (!listed) {
+        if (!listed || listingInProgress) {
             reload();
             return;
         }
@@ -158,6 +162,7 @@
     }
 
     private void listAll(long startedGeneration) {
+        listingInProgress = true;
         ElapsedTimer sentAt = ElapsedTimer.start(time);
         control.whenComplete(listPages(Optional.empty(), new ArrayList<>(), Long.MAX_VALUE), (listing, failure) -> {
             if (startedGeneration != generation) {
@@ -171,6 +176,7 @@
             onStoreRecovered();
             apply(listing);
             listed = true;
+            listingInProgress = false;
             callbacks.run("store_synchronized", prefix, () -> listener.onSynchronized(sentAt));
             // The listener may have started a listing of its own.
             if (startedGeneration == generation && watching) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
@@ -275,6 +275,13 @@
             runHistories(13);
         }
 
+        /** Guards against a daemon that grants no keys any more because a listing was dropped after its registration. */
+        @Test
+        void historiesWithInterruptedListing_allKeysHeldAtEnd() {
+            runHistory(378, 11);
+            runHistory(751, 13);
+        }
+
         private void runHistories(int faultKinds) {
             Long seed = Long.getLong("daisyhoist.model.seed");
             if (seed != null) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
@@ -27,6 +27,7 @@
     private final Set<Long> responseTimes = new HashSet<>();
     private String failingSubject = "";
     private int failures;
+    private int listings;
     private final StoreCache cache = new StoreCache(
             "p/",
             new StoreAccess(client, process, process, new CallbackRunner(() -> failures++)),
@@ -46,6 +47,7 @@
 
                 @Override
                 public void onSynchronized(ElapsedTimer sentAt) {
+                    listings++;
                     failIfRequested("synchronized");
                 }
 
@@ -85,6 +87,17 @@
         assertEquals(Map.of("p/a", "2"), reportedItems);
     }
 
+    /** Guards against a listing that is dropped when the store responds again, whose listener then waits for it for good. */
+    @Test
+    void restartWatch_whileListingAgain_listingIsReported() {
+        start();
+        assertEquals(1, listings);
+        cache.reload();
+        cache.restartWatch();
+        runFor(1);
+        assertEquals(2, listings);
+    }
+
     /** Guards against a call for each change while a large fleet starts, which costs each daemon its first seconds. */
     @Test
     void continuousChanges_arriveInFewResponses() {
