--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/EndlessAnswersTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/EndlessAnswersTest.java
@@ -76,8 +76,10 @@
     }
 
     private static void writeWhilePossible(NetSocket socket, Buffer block) {
-        while (!socket.writeQueueFull()) {
-            socket.write(block);
+        boolean open = true;
+        while (open && !socket.writeQueueFull()) {
+            // The write queue of a closed socket is never full.
+            open = !socket.write(block).failed();
         }
     }
 }
