Report faults of responses and bytes that belong to no request

Nothing told on which connection an answer of a backend server came, what was wrong with one that was not accepted, or that bytes arrived on an unused connection. Without that, the hypotheses on successes in place of failures (docs/incidents/success-in-place-of-a-failure.md) look the same in the logs.

- response_fault: request, fault, status, reason phrase, the id received, local port and how many responses the connection had carried; a counter by fault
- a head that contains the status line of another response is reported, and still delivered
- unsolicited_bytes: bytes on a connection that expects no response; a gauge.
They are still decoded

No decision changes.

--- /dev/null
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
@@ -0,0 +1,65 @@
+package io.daisyhoist.daemon.connection;
+
+import java.util.Optional;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.impl.HttpClientConnectionInternal;
+
+/**
+ * Creates HTTP/1.1 clients whose connections are watched for bytes that belong to no request.
+ *
+ * <p>The HTTP decoder keeps such bytes if they are no complete head, and reads them as the beginning of the next response.
+ * Stateless.
+ */
+public final class ConnectionWatch {
+    private ConnectionWatch() {}
+
+    /** Receives what happens on the connections of a client, on their event loops. */
+    public interface Listener {
+        /**
+         * Called when bytes arrive while no response is expected.
+         *
+         * @param localPort local port of the connection
+         * @param responses number of responses that the connection has carried
+         * @param bytes number of bytes
+         */
+        void onUnsolicitedBytes(int localPort, int responses, int bytes);
+    }
+
+    /** Creates a client without open connections. */
+    public static HttpClient createClient(
+            Vertx vertx, HttpClientOptions options, PoolOptions poolOptions, Listener listener) {
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(poolOptions)
+                .withConnectHandler(connection -> watch(connection, listener))
+                .build();
+    }
+
+    private static void watch(HttpConnection connection, Listener listener) {
+        ChannelHandlerContext httpHandler = context(connection);
+        UnsolicitedBytesHandler bytesHandler = new UnsolicitedBytesHandler(listener);
+        ChannelPipeline pipeline = httpHandler.pipeline();
+        // The first handler sees bytes before they are decoded, the second one decoded messages.
+        pipeline.addFirst(bytesHandler);
+        pipeline.addBefore(httpHandler.name(), null, new ResponseEndHandler(bytesHandler::onResponseEnd));
+    }
+
+    /** Returns the number of responses that a watched connection has carried completely; empty if it is not watched. */
+    public static Optional<Integer> responses(HttpConnection connection) {
+        Channel channel = context(connection).channel();
+        return Optional.ofNullable(channel.pipeline().get(UnsolicitedBytesHandler.class))
+                .map(UnsolicitedBytesHandler::responses);
+    }
+
+    private static ChannelHandlerContext context(HttpConnection connection) {
+        return ((HttpClientConnectionInternal) connection).channelHandlerContext();
+    }
+}
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -3,6 +3,7 @@
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.BodyBudget;
+import io.daisyhoist.daemon.connection.ConnectionWatch;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -30,6 +31,9 @@
     private final BodyBudget responseBudget = new BodyBudget(MAX_RESPONSE_BYTES);
     private final BackendHttpExchange.Dependencies exchangeDependencies;
 
+    /** Written by the traffic event loop, and read by others for metrics. */
+    private volatile long unsolicitedReads;
+
     /**
      * Creates a client without open connections.
      *
@@ -37,7 +41,8 @@
      */
     public BackendHttpClient(
             Vertx vertx, Context context, HeaderNames headerNames, int maxConnections, TimeSource time) {
-        this.client = vertx.createHttpClient(
+        this.client = ConnectionWatch.createClient(
+                vertx,
                 new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                         .setPipelining(false)
@@ -46,7 +51,8 @@
                         .setMaxHeaderSize(65_536),
                 new PoolOptions()
                         .setHttp1MaxSize(maxConnections)
-                        .setMaxWaitQueueSize(MAX_QUEUED_PER_CONNECTION * maxConnections));
+                        .setMaxWaitQueueSize(MAX_QUEUED_PER_CONNECTION * maxConnections),
+                (localPort, responses, bytes) -> unsolicitedReads++);
         this.exchangeDependencies =
                 new BackendHttpExchange.Dependencies(context, client, responseBudget, headerNames, time);
     }
@@ -56,6 +62,11 @@
         return responseBudget.heldBytes();
     }
 
+    /** Returns how many times bytes have arrived on connections that expected no response. */
+    public long unsolicitedReads() {
+        return unsolicitedReads;
+    }
+
     /** Receives events of one exchange, on the traffic event loop. */
     public interface Observer {
         /** Returns whether the request may still be written; called immediately before the write. */
@@ -69,6 +80,9 @@
 
         /** Called with the slowdown factor in the load header of a response. */
         void onSlowdown(double slowdown);
+
+        /** Called when a response is not accepted, or looks as if it consisted of two. */
+        default void onResponseFault(ResponseFault fault) {}
     }
 
     /**
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -4,12 +4,15 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.BodyBudget;
 import io.daisyhoist.daemon.connection.BoundedBody;
+import io.daisyhoist.daemon.connection.ConnectionWatch;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.daemon.connection.ResponseHeads;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -35,6 +38,8 @@
  * Confined to the traffic event loop.
  */
 final class BackendHttpExchange {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** A response is also copied for the daemon or the client that waits for it, and has to fit into the heap. */
     static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
 
@@ -175,8 +180,11 @@
         Optional.ofNullable(response.getHeader(headerNames.load()))
                 .map(headerNames.loadParser()::slowdown)
                 .ifPresent(reported -> reported.ifPresent(observer::onSlowdown));
+        if (ResponseHeads.containsStatusLine(response)) {
+            report(response, ResponseFault.CONTAINS_STATUS_LINE);
+        }
         if (!isResponseToRequest(response)) {
-            completeUnknown(UnknownReason.DAMAGED_ANSWER);
+            reject(response, ResponseFault.FOREIGN_ID);
             return Future.succeededFuture();
         }
         if (isRefusal(response)) {
@@ -194,6 +202,32 @@
         });
     }
 
+    private void reject(HttpClientResponse response, ResponseFault fault) {
+        report(response, fault);
+        completeUnknown(UnknownReason.DAMAGED_ANSWER);
+    }
+
+    private void report(HttpClientResponse response, ResponseFault fault) {
+        LOGGER.atWarning().log(
+                "event=response_fault request=%s fault=%s status=%d reason=\"%s\" received_id=%s connection=%s",
+                request.id(),
+                fault,
+                response.statusCode(),
+                response.statusMessage(),
+                response.getHeader(headerNames.requestId()),
+                connectionLabel());
+        observer.onResponseFault(fault);
+    }
+
+    /** Returns the local port of the connection and the number of responses that it had carried before. */
+    private String connectionLabel() {
+        return httpRequest
+                .map(HttpClientRequest::connection)
+                .map(connection -> connection.localAddress().port() + "/"
+                        + ConnectionWatch.responses(connection).orElse(0))
+                .orElse("none");
+    }
+
     private Future<Buffer> readBody(HttpClientResponse response) {
         return responseBudget.read(response, MAX_RESPONSE_BODY_BYTES);
     }
@@ -212,10 +246,12 @@
 
     private void complete(HttpClientResponse response, Buffer body) {
         boolean success = response.statusCode() >= 200 && response.statusCode() < 300;
-        boolean unsigned = response.getHeader(headerNames.signature()) == null;
-        boolean encoded = response.getHeader("content-encoding") != null;
-        if (success && (unsigned || encoded)) {
-            completeUnknown(UnknownReason.DAMAGED_ANSWER);
+        if (success && response.getHeader(headerNames.signature()) == null) {
+            reject(response, ResponseFault.UNSIGNED);
+            return;
+        }
+        if (success && response.getHeader("content-encoding") != null) {
+            reject(response, ResponseFault.ENCODED);
             return;
         }
         complete(new Answered(response.statusCode(), HopByHopHeaders.endToEnd(response.headers()), body));
--- /dev/null
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
@@ -0,0 +1,13 @@
+package io.daisyhoist.mesh.connection;
+
+/** Fault of a response of a backend server. */
+public enum ResponseFault {
+    /** It does not contain the id of the request. */
+    FOREIGN_ID,
+    /** Its head contains the status line of another response. */
+    CONTAINS_STATUS_LINE,
+    /** It is a success without a signature. */
+    UNSIGNED,
+    /** It is a success whose body has a content encoding, which no request asks for. */
+    ENCODED
+}
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -156,7 +156,7 @@
                         settings.bounds().retryWindow()),
                 metrics);
         this.clientServer = new ClientServer(vertx, requestContext, headerNames);
-        addGauges();
+        addGauges(backendClient);
     }
 
     /** Returns the other daemons whose backend servers run the same service. */
@@ -176,10 +176,14 @@
                 .isPresent();
     }
 
-    private void addGauges() {
+    private void addGauges(BackendHttpClient backendClient) {
         metrics.gauge("daisyhoist.fleet.in.flight", "Requests of clients without an answer", clientServer::inFlight);
         metrics.gauge(
                 "daisyhoist.fleet.backend.busy", "Requests at the backend server or waiting for it", admission::busy);
+        metrics.gauge(
+                "daisyhoist.fleet.backend.unsolicited.reads",
+                "Times at which the backend server sent bytes on an unused connection",
+                backendClient::unsolicitedReads);
         metrics.gauge(
                 "daisyhoist.fleet.event.loop.delay",
                 "Milliseconds by which the traffic event loop last ran late",
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -29,6 +29,7 @@
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
 import io.daisyhoist.mesh.connection.BackendRequestData;
+import io.daisyhoist.mesh.connection.ResponseFault;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalBackendSnapshot;
@@ -380,5 +381,10 @@
         public void onSlowdown(double reported) {
             slowdownTracker.onReport(reported);
         }
+
+        @Override
+        public void onResponseFault(ResponseFault fault) {
+            metrics.onResponseFault(fault);
+        }
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -1,12 +1,14 @@
 package io.daisyhoist.mesh.telemetry;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
 import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.mesh.connection.ResponseFault;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -101,6 +103,15 @@
         registry.counter("daisyhoist.fleet.rejected.inputs", "source", source).increment();
     }
 
+    /** Counts a response of a backend server with a fault. */
+    public void onResponseFault(ResponseFault fault) {
+        registry.counter(
+                        "daisyhoist.fleet.response.faults",
+                        "fault",
+                        fault.name().toLowerCase(Locale.ROOT))
+                .increment();
+    }
+
     /** Counts an unexpected exception after which the work of the control thread went on. */
     public void onFailedCallback() {
         registry.counter("daisyhoist.fleet.failed.callbacks").increment();
