Show with failing tests that a cut-off second answer changes the status of the next one

A backend server that writes an answer a second time, cut off, leaves bytes in the HTTP decoder of a kept connection. The head of the next answer is appended to them: "HTTP/1.1 200 " and "HTTP/1.1 500 Error" are read as a success with the id, the signature and the body of the second answer. Callers get a success where the backend server answered with a failure.

- BackendHttpClientTest: every length of the earlier answer; red at the first that ends after the status code

--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -30,11 +30,13 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 /** Tests against a TCP server that sends fixed bytes in response to each request. */
@@ -262,6 +264,31 @@
             assertEquals(2, connections.size(), "the damaged connection was reused");
         }
 
+        /**
+         * Guards against a success in place of a failure: the beginning of an earlier success, cut off anywhere, must not become
+         * the beginning of the own response.
+         */
+        @Test
+        @Tag("known-red")
+        void send_partOfEarlierResponseBeforeOwn_statusIsNotTakenFromIt() {
+            String earlier = "HTTP/1.1 200 OK\r\nSignature: s-1\r\nId: id-1\r\nContent-Length: 2\r\n\r\nok";
+            String own = "HTTP/1.1 500 Error\r\nSignature: s-2\r\nId: id-2\r\nContent-Length: 4\r\n\r\nfail";
+            for (int length = 0; length <= earlier.length(); length++) {
+                String part = earlier.substring(0, length);
+                AtomicInteger received = new AtomicInteger();
+                NetServer server = vertx.createNetServer()
+                        .connectHandler(socket -> socket.handler(
+                                bytes -> socket.write(received.incrementAndGet() == 1 ? earlier : part + own)));
+                await(server.listen(0, "127.0.0.1"));
+                Endpoint backend = new Endpoint("127.0.0.1", server.actualPort());
+                assertInstanceOf(Answered.class, send("id-1", backend, Duration.ofSeconds(2)));
+                BackendOutcome second = send("id-2", backend, Duration.ofMillis(300));
+                boolean success = second instanceof Answered answered && answered.status() < 500;
+                assertFalse(success, "status of the earlier response after: " + part);
+                await(server.close());
+            }
+        }
+
         /** Guards against matching a response that arrives between two requests to the second one. */
         @Test
         void send_duplicateWhileIdle_isNotTheNextResponse() throws InterruptedException {
