Accept a response only if its head is one message, and close connections on bytes that belong to no request

Cause: bytes that belong to no request were allowed to stay on a kept connection. A second answer that is cut off is no message yet, so nothing closes the connection; the decoder keeps its bytes and reads the next head behind them. The status then comes from one answer, the id, the signature and the body from another, and the id was all that was compared.

Change: bytes that arrive while no response is expected close the connection before they are decoded (RFC 9112, section 9.2). A head that contains the status line of another response, or more than one id, is no answer to the request: its outcome is unknown, and its connection is closed. The status line of the next answer always stands inside such a head, wherever the earlier one was cut off, so none of them is accepted; a whole earlier answer is told by its id, as before.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
@@ -13,9 +13,9 @@
 import io.vertx.core.http.impl.HttpClientConnectionInternal;
 
 /**
- * Creates HTTP/1.1 clients whose connections are watched for bytes that belong to no request.
+ * Creates HTTP/1.1 clients whose connections are closed when bytes arrive that belong to no request.
  *
- * <p>The HTTP decoder keeps such bytes if they are no complete head, and reads them as the beginning of the next response.
+ * <p>The HTTP decoder would keep such bytes if they are no complete head, and read them as the beginning of the next response.
  * Stateless.
  */
 public final class ConnectionWatch {
@@ -33,6 +33,11 @@
         void onUnsolicitedBytes(int localPort, int responses, int bytes);
     }
 
+    /** Creates a client without open connections, and without a listener. */
+    public static HttpClient createClient(Vertx vertx, HttpClientOptions options, PoolOptions poolOptions) {
+        return createClient(vertx, options, poolOptions, (localPort, responses, bytes) -> {});
+    }
+
     /** Creates a client without open connections. */
     public static HttpClient createClient(
             Vertx vertx, HttpClientOptions options, PoolOptions poolOptions, Listener listener) {
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
@@ -9,9 +9,10 @@
 import io.netty.channel.ChannelPromise;
 
 /**
- * Notices bytes that arrive on a client connection while no response is expected.
+ * Closes a client connection when bytes arrive while no response is expected, as RFC 9112, section 9.2, asks for.
  *
- * <p>Confined to the connection's event loop.
+ * <p>Invariant: such bytes never reach the HTTP decoder. Bytes that follow a response in the same read do, and are left to the
+ * checks of the next response. Confined to the connection's event loop.
  */
 final class UnsolicitedBytesHandler extends ChannelDuplexHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -46,6 +47,9 @@
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (!responseExpected && message instanceof ByteBuf bytes && bytes.isReadable()) {
             report(context, bytes);
+            bytes.release();
+            context.close();
+            return;
         }
         super.channelRead(context, message);
     }
@@ -53,7 +57,7 @@
     private void report(ChannelHandlerContext context, ByteBuf bytes) {
         int localPort = ((InetSocketAddress) context.channel().localAddress()).getPort();
         LOGGER.atWarning().log(
-                "event=unsolicited_bytes remote=%s local_port=%d responses=%d bytes=%d",
+                "event=unsolicited_bytes remote=%s local_port=%d responses=%d bytes=%d outcome=closed",
                 context.channel().remoteAddress(), localPort, responses, bytes.readableBytes());
         listener.onUnsolicitedBytes(localPort, responses, bytes.readableBytes());
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -81,7 +81,7 @@
         /** Called with the slowdown factor in the load header of a response. */
         void onSlowdown(double slowdown);
 
-        /** Called when a response is not accepted, or looks as if it consisted of two. */
+        /** Called when a response is not accepted. */
         default void onResponseFault(ResponseFault fault) {}
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -2,6 +2,7 @@
 
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 import com.google.common.flogger.FluentLogger;
@@ -181,7 +182,8 @@
                 .map(headerNames.loadParser()::slowdown)
                 .ifPresent(reported -> reported.ifPresent(observer::onSlowdown));
         if (ResponseHeads.containsStatusLine(response)) {
-            report(response, ResponseFault.CONTAINS_STATUS_LINE);
+            reject(response, ResponseFault.CONTAINS_STATUS_LINE);
+            return Future.succeededFuture();
         }
         if (!isResponseToRequest(response)) {
             reject(response, ResponseFault.FOREIGN_ID);
@@ -237,7 +239,7 @@
      * duplicate of an earlier response, and a refusal of an earlier request says nothing about this one.
      */
     private boolean isResponseToRequest(HttpClientResponse response) {
-        return request.id().equals(response.getHeader(headerNames.requestId()));
+        return response.headers().getAll(headerNames.requestId()).equals(List.of(request.id()));
     }
 
     private boolean isRefusal(HttpClientResponse response) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -30,7 +30,6 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -269,7 +268,6 @@
          * the beginning of the own response.
          */
         @Test
-        @Tag("known-red")
         void send_partOfEarlierResponseBeforeOwn_statusIsNotTakenFromIt() {
             String earlier = "HTTP/1.1 200 OK\r\nSignature: s-1\r\nId: id-1\r\nContent-Length: 2\r\n\r\nok";
             String own = "HTTP/1.1 500 Error\r\nSignature: s-2\r\nId: id-2\r\nContent-Length: 4\r\n\r\nfail";
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/StutteringBackendTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/StutteringBackendTest.java
@@ -21,7 +21,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -83,7 +82,6 @@
     /** Guards against a success in place of a failure, because the beginning of a second answer precedes the next one. */
     @ParameterizedTest
     @EnumSource(StutteringBackend.When.class)
-    @Tag("known-red")
     void send_secondAnswersCutOff_eachRequestGetsItsOwn(StutteringBackend.When when) throws Exception {
         assertOwnAnswers(when, StutteringBackend.Part.CUT_OFF);
     }
