Close a connection when bytes follow a response in the same read

A queued request could be handed such a connection while the rest was still being decoded.

Cause: a connection counted as sound as soon as a response had ended; what the decoder still held was not looked at.

Change: the handler in front of the decoder keeps a reference to the bytes of a read. If the decoder has not consumed them when a response ends with them, or decodes another message from them, the connection is closed. Where it merged them with bytes of an earlier read, which happens to heads that arrive in parts, nothing can be told, and the unused connection is closed without a report. Sound responses in parts keep their connection (tested), so no further connections are opened for them.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
@@ -28,7 +28,7 @@
          *
          * @param localPort local port of the connection
          * @param responses number of responses that the connection has carried
-         * @param bytes number of bytes
+         * @param bytes number of bytes; zero if they were read together with the end of a response
          */
         void onUnsolicitedBytes(int localPort, int responses, int bytes);
     }
@@ -50,11 +50,11 @@
 
     private static void watch(HttpConnection connection, Listener listener) {
         ChannelHandlerContext httpHandler = context(connection);
-        UnsolicitedBytesHandler bytesHandler = new UnsolicitedBytesHandler(listener);
+        UnsolicitedBytesHandler bytesHandler = new UnsolicitedBytesHandler(httpHandler.channel(), listener);
         ChannelPipeline pipeline = httpHandler.pipeline();
         // The first handler sees bytes before they are decoded, the second one decoded messages.
         pipeline.addFirst(bytesHandler);
-        pipeline.addBefore(httpHandler.name(), null, new ResponseEndHandler(bytesHandler::onResponseEnd));
+        pipeline.addBefore(httpHandler.name(), null, new ResponseEndHandler(bytesHandler));
     }
 
     /** Returns the number of responses that a watched connection has carried completely; empty if it is not watched. */
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseEndHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseEndHandler.java
@@ -5,24 +5,33 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
-/** Reports the end of each final response on a connection. Confined to the connection's event loop. */
+/**
+ * Reports the end of each final response on a connection to the handler of its bytes, and drops messages that it calls
+ * unsolicited. Confined to the connection's event loop.
+ */
 final class ResponseEndHandler extends ChannelInboundHandlerAdapter {
-    private final Runnable onResponseEnd;
+    private final UnsolicitedBytesHandler bytesHandler;
     private boolean informational;
 
-    ResponseEndHandler(Runnable onResponseEnd) {
-        this.onResponseEnd = onResponseEnd;
+    ResponseEndHandler(UnsolicitedBytesHandler bytesHandler) {
+        this.bytesHandler = bytesHandler;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (bytesHandler.isUnsolicited()) {
+            bytesHandler.closeAfterUnsolicitedMessage();
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (message instanceof HttpResponse response) {
             informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         }
         // Before the message is passed on, because the next request may be written while it is handled.
         if (message instanceof LastHttpContent && !informational) {
-            onResponseEnd.run();
+            bytesHandler.onResponseEnd();
         }
         super.channelRead(context, message);
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
@@ -4,6 +4,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
@@ -11,20 +12,28 @@
 /**
  * Closes a client connection when bytes arrive while no response is expected, as RFC 9112, section 9.2, asks for.
  *
- * <p>Invariant: such bytes never reach the HTTP decoder. Bytes that follow a response in the same read do, and are left to the
- * checks of the next response. Confined to the connection's event loop.
+ * <p>Invariants: such bytes never reach the HTTP decoder; what was read together with the end of a response is no part of a
+ * response to a request that was written later. The next handler must be the decoder. Confined to the connection's event loop.
  */
 final class UnsolicitedBytesHandler extends ChannelDuplexHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    private final Channel channel;
     private final ConnectionWatch.Listener listener;
 
     /** Initially set, because the first request may be written before the handler is added. */
     private boolean responseExpected = true;
 
+    /** Whether a response has ended with the bytes that are being decoded. */
+    private boolean endedInThisRead;
+
+    /** Whether the decoder has kept bytes of an earlier read, and may have merged others with them since. */
+    private boolean decoderMayHoldBytes;
+
     private int responses;
 
-    UnsolicitedBytesHandler(ConnectionWatch.Listener listener) {
+    UnsolicitedBytesHandler(Channel channel, ConnectionWatch.Listener listener) {
+        this.channel = channel;
         this.listener = listener;
     }
 
@@ -34,9 +43,21 @@
 
     void onResponseEnd() {
         responseExpected = false;
+        endedInThisRead = true;
         responses++;
     }
 
+    /** Returns whether a message that is decoded now belongs to no request. */
+    boolean isUnsolicited() {
+        return endedInThisRead;
+    }
+
+    void closeAfterUnsolicitedMessage() {
+        if (channel.isOpen()) {
+            close(0);
+        }
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         responseExpected = true;
@@ -46,19 +67,52 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (!responseExpected && message instanceof ByteBuf bytes && bytes.isReadable()) {
-            report(context, bytes);
+            close(bytes.readableBytes());
             bytes.release();
-            context.close();
+            return;
+        }
+        if (message instanceof ByteBuf bytes) {
+            decode(context, bytes);
             return;
         }
         super.channelRead(context, message);
     }
 
-    private void report(ChannelHandlerContext context, ByteBuf bytes) {
-        int localPort = ((InetSocketAddress) context.channel().localAddress()).getPort();
+    private void decode(ChannelHandlerContext context, ByteBuf bytes) throws Exception {
+        endedInThisRead = false;
+        bytes.retain();
+        boolean kept;
+        try {
+            super.channelRead(context, bytes);
+            // A decoder releases the bytes that it has consumed, and keeps the others for the next read.
+            kept = bytes.refCnt() > 1;
+        } finally {
+            bytes.release();
+        }
+        if (endedInThisRead && channel.isOpen()) {
+            afterResponse(kept);
+        } else {
+            decoderMayHoldBytes |= kept;
+        }
+        endedInThisRead = false;
+    }
+
+    private void afterResponse(boolean kept) {
+        if (kept) {
+            close(0);
+        } else if (decoderMayHoldBytes && !responseExpected) {
+            // Of merged bytes, it cannot be told whether the decoder has consumed all of them.
+            LOGGER.atFine().log("event=connection_retired remote=%s", channel.remoteAddress());
+            channel.close();
+        }
+    }
+
+    private void close(int bytes) {
+        int localPort = ((InetSocketAddress) channel.localAddress()).getPort();
         LOGGER.atWarning().log(
                 "event=unsolicited_bytes remote=%s local_port=%d responses=%d bytes=%d outcome=closed",
-                context.channel().remoteAddress(), localPort, responses, bytes.readableBytes());
-        listener.onUnsolicitedBytes(localPort, responses, bytes.readableBytes());
+                channel.remoteAddress(), localPort, responses, bytes);
+        listener.onUnsolicitedBytes(localPort, responses, bytes);
+        channel.close();
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -181,12 +181,9 @@
         Optional.ofNullable(response.getHeader(headerNames.load()))
                 .map(headerNames.loadParser()::slowdown)
                 .ifPresent(reported -> reported.ifPresent(observer::onSlowdown));
-        if (ResponseHeads.containsStatusLine(response)) {
-            reject(response, ResponseFault.CONTAINS_STATUS_LINE);
-            return Future.succeededFuture();
-        }
-        if (!isResponseToRequest(response)) {
-            reject(response, ResponseFault.FOREIGN_ID);
+        Optional<ResponseFault> fault = faultOfHead(response);
+        if (fault.isPresent()) {
+            reject(response, fault.get());
             return Future.succeededFuture();
         }
         if (isRefusal(response)) {
@@ -204,6 +201,16 @@
         });
     }
 
+    private Optional<ResponseFault> faultOfHead(HttpClientResponse response) {
+        if (ResponseHeads.containsStatusLine(response)) {
+            return Optional.of(ResponseFault.CONTAINS_STATUS_LINE);
+        }
+        if (!isResponseToRequest(response)) {
+            return Optional.of(ResponseFault.FOREIGN_ID);
+        }
+        return Optional.empty();
+    }
+
     private void reject(HttpClientResponse response, ResponseFault fault) {
         report(response, fault);
         completeUnknown(UnknownReason.DAMAGED_ANSWER);
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
@@ -0,0 +1,95 @@
+package io.daisyhoist.mesh.connection;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+
+import io.daisyhoist.core.fleet.BackendProcessId;
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.core.time.SystemTimeSource;
+import io.daisyhoist.core.time.TimeSource;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+
+/** Client of a backend server with its event loop, for tests of what it makes of responses. Thread-safe. */
+final class BackendClientFixture implements AutoCloseable {
+    private static final Duration MAX_WAIT = Duration.ofSeconds(5);
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Context context = vertx.getOrCreateContext();
+    private final TimeSource time = new SystemTimeSource();
+    private final BackendHttpClient client;
+
+    /** Permits each write, and records nothing. */
+    private static final class PermissiveObserver implements BackendHttpClient.Observer {
+        @Override
+        public boolean mayBeWritten() {
+            return true;
+        }
+
+        @Override
+        public void onWrite() {
+            // Nothing is recorded.
+        }
+
+        @Override
+        public void onConnectionRefused() {
+            // Nothing is recorded.
+        }
+
+        @Override
+        public void onSlowdown(double reported) {
+            // Nothing is recorded.
+        }
+    }
+
+    BackendClientFixture(int maxConnections) {
+        this.client = new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, maxConnections, time);
+    }
+
+    Vertx vertx() {
+        return vertx;
+    }
+
+    /** Sends a request without a body. */
+    Future<BackendOutcome> send(String method, String id, Endpoint backend, Duration deadline) {
+        BackendRequestData request = new BackendRequestData(
+                id,
+                new ServiceName("s"),
+                OptionalInt.empty(),
+                method,
+                "/x",
+                List.of(),
+                Buffer.buffer(),
+                1,
+                Deadline.after(time, deadline),
+                "caller",
+                new BackendProcessId("b", 1),
+                false);
+        Promise<BackendOutcome> outcome = Promise.promise();
+        Future<Void> neverCancelled = Promise.<Void>promise().future();
+        context.runOnContext(run -> client.send(backend, request, neverCancelled, new PermissiveObserver())
+                .onComplete(outcome));
+        return outcome.future();
+    }
+
+    /** Returns the result of a future. */
+    static <T> T await(Future<T> future) {
+        try {
+            return future.toCompletionStage().toCompletableFuture().get(MAX_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (Exception e) {
+            throw new AssertionError("no result", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        vertx.close();
+    }
+}
--- /dev/null
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -0,0 +1,183 @@
+package io.daisyhoist.mesh.connection;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
+import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Guards against responses that consist of parts of several ones, and against connections that still carry such parts. */
+class JoinedResponsesTest {
+    private static final Duration DEADLINE = Duration.ofMillis(400);
+    private static final Duration PAUSE = Duration.ofMillis(15);
+    private static final String OK = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n";
+    private static final String OK_ID_LAST = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0\r\nId: id-1\r\n\r\n";
+    private static final String REFUSAL_ID_LAST =
+            "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\nId: id-1\r\n\r\n";
+
+    private final BackendClientFixture client = new BackendClientFixture(4);
+    private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicInteger requests = new AtomicInteger();
+
+    @AfterEach
+    void close() {
+        client.close();
+    }
+
+    private static String error(int number) {
+        return "HTTP/1.1 500 Error\r\nId: id-" + number + "\r\nSignature: e\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    /** Writes to the n-th request the n-th list of parts, with pauses between them. */
+    @SafeVarargs
+    private Endpoint startServer(List<String>... partsOfResponses) {
+        connections.set(0);
+        requests.set(0);
+        NetServer server = client.vertx().createNetServer().connectHandler(socket -> {
+            connections.incrementAndGet();
+            socket.handler(bytes -> write(socket, partsOfResponses[requests.getAndIncrement()]));
+        });
+        BackendClientFixture.await(server.listen(0, "127.0.0.1"));
+        return new Endpoint("127.0.0.1", server.actualPort());
+    }
+
+    private void write(NetSocket socket, List<String> parts) {
+        socket.write(parts.get(0));
+        for (int i = 1; i < parts.size(); i++) {
+            String part = parts.get(i);
+            client.vertx().setTimer(i * PAUSE.toMillis(), fired -> socket.write(part));
+        }
+    }
+
+    private BackendOutcome send(String method, int number, Endpoint backend) {
+        return BackendClientFixture.await(client.send(method, "id-" + number, backend, DEADLINE));
+    }
+
+    private BackendOutcome send(int number, Endpoint backend) {
+        return send("GET", number, backend);
+    }
+
+    private static int statusOf(BackendOutcome outcome) {
+        return outcome instanceof Answered answered ? answered.status() : 0;
+    }
+
+    /** A response is cut off in its head, and another one follows on the same connection. */
+    @Nested
+    class CutOffInHead {
+        /** Guards against a success in place of the failure that the backend server sent next to the same request. */
+        @ParameterizedTest
+        @ValueSource(strings = {OK, OK_ID_LAST})
+        void send_ownSuccessCutOffThenOwnFailure_isNoSuccess(String success) {
+            for (int length = 1; length < success.length(); length++) {
+                String part = success.substring(0, length);
+                BackendOutcome outcome = send(1, startServer(List.of(part, error(1))));
+                assertFalse(statusOf(outcome) == 200, "a success after: " + part);
+            }
+        }
+
+        /** Guards against "not run" for a request that ran, and that would be repeated. */
+        @Test
+        void send_ownRefusalCutOffThenOwnFailure_isNotNotRun() {
+            for (int length = 1; length < REFUSAL_ID_LAST.length(); length++) {
+                String part = REFUSAL_ID_LAST.substring(0, length);
+                assertFalse(send(1, startServer(List.of(part, error(1)))) instanceof NotRun, "refused after: " + part);
+            }
+        }
+
+        /** Guards against "not run" for a request that ran, because an earlier refusal was written once more. */
+        @Test
+        void send_earlierRefusalCutOffBeforeOwnFailure_isNotNotRun() {
+            for (int length = 1; length < REFUSAL_ID_LAST.length(); length++) {
+                String part = REFUSAL_ID_LAST.substring(0, length);
+                Endpoint backend = startServer(List.of(REFUSAL_ID_LAST), List.of(part, error(2)));
+                assertInstanceOf(NotRun.class, send(1, backend));
+                assertFalse(send(2, backend) instanceof NotRun, "refused after: " + part);
+            }
+        }
+
+        /** Guards against the loss of a sound response, because the connection of an earlier one was kept. */
+        @ParameterizedTest
+        @ValueSource(strings = {OK, OK_ID_LAST, REFUSAL_ID_LAST})
+        void send_partOfEarlierResponseWhileUnused_nextRequestIsAnswered(String earlier) throws InterruptedException {
+            for (int length = 1; length < earlier.length(); length++) {
+                Endpoint backend = startServer(List.of(OK, earlier.substring(0, length)), List.of(error(2)));
+                assertEquals(200, statusOf(send(1, backend)));
+                Thread.sleep(2 * PAUSE.toMillis());
+                assertEquals(500, statusOf(send(2, backend)), "after " + length + " bytes");
+                assertEquals(2, connections.get(), "the damaged connection was reused");
+            }
+        }
+    }
+
+    /** A complete response is followed by bytes that belong to no request, in the same segment. */
+    @Nested
+    class BytesAfterTheEnd {
+        /** Guards against reading the bytes as the beginning of the next response. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "GET|HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbodyX",
+                    "GET|HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 ",
+                    "GET|HTTP/1.1 204 No\r\nId: id-1\r\nSignature: s\r\nContent-Length: 2\r\n\r\n{}",
+                    "GET|HTTP/1.1 304 No\r\nId: id-1\r\nContent-Length: 2\r\n\r\n{}",
+                    "HEAD|HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbody",
+                    "HEAD|HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 13\r\n\r\nHTTP/1.1 200 "
+                })
+        void send_bytesAfterResponse_connectionIsNotReused(String methodAndResponse) {
+            String[] parts = methodAndResponse.split("\\|");
+            Endpoint backend = startServer(List.of(parts[1]), List.of(error(2)));
+            assertInstanceOf(Answered.class, send(parts[0], 1, backend));
+            assertEquals(500, statusOf(send(2, backend)));
+            assertEquals(2, connections.get(), "the damaged connection was reused");
+        }
+
+        @Test
+        void send_secondWholeResponse_connectionIsNotReused() {
+            Endpoint backend = startServer(List.of(OK + OK), List.of(error(2)));
+            assertEquals(200, statusOf(send(1, backend)));
+            assertEquals(500, statusOf(send(2, backend)));
+            assertEquals(2, connections.get(), "the damaged connection was reused");
+        }
+
+        /** Guards against closing sound connections, which would open one for each request. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 4\r\n\r\n|body",
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n|4\r\nbody\r\n|0\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+                    "HTTP/1.1 103 Early Hints\r\n\r\n|HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
+                })
+        void send_soundResponseInParts_connectionIsReused(String parts) {
+            Endpoint backend = startServer(Arrays.asList(parts.split("\\|")), List.of(error(2)));
+            assertEquals(200, statusOf(send(1, backend)));
+            assertEquals(500, statusOf(send(2, backend)));
+            assertEquals(1, connections.get(), "the sound connection was closed");
+        }
+
+        /** Guards against the loss of a response whose head arrives in parts, or of the one after it. */
+        @Test
+        void send_soundHeadInParts_itAndTheNextAreDelivered() {
+            for (int length = 1; length < OK.length(); length++) {
+                Endpoint backend =
+                        startServer(List.of(OK.substring(0, length), OK.substring(length)), List.of(error(2)));
+                assertEquals(200, statusOf(send(1, backend)));
+                assertEquals(500, statusOf(send(2, backend)));
+            }
+        }
+    }
+}
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/StutteringBackendTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/StutteringBackendTest.java
@@ -2,24 +2,13 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.OptionalInt;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
-import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.model.Endpoint;
-import io.daisyhoist.core.model.ServiceName;
-import io.daisyhoist.core.time.Deadline;
-import io.daisyhoist.core.time.SystemTimeSource;
-import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
-import io.vertx.core.Context;
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -37,39 +26,16 @@
     private static final int CONCURRENT_REQUESTS = 6;
     private static final int CONNECTIONS = 4;
     private static final double FAULT_SHARE = 0.3;
+    private static final Duration DEADLINE = Duration.ofMillis(200);
 
-    private final Vertx vertx = Vertx.vertx();
-    private final Context context = vertx.getOrCreateContext();
-    private final TimeSource time = new SystemTimeSource();
-    private final BackendHttpClient client =
-            new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, CONNECTIONS, time);
+    private final BackendClientFixture client = new BackendClientFixture(CONNECTIONS);
     private final Semaphore free = new Semaphore(CONCURRENT_REQUESTS);
     private final List<String> mismatches = new CopyOnWriteArrayList<>();
     private final List<String> delivered = new CopyOnWriteArrayList<>();
 
-    private static final class PermissiveObserver implements BackendHttpClient.Observer {
-        @Override
-        public boolean mayBeWritten() {
-            return true;
-        }
-
-        @Override
-        public void onWrite() {
-            // Nothing is recorded.
-        }
-
-        @Override
-        public void onConnectionRefused() {}
-
-        @Override
-        public void onSlowdown(double reported) {
-            // Nothing is recorded.
-        }
-    }
-
     @AfterEach
     void close() {
-        vertx.close();
+        client.close();
     }
 
     /** Guards against taking the second answer to one request for the answer to the next one on the connection. */
@@ -88,15 +54,15 @@
 
     private void assertOwnAnswers(StutteringBackend.When when, StutteringBackend.Part part) throws Exception {
         StutteringBackend backend =
-                new StutteringBackend(vertx, new StutteringBackend.Fault(when, part, FAULT_SHARE), SEED);
+                new StutteringBackend(client.vertx(), new StutteringBackend.Fault(when, part, FAULT_SHARE), SEED);
         Endpoint address = backend.start();
         for (int i = 1; i <= REQUESTS; i++) {
             String id = "request-" + i;
             assertTrue(free.tryAcquire(5, TimeUnit.SECONDS), "requests do not end");
-            context.runOnContext(run -> send(address, id).onComplete(done -> {
+            client.send("GET", id, address, DEADLINE).onComplete(done -> {
                 check(backend, id, done.result());
                 free.release();
-            }));
+            });
         }
         assertTrue(free.tryAcquire(CONCURRENT_REQUESTS, 5, TimeUnit.SECONDS), "requests do not end");
         assertEquals(List.of(), mismatches, "seed " + SEED);
@@ -120,21 +86,4 @@
             mismatches.add(id + " got " + outcome + ", the backend server answered " + given);
         }
     }
-
-    private Future<BackendOutcome> send(Endpoint backend, String id) {
-        BackendRequestData request = new BackendRequestData(
-                id,
-                new ServiceName("s"),
-                OptionalInt.empty(),
-                "GET",
-                "/x",
-                List.of(),
-                Buffer.buffer(),
-                1,
-                Deadline.after(time, Duration.ofMillis(200)),
-                "caller",
-                new BackendProcessId("b", 1),
-                false);
-        return client.send(backend, request, Promise.<Void>promise().future(), new PermissiveObserver());
-    }
 }
