Close the connection of a response that was not accepted

Cause: a reset of the request closes its connection only until the response has ended; these two are judged after that.

Change: a rejected response closes the connection itself.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -211,9 +211,11 @@
         return Optional.empty();
     }
 
+    /** Closes the connection as well, since a reset leaves it open once the response has ended. */
     private void reject(HttpClientResponse response, ResponseFault fault) {
         report(response, fault);
         completeUnknown(UnknownReason.DAMAGED_ANSWER);
+        response.request().connection().close();
     }
 
     private void report(HttpClientResponse response, ResponseFault fault) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
+import io.daisyhoist.mesh.connection.BackendOutcome.Unknown;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
@@ -180,4 +182,34 @@
             }
         }
     }
+
+    /** A response was not accepted. */
+    @Nested
+    class Rejected {
+        /** Guards against a later response on a connection that has carried a damaged one. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 0\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nContent-Length: 4\r\n\r\nbody",
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+                    "HTTP/1.1 200 OK\r\nId: id-9\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbody"
+                })
+        void send_responseIsRejected_connectionIsNotReused(String damaged) {
+            Endpoint backend = startServer(List.of(damaged), List.of(error(2)));
+            assertInstanceOf(Unknown.class, send(1, backend));
+            assertEquals(500, statusOf(send(2, backend)));
+            assertEquals(2, connections.get(), "the damaged connection was reused");
+        }
+
+        @Test
+        void send_responseAfterDeadline_connectionIsNotReused() {
+            int parts = 1 + (int) (DEADLINE.toMillis() / PAUSE.toMillis());
+            List<String> late = Collections.nCopies(parts, "\r\n");
+            Endpoint backend = startServer(late, List.of(error(2)));
+            assertInstanceOf(Unknown.class, send(1, backend));
+            assertEquals(500, statusOf(send(2, backend)));
+            assertEquals(2, connections.get(), "the connection of the late response was reused");
+        }
+    }
 }
