Take no interim response for the final one

Seen: a 101, 102, 104 or 199 with the id of the request was delivered as its answer.

Cause: the HTTP client library handles 100 and 103 only, and nothing else asked whether a status is final.

Change: a response whose status is below 200 is rejected, and so is such an answer of another daemon.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -45,6 +45,7 @@
     static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
 
     private static final int MISDIRECTED_REQUEST = 421;
+    private static final int FIRST_FINAL_STATUS = 200;
 
     private enum Phase {
         WAITING,
@@ -208,6 +209,9 @@
         if (!isResponseToRequest(response)) {
             return Optional.of(ResponseFault.FOREIGN_ID);
         }
+        if (response.statusCode() < FIRST_FINAL_STATUS) {
+            return Optional.of(ResponseFault.INTERIM_STATUS);
+        }
         return Optional.empty();
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -38,6 +38,7 @@
     private static final String REJECTED_BY_BACKEND_PREFIX = "arrived:";
 
     private static final double PERCENT = 100;
+    private static final int FIRST_FINAL_STATUS = 200;
 
     private ForwardCodec() {}
 
@@ -130,8 +131,11 @@
         return Envelope.newBuilder().setForwardResponse(message).build();
     }
 
-    /** Decodes an outcome; unrecognized run states are decoded as an unknown outcome. */
+    /** Decodes an outcome; unrecognized run states and answers without a final status are decoded as an unknown outcome. */
     public static BackendOutcome decode(ForwardResponse message) {
+        if (message.getAnsweredByBackend() && message.getStatus() < FIRST_FINAL_STATUS) {
+            return new Unknown(UnknownReason.DAMAGED_ANSWER);
+        }
         if (message.getAnsweredByBackend()) {
             return new Answered(message.getStatus(), fields(message.getHeadersList()), buffer(message.getBody()));
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
@@ -6,6 +6,8 @@
     FOREIGN_ID,
     /** Its head contains the status line of another response. */
     CONTAINS_STATUS_LINE,
+    /** Its status is that of an interim response, which is followed by another one. */
+    INTERIM_STATUS,
     /** It is a success without a signature. */
     UNSIGNED,
     /** It is a success whose body has a content encoding, which no request asks for. */
