Reject a body that contains the head of another response to the same request

Cause: a length, or the end of the connection, is all that frames such a body; nothing looked at its content.

Change: a body with a status line that is followed by the id of the request is rejected. A body that is only about HTTP is not. A second answer that is cut off before its id stays undetected.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -269,6 +269,10 @@
             reject(response, ResponseFault.ENCODED);
             return;
         }
+        if (ResponseHeads.containsHead(body, request.id())) {
+            reject(response, ResponseFault.BODY_CONTAINS_HEAD);
+            return;
+        }
         complete(new Answered(response.statusCode(), HopByHopHeaders.endToEnd(response.headers()), body));
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
@@ -6,6 +6,8 @@
     FOREIGN_ID,
     /** Its head contains the status line of another response. */
     CONTAINS_STATUS_LINE,
+    /** Its body contains the head of another response to the same request. */
+    BODY_CONTAINS_HEAD,
     /** Its status is that of an interim response, which is followed by another one. */
     INTERIM_STATUS,
     /** It is a success without a signature. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -32,6 +32,9 @@
     private static final String REFUSAL_ID_LAST =
             "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\nId: id-1\r\n\r\n";
 
+    /** Stands for the end of the connection. */
+    private static final String CLOSE = "close";
+
     private final BackendClientFixture client = new BackendClientFixture(4);
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger requests = new AtomicInteger();
@@ -62,7 +65,15 @@
         socket.write(parts.get(0));
         for (int i = 1; i < parts.size(); i++) {
             String part = parts.get(i);
-            client.vertx().setTimer(i * PAUSE.toMillis(), fired -> socket.write(part));
+            client.vertx().setTimer(i * PAUSE.toMillis(), fired -> writeOrClose(socket, part));
+        }
+    }
+
+    private static void writeOrClose(NetSocket socket, String part) {
+        if (part.equals(CLOSE)) {
+            socket.close();
+        } else {
+            socket.write(part);
         }
     }
 
@@ -246,4 +257,40 @@
                             .build()));
         }
     }
+
+    /** A response is cut off in its body, and the backend server begins it once more. */
+    @Nested
+    class CutOffInBody {
+        /** Guards against a body that ends with the head of another response. */
+        @Test
+        void send_bodyCutOffThenOwnFailure_isUnknown() {
+            String head = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 60\r\n\r\npart";
+            assertInstanceOf(Unknown.class, send(1, startServer(List.of(head, error(1)))));
+        }
+
+        /** Guards against a body that contains the same response twice, because only the end of the connection ends it. */
+        @Test
+        void send_bodyWithoutLengthThenSecondResponse_isUnknown() {
+            String response = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nConnection: close\r\n\r\nbody";
+            assertInstanceOf(Unknown.class, send(1, startServer(List.of(response + response, CLOSE))));
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"", "4\r\n", "4\r\nbo", "4\r\nbody", "4\r\nbody\r\n", "4\r\nbody\r\n0", "4\r\nbody\r\n0\r\n"
+                })
+        void send_chunksCutOffThenOwnFailure_isNoSuccess(String chunks) {
+            String head = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+            assertFalse(statusOf(send(1, startServer(List.of(head + chunks, error(1))))) == 200);
+        }
+
+        /** Guards against rejecting a sound response whose body is about HTTP. */
+        @Test
+        void send_bodyWithStatusLineOfAnother_isDelivered() {
+            String body = "log: HTTP/1.1 200 OK";
+            String response = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body;
+            assertEquals(200, statusOf(send(1, startServer(List.of(response)))));
+        }
+    }
 }
