Reject heads with two signatures or refusals

Cause: only the first value of a field was read. Such a head consists of parts of two responses.

Change: a repeated signature or refusal is a fault of the response, as a second id is.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -209,12 +209,19 @@
         if (!isResponseToRequest(response)) {
             return Optional.of(ResponseFault.FOREIGN_ID);
         }
+        if (isRepeated(response, headerNames.signature()) || isRepeated(response, headerNames.notRun())) {
+            return Optional.of(ResponseFault.REPEATED_FIELD);
+        }
         if (response.statusCode() < FIRST_FINAL_STATUS) {
             return Optional.of(ResponseFault.INTERIM_STATUS);
         }
         return Optional.empty();
     }
 
+    private static boolean isRepeated(HttpClientResponse response, String name) {
+        return response.headers().getAll(name).size() > 1;
+    }
+
     /** Closes the connection as well, since a reset leaves it open once the response has ended. */
     private void reject(HttpClientResponse response, ResponseFault fault) {
         report(response, fault);
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
@@ -8,6 +8,8 @@
     CONTAINS_STATUS_LINE,
     /** Its body contains the head of another response to the same request. */
     BODY_CONTAINS_HEAD,
+    /** Its head contains a field more than once that has one value. */
+    REPEATED_FIELD,
     /** Its status is that of an interim response, which is followed by another one. */
     INTERIM_STATUS,
     /** It is a success without a signature. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -293,4 +293,19 @@
             assertEquals(200, statusOf(send(1, startServer(List.of(response)))));
         }
     }
+
+    /** Guards against a head in which fields of two responses stand. */
+    @Nested
+    class RepeatedFields {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nId: id-0\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nSignature: t\r\nContent-Length: 0\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nbodybody9"
+                })
+        void send_fieldTwice_isUnknown(String response) {
+            assertInstanceOf(Unknown.class, send(1, startServer(List.of(response))));
+        }
+    }
 }
