Open a connection for each call of the command line

Seen: a command took a success for the answer to its call although the server had answered with status 500, if the server wrote the answer to an earlier call a second time, whole or cut off.

Cause: BlockingHttpClient kept its connections, and neither the store's documents nor the admin port have ids by which an answer could be told from an earlier one.

Evidence: BlockingHttpClientTest, red before in both cases (200 instead of 500), green now.

Change: connections are not kept. A command makes few calls, and no bytes of an earlier answer can arrive on a new connection.

--- a/cli/src/main/java/io/daisyhoist/cli/client/BlockingHttpClient.java
+++ b/cli/src/main/java/io/daisyhoist/cli/client/BlockingHttpClient.java
@@ -20,7 +20,12 @@
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
 
-/** HTTP client with blocking calls and a timeout for each. Used on the main thread only. */
+/**
+ * HTTP client with blocking calls and a timeout for each. Used on the main thread only.
+ *
+ * <p>Each call opens its own connection: the responses have no ids, so that on a kept connection a second answer to an
+ * earlier call could not be told from the answer to the current one.
+ */
 public final class BlockingHttpClient implements AutoCloseable {
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
 
@@ -55,6 +60,7 @@
                 vertx,
                 new WebClientOptions()
                         .setConnectTimeout((int) timeout.toMillis())
+                        .setKeepAlive(false)
                         .setFollowRedirects(false)
                         .setUserAgent("daisyhoist"));
         return new VertxResources(vertx, client);
