Own mode: accept a response of a backend server only if it is one final message

Seen: no report; found with tests. Callers could get the status 200 of an earlier answer in place of a failure, "not run" (stale fence) for a request that was running, and a 1xx status as the final response.

Bytes of a second answer that is cut off stayed in the decoder of a kept connection and became the beginning of the next head. Only the first of several ids was compared, and a 1xx status was treated like any other.

Change: the client closes a connection on bytes that arrive while no response is expected. A response whose head contains a status line, or any id but one of the own, is FOREIGN_RESPONSE; a 1xx status is INFORMATIONAL_RESPONSE, because another response follows it. The outcome of both is unknown, and the connection is closed. A response without an id whose whole head arrives again in place of the next one remains a known limit.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendClient.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendClient.java
@@ -15,8 +15,9 @@
  *
  * <p>Invariants: a request is written at most once; a request that was reported as not written is never written; a
  * response is delivered only to the call of its request, because a connection carries one request at a time and is
- * closed if its call ends without a complete response. All requests are written by one event loop, so that the write
- * follows the pre-write check immediately. Thread-safe.
+ * closed if its call ends without a complete response, if the response is not accepted, or if bytes arrive between two
+ * requests. The exception is a response without an id whose whole head arrives again in place of the next one. All requests
+ * are written by one event loop, so that the write follows the pre-write check immediately. Thread-safe.
  */
 public final class BackendClient implements AutoCloseable {
     /** Loopback connections open in about 1 ms; a backend server that takes longer is not accepting. */
@@ -42,7 +43,8 @@
         this.context = context;
         this.backend = backend;
         this.time = time;
-        this.client = vertx.createHttpClient(
+        this.client = ConnectionWatch.createClient(
+                vertx,
                 new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                         .setPipelining(false)
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
@@ -40,6 +40,9 @@
     /** Maximum size of a response body; with its headers, it must fit into a frame between daemons. */
     static final int MAX_RESPONSE_BYTES = 1 << 20;
 
+    /** Lower statuses are informational; another response to the same request follows them. */
+    private static final int FIRST_FINAL_STATUS = 200;
+
     private static final int PRECONDITION_FAILED = 412;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -158,10 +161,15 @@
     }
 
     private Future<BackendResult> read(HttpClientResponse response) {
-        String echoedId = response.getHeader(DaisyhoistHeaders.REQUEST_ID);
-        if (echoedId != null && !echoedId.equals(requestId)) {
-            endAfterWrite(UnknownReason.FOREIGN_RESPONSE, "response to request " + echoedId);
-            return Future.failedFuture("response to another request");
+        if (ResponseHeads.containsStatusLine(response)) {
+            return reject(response, UnknownReason.FOREIGN_RESPONSE, "response head contains another status line");
+        }
+        List<String> echoedIds = response.headers().getAll(DaisyhoistHeaders.REQUEST_ID);
+        if (!echoedIds.isEmpty() && !echoedIds.equals(List.of(requestId))) {
+            return reject(response, UnknownReason.FOREIGN_RESPONSE, "response to requests " + echoedIds);
+        }
+        if (response.statusCode() < FIRST_FINAL_STATUS) {
+            return reject(response, UnknownReason.INFORMATIONAL_RESPONSE, "status " + response.statusCode());
         }
         boolean staleFence = response.statusCode() == PRECONDITION_FAILED
                 && "true".equalsIgnoreCase(response.getHeader(DaisyhoistHeaders.STALE_FENCE));
@@ -173,6 +181,16 @@
                 .map(body -> staleFence ? new StaleFence() : new Answered(response.statusCode(), headers, body));
     }
 
+    /**
+     * Ends the exchange and closes the connection, because what follows on it may belong to another request too. Resetting
+     * the request would not close a connection whose response has ended.
+     */
+    private <T> Future<T> reject(HttpClientResponse response, UnknownReason reason, String message) {
+        endAfterWrite(reason, message);
+        response.request().connection().close();
+        return Future.failedFuture(message);
+    }
+
     /**
      * Closes a connection after the current response. A backend server that wrote a refusal once more would otherwise make
      * the next request on it look refused, although it runs.
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendResult.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendResult.java
@@ -22,8 +22,10 @@
         CANCELLED,
         DEADLINE,
         RESPONSE_TOO_LARGE,
-        /** The response contains the id of another request. */
-        FOREIGN_RESPONSE
+        /** The response contains the id or the status line of another response. */
+        FOREIGN_RESPONSE,
+        /** The response has an informational status, which the final response is still to follow. */
+        INFORMATIONAL_RESPONSE
     }
 
     /**
--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/BackendClientTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/BackendClientTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 
 import io.daisyhoist.core.model.Endpoint;
@@ -29,6 +30,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -37,6 +39,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -185,8 +188,17 @@
         }
 
         private BackendClient client(Function<String, List<String>> responsesToHead) throws Exception {
+            return client(new AtomicReference<>(), responsesToHead);
+        }
+
+        /** Creates a client of a server that provides its first connection while it is open. */
+        private BackendClient client(AtomicReference<NetSocket> first, Function<String, List<String>> responsesToHead)
+                throws Exception {
             NetServer server = vertx.createNetServer().connectHandler(socket -> {
-                connections.incrementAndGet();
+                if (connections.incrementAndGet() == 1) {
+                    first.set(socket);
+                    socket.closeHandler(closed -> first.set(null));
+                }
                 socket.handler(bytes -> responsesToHead.apply(bytes.toString()).forEach(socket::write));
             });
             int port = server.listen(0, "127.0.0.1")
@@ -233,6 +245,73 @@
             assertEquals(2, connections.get(), "the damaged connection was reused");
         }
 
+        /** Guards against a success in place of a failure: the beginning of an earlier answer precedes the next one. */
+        @Test
+        void send_partOfEarlierAnswerBeforeOwn_statusIsNotTakenFromIt() throws Exception {
+            String failure = "HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\nfail";
+            String earlier = ok("X-Record: 7\r\n", "earlier");
+            for (int length = 1; length < earlier.length(); length++) {
+                String part = earlier.substring(0, length);
+                requests.set(0);
+                BackendClient client =
+                        client(head -> List.of(requests.incrementAndGet() == 1 ? earlier : part + failure));
+                assertEquals("earlier", bodyOf(send(client, "/first")));
+                BackendResult second = join(client.send(request("/second", Duration.ofMillis(300)), () -> true));
+                boolean success = second instanceof Answered answered && answered.status() == 200;
+                assertFalse(success && !part.contains("\r\n\r\n"), "status of the earlier answer after: " + part);
+                client.close();
+            }
+        }
+
+        /** Guards against taking an answer that arrives between two requests for the second one. */
+        @Test
+        void send_earlierAnswerWrittenAgainWhileUnused_isNotTakenForTheNextAnswer() throws Exception {
+            AtomicReference<NetSocket> first = new AtomicReference<>();
+            BackendClient client = client(first, head -> List.of(ok("", "answer-" + requests.incrementAndGet())));
+            assertEquals("answer-1", bodyOf(send(client, "/first")));
+            first.get().write("HTTP/1.1 200 OK\r\nContent-Len");
+            await().until(() -> first.get() == null);
+            assertEquals("answer-2", bodyOf(send(client, "/second")));
+            assertEquals(2, connections.get(), "the damaged connection was reused");
+        }
+
+        /** Guards against "not run" for a request that is running: the status and the refusal are of an earlier answer. */
+        @Test
+        void send_partOfStaleFenceBeforeOwn_isUnknown() throws Exception {
+            String part = "HTTP/1.1 412 Stale\r\nDaisyhoist-Stale-Fence: true\r\nX-Record: ";
+            BackendClient client = client(head -> List.of(part + ok("", "own")));
+            assertUnknown(UnknownReason.FOREIGN_RESPONSE, send(client, "/first"));
+        }
+
+        /** Guards against a head that consists of two, of which the first one has the own id. */
+        @Test
+        void send_answerWithTwoIds_isUnknown() throws Exception {
+            BackendClient client =
+                    client(head -> List.of(ok(requestId(head) + "\r\nDaisyhoist-Request-Id: other\r\n", "own")));
+            assertUnknown(UnknownReason.FOREIGN_RESPONSE, send(client, "/first"));
+        }
+
+        /** Guards against reusing a connection whose responses belong to other requests. */
+        @Test
+        void send_completeAnswerRejected_closesTheConnection() throws Exception {
+            BackendClient client = client(head ->
+                    List.of(connections.get() == 1 ? ok("Daisyhoist-Request-Id: other\r\n", "other") : ok("", "own")));
+            assertUnknown(UnknownReason.FOREIGN_RESPONSE, send(client, "/first"));
+            assertEquals("own", bodyOf(send(client, "/second")));
+            assertEquals(2, connections.get(), "the damaged connection was reused");
+        }
+
+        /** Guards against taking the final answer that follows an interim one for the answer to the next request. */
+        @ParameterizedTest
+        @ValueSource(ints = {101, 102, 199})
+        void send_informationalStatus_isNotTheFinalAnswer(int status) throws Exception {
+            String interim = "HTTP/1.1 " + status + " Interim\r\nContent-Length: 0\r\n\r\n";
+            BackendClient client =
+                    client(head -> List.of(connections.get() == 1 ? interim : ok("", "answer-" + connections.get())));
+            assertUnknown(UnknownReason.INFORMATIONAL_RESPONSE, send(client, "/first"));
+            assertEquals("answer-2", bodyOf(send(client, "/second")));
+        }
+
         private String bodyOf(BackendCall call) throws Exception {
             return assertInstanceOf(Answered.class, join(call)).body().toString();
         }
