Store client: read a value, a revision or the outcome of a swap only from one final response

Seen: no report; found with tests. A swap whose own response was a conflict was reported as applied, and a read succeeded on a head that consisted of two.

Cause: a head that consists of two was accepted, the first of several ETags counted, bytes that arrived on an unused connection stayed in the decoder, and a connection with a 1xx response was used again while its final response was still to follow.

Change: such responses are rejected, so that a swap is unknown and a read fails, and their connections are closed. The client also closes a connection on bytes that arrive while no response is expected.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/HttpPlatformStore.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/HttpPlatformStore.java
@@ -27,8 +27,8 @@
  * HTTP client of the platform's store, with failover between one or more base URLs.
  *
  * <p>Invariants: a write is sent to another URL only if it was certainly not sent before; a write whose response is
- * lost, late or invalid has an unknown outcome, never a conflict. After a failure, the client switches to the next URL.
- * Thread-safe.
+ * lost, late or invalid has an unknown outcome, never a conflict; a response that is not one final message is invalid, and
+ * its connection is closed. After a failure, the client switches to the next URL. Thread-safe.
  */
 public final class HttpPlatformStore implements PlatformStore, AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -63,7 +63,8 @@
         }
         this.baseUrls = List.copyOf(baseUrls);
         this.time = time;
-        this.client = vertx.createHttpClient(
+        this.client = ConnectionWatch.createClient(
+                vertx,
                 new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
                 new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAIT_QUEUE_SIZE));
     }
@@ -167,7 +168,14 @@
     }
 
     private static Future<StoreResponse> readResponse(HttpClientResponse response) {
-        Optional<String> entityTag = Optional.ofNullable(response.getHeader(HttpHeaders.ETAG));
+        List<String> entityTags = response.headers().getAll(HttpHeaders.ETAG);
+        boolean consistsOfTwo = ResponseHeads.containsStatusLine(response) || entityTags.size() > 1;
+        if (consistsOfTwo || response.statusCode() < OK) {
+            // Resetting the request does not close a connection whose response has ended.
+            response.request().connection().close();
+            return Future.failedFuture("not one final response, status=" + response.statusCode());
+        }
+        Optional<String> entityTag = entityTags.stream().findFirst();
         return response.body().map(body -> new StoreResponse(response.statusCode(), entityTag, body));
     }
 
--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/HttpPlatformStoreTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/HttpPlatformStoreTest.java
@@ -5,9 +5,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.daisyhoist.core.membership.SwapResult;
 import io.daisyhoist.core.time.SystemTimeSource;
@@ -16,11 +19,15 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -173,4 +180,102 @@
         assertEquals(Optional.empty(), join(store.watch("k", 7, wait)));
         assertEquals(7, join(store.watch("k", 6, wait)).orElseThrow().revision());
     }
+
+    /** A faulty server or proxy that writes parts of other responses on the same connection. */
+    @Nested
+    class MixedResponses {
+        private static final String APPLIED =
+                "HTTP/1.1 200 OK\r\nETag: \"5\"\r\nX-Served-By: a\r\nContent-Length: 0\r\n\r\n";
+        private static final String CONFLICT =
+                "HTTP/1.1 412 Precondition Failed\r\nETag: \"9\"\r\nContent-Length: 0\r\n\r\n";
+        private static final String NOT_FOUND = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+        private static final String VALUE_9 = "HTTP/1.1 200 OK\r\nETag: \"9\"\r\nContent-Length: 3\r\n\r\nabc";
+
+        private final AtomicInteger connections = new AtomicInteger();
+        private final AtomicReference<NetSocket> first = new AtomicReference<>();
+
+        /** Creates a store that answers each request with the next response, and the last one to all later requests. */
+        private HttpPlatformStore store(String... responses) throws Exception {
+            connections.set(0);
+            AtomicInteger answered = new AtomicInteger();
+            NetServer server = vertx.createNetServer().connectHandler(socket -> {
+                if (connections.incrementAndGet() == 1) {
+                    first.set(socket);
+                    socket.closeHandler(closed -> first.set(null));
+                }
+                socket.handler(
+                        request -> socket.write(responses[Math.min(responses.length - 1, answered.getAndIncrement())]));
+            });
+            int port = join(server.listen(0, "127.0.0.1")).actualPort();
+            return HttpPlatformStoreTest.this.store("http://127.0.0.1:" + port);
+        }
+
+        /** Guards against a conflict that is reported as applied: its head follows the beginning of an earlier one. */
+        @Test
+        void swap_partOfEarlierResponseBeforeConflict_isUnknown() throws Exception {
+            int headLength = APPLIED.indexOf("\r\n\r\n");
+            for (int length = 1; length < headLength; length++) {
+                String part = APPLIED.substring(0, length);
+                HttpPlatformStore store = store(part + CONFLICT);
+                assertEquals(SwapOutcome.UNKNOWN, join(store.swap("k", 4, VALUE)), "after: " + part);
+                store.close();
+            }
+        }
+
+        /** Guards against reading the revision of one key with the body of another. */
+        @Test
+        void read_partOfEarlierResponseBeforeOwn_fails() throws Exception {
+            String part = APPLIED.substring(0, APPLIED.indexOf("\r\nContent-Length"));
+            HttpPlatformStore store = store(part + VALUE_9, part + NOT_FOUND, VALUE_9);
+            assertReadFails(store);
+            assertReadFails(store);
+            assertEquals(9, join(store.read("k")).orElseThrow().revision());
+            assertEquals(3, connections.get(), "a damaged connection was reused");
+        }
+
+        /** Guards against a revision that is chosen among those of two responses. */
+        @Test
+        void any_twoRevisions_areRejected() throws Exception {
+            String response = "HTTP/1.1 200 OK\r\nETag: \"5\"\r\nETag: \"9\"\r\nContent-Length: 0\r\n\r\n";
+            HttpPlatformStore store = store(response);
+            assertEquals(SwapOutcome.UNKNOWN, join(store.swap("k", 4, VALUE)));
+            assertReadFails(store);
+        }
+
+        /** Guards against taking the final response that follows an interim one for the value of another key. */
+        @Test
+        void read_informationalStatus_closesTheConnection() throws Exception {
+            HttpPlatformStore store = store("HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\n", VALUE_9);
+            assertReadFails(store);
+            assertEquals(9, join(store.read("other")).orElseThrow().revision());
+            assertEquals(2, connections.get(), "the connection still expects a final response");
+        }
+
+        /** Guards against reading the next response behind the beginning of an earlier one. */
+        @Test
+        void read_partOfResponseWhileUnused_closesTheConnection() throws Exception {
+            HttpPlatformStore store = store(VALUE_9);
+            join(store.read("k"));
+            first.get().write("HTTP/1.1 200 OK\r\nETa");
+            await().until(() -> first.get() == null);
+            assertEquals(9, join(store.read("k")).orElseThrow().revision());
+        }
+
+        /** Guards against reusing a connection on which a rejected response has ended before it was checked. */
+        @Test
+        void read_rejectedOnAnotherEventLoop_closesTheConnection() throws Exception {
+            HttpPlatformStore store = store(VALUE_9, "HTTP/1.1 200 OK\r\nETag: \"5\"\r\nX-Served-By: " + VALUE_9);
+            join(store.read("k"));
+            // Each thread has its own event loop, but the threads share the connections.
+            Future<?> other =
+                    CompletableFuture.supplyAsync(() -> store.read("other")).join();
+            assertThrows(ExecutionException.class, () -> join(other));
+            await().until(() -> first.get() == null);
+            assertEquals(1, connections.get(), "the threads did not share the connection");
+        }
+
+        private void assertReadFails(HttpPlatformStore store) {
+            assertThrows(ExecutionException.class, () -> join(store.read("k")));
+        }
+    }
 }
