Peer client: process nothing after a rejected frame, and end a connection on the hello of another process

Seen: no report; found with tests. A call was answered from the bytes that followed an undecodable frame, and after the connection had announced another process.

Cause: the frame decoder passes on all frames of one read even after the first one has closed the channel. The server side checks for that, the client side did not. A second hello was checked for its cluster and version, but not for its process.

Evidence: PeerClientTest.call_undecodableFrameBeforeReply_isNotAnswered and call_helloOfAnotherProcess_connectionIsClosed, both red before.

Change: messages on a closed channel are dropped, and a hello of another process closes the connection, as on the server side. The pending calls fail as ones that may have been sent.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClientHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClientHandler.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.wire.proto.CancelRequest;
 import io.daisyhoist.wire.proto.Envelope;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,10 +18,10 @@
 /**
  * Client side of one TCP connection.
  *
- * <p>Invariants: a reply completes only the pending call with its id; replies to finished calls are dropped; when the
- * connection is lost, every pending call fails as one that may have been sent; while the peer does not respond, no further
- * call is accepted, and only calls that may not be repeated wait for their replies. Confined to the connection's event
- * loop.
+ * <p>Invariants: all replies come from the process whose hello was accepted first; a reply completes only the pending call
+ * with its id; replies to finished calls are dropped; when the connection is lost, every pending call fails as one that may
+ * have been sent; while the peer does not respond, no further call is accepted, and only calls that may not be repeated wait
+ * for their replies. Confined to the connection's event loop.
  */
 final class PeerClientHandler extends SimpleChannelInboundHandler<Envelope> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -48,7 +49,7 @@
     private final Map<Long, PeerCall> pending = new HashMap<>();
     private Optional<ChannelHandlerContext> context = Optional.empty();
     private Optional<String> closeReason = Optional.empty();
-    private boolean helloReceived;
+    private Optional<ProcessId> peer = Optional.empty();
     private int unansweredProbes;
     private boolean silent;
 
@@ -119,7 +120,7 @@
         active.executor()
                 .schedule(
                         () -> {
-                            if (!helloReceived) {
+                            if (peer.isEmpty()) {
                                 close("no hello from the peer");
                             }
                         },
@@ -130,13 +131,13 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext channelContext, Envelope message) {
+        // Frames that were decoded together with a rejected one must not be processed.
+        if (!channelContext.channel().isActive()) {
+            return;
+        }
         unansweredProbes = 0;
-        if (message.hasHello() || !helloReceived) {
-            identity.requireCompatible(message);
-            if (!helloReceived) {
-                helloReceived = true;
-                listener.onReady(this);
-            }
+        if (message.hasHello() || peer.isEmpty()) {
+            handleHello(message);
             return;
         }
         PeerCall call = pending.remove(message.getRequestId());
@@ -148,13 +149,25 @@
         closeIfSilentAndUnused();
     }
 
+    private void handleHello(Envelope message) {
+        ProcessId sender = identity.requireCompatible(message);
+        if (peer.isEmpty()) {
+            peer = Optional.of(sender);
+            listener.onReady(this);
+            return;
+        }
+        if (!peer.get().equals(sender)) {
+            throw new PeerProtocolException("hello of another process on the same connection");
+        }
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext channelContext, Object event) throws Exception {
         if (!(event instanceof IdleStateEvent)) {
             super.userEventTriggered(channelContext, event);
             return;
         }
-        if (!helloReceived || silent) {
+        if (peer.isEmpty() || silent) {
             return;
         }
         if (pending.isEmpty()) {
--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/PeerClientTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/PeerClientTest.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.daemon.connection;
 
+import java.io.ByteArrayOutputStream;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -14,7 +15,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.wire.proto.Envelope;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -256,10 +259,7 @@
                         assertLaterCallUses(second, endpoint, caller);
                     }
                     Envelope request = readForwardRequest(first);
-                    PeerNode.response("late").toBuilder()
-                            .setRequestId(request.getRequestId())
-                            .build()
-                            .writeDelimitedTo(first.getOutputStream());
+                    replyTo(request, "late").writeDelimitedTo(first.getOutputStream());
                     assertEquals(
                             "late",
                             waiting.get(5, TimeUnit.SECONDS)
@@ -290,6 +290,49 @@
             }
         }
 
+        /** Guards against processing frames that were decoded together with a rejected one. */
+        @Test
+        void call_undecodableFrameBeforeReply_isNotAnswered() throws Exception {
+            try (ServerSocket damaged = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+                Endpoint endpoint = new Endpoint("127.0.0.1", damaged.getLocalPort());
+                CompletableFuture<Envelope> call =
+                        caller().client.call(endpoint, PeerChannel.TRAFFIC, PeerNode.request("r"), LONG_TIMEOUT);
+                try (Socket accepted = damaged.accept()) {
+                    replyToHello(accepted);
+                    ByteArrayOutputStream frames = new ByteArrayOutputStream();
+                    frames.write(new byte[] {3, -1, -1, -1});
+                    replyTo(readForwardRequest(accepted), "reply").writeDelimitedTo(frames);
+                    accepted.getOutputStream().write(frames.toByteArray());
+                    assertFailure(PeerException.Reason.CONNECTION_LOST, DeliveryCertainty.MAY_HAVE_BEEN_SENT, call);
+                }
+            }
+        }
+
+        /** Guards against a reply of another process than the one that received the request. */
+        @Test
+        void call_helloOfAnotherProcess_connectionIsClosed() throws Exception {
+            try (ServerSocket mixed = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+                Endpoint endpoint = new Endpoint("127.0.0.1", mixed.getLocalPort());
+                CompletableFuture<Envelope> call =
+                        caller().client.call(endpoint, PeerChannel.TRAFFIC, PeerNode.request("r"), LONG_TIMEOUT);
+                try (Socket accepted = mixed.accept()) {
+                    replyToHello(accepted);
+                    Envelope request = readForwardRequest(accepted);
+                    PeerIdentity other = new PeerIdentity("test", new ProcessId(new DaemonId("other"), 1));
+                    other.hello().writeDelimitedTo(accepted.getOutputStream());
+                    replyTo(request, "reply").writeDelimitedTo(accepted.getOutputStream());
+                    assertFailure(PeerException.Reason.CONNECTION_LOST, DeliveryCertainty.MAY_HAVE_BEEN_SENT, call);
+                    assertEquals(-1, readToEnd(accepted), "the connection stayed open");
+                }
+            }
+        }
+
+        private Envelope replyTo(Envelope request, String text) {
+            return PeerNode.response(text).toBuilder()
+                    .setRequestId(request.getRequestId())
+                    .build();
+        }
+
         private void assertLaterCallUses(Socket connection, Endpoint endpoint, PeerNode caller) throws Exception {
             caller.client.send(endpoint, PeerChannel.TRAFFIC, PeerNode.request("later"));
             Envelope later = readForwardRequest(connection);
