Client port: never write an informational status as the final response

Seen: no report; found with tests. A 1xx status was written to the client, which waits for another response after it and could take the one to its next request.

Cause: statuses were written as they came. The codec between daemons rejects them; a response of the local backend server was not checked.

Evidence: EdgeServerTest.get_statusIsNotFinal_isUnknown with 0, 101, 102 and 199, all four red before.

Change: such a response is replaced by a refusal with an unknown outcome.

--- a/daemon/src/main/java/io/daisyhoist/daemon/request/ResponseWriter.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/ResponseWriter.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import io.daisyhoist.core.error.Refusal;
+import io.daisyhoist.core.error.RefusalCode;
 import io.daisyhoist.daemon.connection.DaisyhoistHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
 import io.vertx.core.http.HttpHeaders;
@@ -10,13 +11,28 @@
 
 /** Writes responses to clients. Stateless. */
 final class ResponseWriter {
+    /** A client waits for another response after a lower status. */
+    private static final int FIRST_FINAL_STATUS = 200;
+
     private ResponseWriter() {}
 
-    /** Writes a response, unless the client has disconnected or a response was already written. */
+    /**
+     * Writes a response, unless the client has disconnected or a response was already written. A response whose status is not
+     * final is replaced by a refusal.
+     */
     static void write(HttpServerResponse http, OutboundResponse response) {
         if (http.ended() || http.closed()) {
             return;
         }
+        if (response.status() < FIRST_FINAL_STATUS) {
+            writeFinal(
+                    http, Refusals.unknown(RefusalCode.BACKEND_LOST, "status " + response.status() + " is not final"));
+            return;
+        }
+        writeFinal(http, response);
+    }
+
+    private static void writeFinal(HttpServerResponse http, OutboundResponse response) {
         http.setStatusCode(response.status());
         for (HttpField field : response.headers()) {
             http.headers().add(field.name(), field.value());
--- a/daemon/src/test/java/io/daisyhoist/daemon/request/EdgeServerTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/request/EdgeServerTest.java
@@ -173,6 +173,16 @@
             assertTrue(response.contains("Daisyhoist-Run: unknown"), response);
         }
 
+        /** Guards against a client that takes the response to its next request for the final one to this request. */
+        @ParameterizedTest
+        @ValueSource(ints = {0, 101, 102, 199})
+        void get_statusIsNotFinal_isUnknown(int status) throws Exception {
+            handlerResult = Future.succeededFuture(OutboundResponse.ran(status, List.of(), Buffer.buffer("ok")));
+            String response = request("GET /s/pickup/k/a/x");
+            assertTrue(response.startsWith("HTTP/1.1 " + RefusalCode.BACKEND_LOST.httpStatus() + " "), response);
+            assertTrue(response.contains("Daisyhoist-Run: unknown"), response);
+        }
+
         @Test
         void get_clientDisconnected_cancels() throws Exception {
             Promise<OutboundResponse> never = Promise.promise();
