Send an id once on a connection

Cause: an answer is recognized by its id, which says nothing if the connection has carried the same id before. One request is sent to a process once, but a client or a backend server may repeat an id.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -53,8 +53,8 @@
                         .setHttp1MaxSize(maxConnections)
                         .setMaxWaitQueueSize(MAX_QUEUED_PER_CONNECTION * maxConnections),
                 (localPort, responses, bytes) -> unsolicitedReads++);
-        this.exchangeDependencies =
-                new BackendHttpExchange.Dependencies(context, client, responseBudget, headerNames, time);
+        this.exchangeDependencies = new BackendHttpExchange.Dependencies(
+                context, client, responseBudget, new SentRequestIds(), headerNames, time);
     }
 
     /** Returns the number of bytes that responses hold while they are read. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -56,6 +56,7 @@
     private final Context context;
     private final HttpClient client;
     private final BodyBudget responseBudget;
+    private final SentRequestIds sentRequestIds;
     private final HeaderNames headerNames;
     private final TimeSource time;
     private final Endpoint backend;
@@ -71,11 +72,17 @@
      * @param context traffic event loop
      * @param client HTTP client with its connection pool
      * @param responseBudget memory for the bodies of responses
+     * @param sentRequestIds ids of the requests that were sent on each connection
      * @param headerNames names of header fields
      * @param time clock
      */
     record Dependencies(
-            Context context, HttpClient client, BodyBudget responseBudget, HeaderNames headerNames, TimeSource time) {}
+            Context context,
+            HttpClient client,
+            BodyBudget responseBudget,
+            SentRequestIds sentRequestIds,
+            HeaderNames headerNames,
+            TimeSource time) {}
 
     BackendHttpExchange(
             Dependencies dependencies,
@@ -85,6 +92,7 @@
         this.context = dependencies.context();
         this.client = dependencies.client();
         this.responseBudget = dependencies.responseBudget();
+        this.sentRequestIds = dependencies.sentRequestIds();
         this.headerNames = dependencies.headerNames();
         this.time = dependencies.time();
         this.backend = backend;
@@ -112,6 +120,10 @@
             completeUnknown(UnknownReason.DEADLINE);
         });
         result.future().onComplete(done -> context.owner().cancelTimer(timer));
+        connect();
+    }
+
+    private void connect() {
         RequestOptions options = new RequestOptions()
                 .setServer(SocketAddress.inetSocketAddress(backend.port(), backend.host()))
                 .setHost(backend.host())
@@ -138,6 +150,12 @@
             connectedRequest.reset();
             return;
         }
+        if (!sentRequestIds.add(connectedRequest.connection(), request.id())) {
+            // A late response to the earlier request could not be told from the one to this request.
+            connectedRequest.connection().close();
+            connect();
+            return;
+        }
         try {
             setHeaders(connectedRequest);
         } catch (IllegalArgumentException e) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
@@ -308,4 +309,29 @@
             assertInstanceOf(Unknown.class, send(1, startServer(List.of(response))));
         }
     }
+
+    /** A request is sent again with the same id, and the response to its first send comes once more. */
+    @Nested
+    class SameIdAgain {
+        /** Guards against a success, a failure or "not run" that belongs to the earlier send. */
+        @ParameterizedTest
+        @ValueSource(strings = {OK, REFUSAL_ID_LAST})
+        void send_earlierResponseWrittenAgain_isNotTheSecondOne(String earlier) {
+            AtomicReference<NetSocket> first = new AtomicReference<>();
+            NetServer server = client.vertx()
+                    .createNetServer()
+                    .connectHandler(socket -> socket.handler(bytes -> {
+                        if (first.compareAndSet(null, socket)) {
+                            socket.write(earlier);
+                            return;
+                        }
+                        first.get().write(earlier);
+                        socket.write(error(1));
+                    }));
+            BackendClientFixture.await(server.listen(0, "127.0.0.1"));
+            Endpoint backend = new Endpoint("127.0.0.1", server.actualPort());
+            send(1, backend);
+            assertEquals(500, statusOf(send(1, backend)));
+        }
+    }
 }
