Compare the id of an answer with the request once more before it goes to the client

The id of an answer was compared at the daemon that sends to the backend server only.

Change: an answer with a foreign id is replaced by a 502 and logged as foreign_response. ClientServerTest. request_answerWithForeignId_isUnknown failed before (200).

--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -179,7 +179,20 @@
                 clientClosed);
         return new RequestDispatch(
                         context, request, serviceSelector.next(config.get().version(), route.get()))
-                .start();
+                .start()
+                .map(clientResponse -> requireOwn(id, clientResponse));
+    }
+
+    /** Replaces a response that contains the id of another request, wherever the two were confused. */
+    private ClientResponse requireOwn(String id, ClientResponse clientResponse) {
+        boolean foreign = clientResponse.headers().stream()
+                .filter(field -> field.name().equalsIgnoreCase(headerNames.requestId()))
+                .anyMatch(field -> !field.value().equals(id));
+        if (!foreign) {
+            return clientResponse;
+        }
+        LOGGER.atSevere().log("event=foreign_response request=%s status=%d", id, clientResponse.status());
+        return ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN);
     }
 
     private Future<ClientResponse> refuse(HttpServerRequest http, String reason, ClientResponse clientResponse) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -32,6 +32,7 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.connection.HttpField;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.TestHeaderNames;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
@@ -63,6 +64,7 @@
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final TimeSource time = new SystemTimeSource();
     private final AtomicInteger sends = new AtomicInteger();
+    private List<HttpField> responseHeaders = List.of();
     private Buffer responseBody = Buffer.buffer("body");
     private FleetSnapshot fleet = WITHOUT_ROUTES;
     private final ClientServer server = new ClientServer(vertx, context(), TestHeaderNames.NAMES);
@@ -85,7 +87,7 @@
                 SERVICE,
                 (member, request, queueWait, cancelled) -> {
                     sends.incrementAndGet();
-                    return Future.succeededFuture(new Answered(200, List.of(), responseBody));
+                    return Future.succeededFuture(new Answered(200, responseHeaders, responseBody));
                 },
                 new LoadBalancer(time, new SplittableRandom(1), new AvailabilityZone("z")),
                 new FleetRetryBudget(time, 0.2, 50, Duration.ofSeconds(10)),
@@ -217,6 +219,15 @@
         }
     }
 
+    /** Guards against delivering an answer to another request that a daemon or a connection has confused with this one. */
+    @Test
+    void request_answerWithForeignId_isUnknown() throws Exception {
+        fleet = withRoute();
+        responseHeaders = List.of(new HttpField("Id", "2"));
+        assertTrue(statusLine(sendRequest("1")).contains("502"));
+        assertTrue(statusLine(sendRequest("2")).contains("200"));
+    }
+
     /** Guards against a process exit that cuts off a response which its client is still reading. */
     @Test
     void inFlight_responseNotReadCompletely_isCounted() throws Exception {
