Answer the client when a header field of an answer cannot be written

Seen: an answer with a header field that the HTTP server refuses to write left the client without any answer on an open connection, while request_done reported a 200 (found while reading the paths of answers; a daemon's decoder refuses such fields, so that it takes a faulty daemon to cause it).

Cause: the exception left the write unfinished.

Change: the client gets a 502. ClientServerTest.request_answerWithInvalidHeader_isUnknown failed before (no answer within 2 s).

--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -257,6 +257,20 @@
         if (response.ended() || response.closed()) {
             return Future.succeededFuture();
         }
+        try {
+            fillHead(http, clientResponse);
+        } catch (IllegalArgumentException e) {
+            // A header field that a daemon sent cannot be written.
+            LOGGER.atWarning().withCause(e).log("event=response_invalid uri=%s", http.uri());
+            response.headers().clear();
+            fillHead(http, ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN));
+            return response.end();
+        }
+        return response.end(clientResponse.body());
+    }
+
+    private void fillHead(HttpServerRequest http, ClientResponse clientResponse) {
+        HttpServerResponse response = http.response();
         response.setStatusCode(clientResponse.status());
         clientResponse.headers().forEach(field -> response.headers().add(field.name(), field.value()));
         clientResponse
@@ -266,6 +280,5 @@
         if (plannedExit.isPresent() || !http.isEnded()) {
             response.putHeader("Connection", "close");
         }
-        return response.end(clientResponse.body());
     }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -228,6 +228,18 @@
         assertTrue(statusLine(sendRequest("2")).contains("200"));
     }
 
+    /** Guards against a client that never gets an answer, because a header field of it cannot be written. */
+    @Test
+    void request_answerWithInvalidHeader_isUnknown() throws Exception {
+        fleet = withRoute();
+        responseHeaders = List.of(new HttpField("name", "line\nbreak"));
+        try (Socket client = sendRequest("1")) {
+            client.setSoTimeout(2_000);
+            assertTrue(statusLine(client).contains("502"));
+        }
+        assertEquals(0, server.inFlight());
+    }
+
     /** Guards against a process exit that cuts off a response which its client is still reading. */
     @Test
     void inFlight_responseNotReadCompletely_isCounted() throws Exception {
