Reject a body without a length that contains the beginning of another response

Cause: the head of another response counted only if the id of the request follows it; a second answer that the end of the connection cuts off does not get that far.

Change: in a body that only the end of its connection ends, a status line with its line end is enough. Bodies with a length or in chunks are checked as before, so that those about HTTP are sound. A second answer that is cut off within its status line still goes unseen. JoinedResponsesTest.CutOffInBody.send_bodyWithoutLengthThenPartOfSecondResponse_isUnknown failed before.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -294,7 +294,7 @@
             reject(response, ResponseFault.ENCODED);
             return;
         }
-        if (ResponseHeads.containsHead(body, request.id())) {
+        if (ResponseHeads.containsHead(response, body, request.id())) {
             reject(response, ResponseFault.BODY_CONTAINS_HEAD);
             return;
         }
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -285,6 +285,14 @@
             assertFalse(statusOf(send(1, startServer(List.of(head + chunks, error(1))))) == 200);
         }
 
+        /** Guards against a body that takes in the beginning of a second response, because nothing else ends it. */
+        @Test
+        void send_bodyWithoutLengthThenPartOfSecondResponse_isUnknown() {
+            String head = "HTTP/1.1 200 OK\r\nSignature: s\r\nId: id-1\r\nConnection: close\r\n\r\n";
+            String second = "HTTP/1.1 200 OK\r\nSignature: s\r\nId";
+            assertInstanceOf(Unknown.class, send(1, startServer(List.of(head + "body" + second, CLOSE))));
+        }
+
         /** Guards against rejecting a sound response whose body is about HTTP. */
         @Test
         void send_bodyWithStatusLineOfAnother_isDelivered() {
