Watch the bytes directly in front of the HTTP decoder

The handler was the first of the pipeline, so that on a TLS connection it would have judged encrypted records. No client uses TLS today. It is added in front of the decoder, as its doc asks for.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -52,8 +53,8 @@
         ChannelHandlerContext httpHandler = context(connection);
         UnsolicitedBytesHandler bytesHandler = new UnsolicitedBytesHandler(httpHandler.channel(), listener);
         ChannelPipeline pipeline = httpHandler.pipeline();
-        // The first handler sees bytes before they are decoded, the second one decoded messages.
-        pipeline.addFirst(bytesHandler);
+        // One handler sees the bytes that the decoder reads, and the other one the messages that it makes of them.
+        pipeline.addBefore(pipeline.context(HttpClientCodec.class).name(), null, bytesHandler);
         pipeline.addBefore(httpHandler.name(), null, new ResponseEndHandler(bytesHandler));
     }
 
