Take a failed or local end of a connection for no end of a response

A response that is reset on its way is not complete.

Cause: a failed write closes the channel without an exception, and the HTTP decoder takes each end of the connection for the end of such a response. Closing the client in the middle of one had the same effect.

Change: the handler in front of the decoder reports an exception first if this side closes the connection, or a write has failed, while a response is in progress. Only an end that the peer sends ends a response. It holds for all clients of ConnectionWatch.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseEndHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseEndHandler.java
@@ -8,8 +8,8 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Reports the end of each final response on a connection to the handler of its bytes, and drops messages that it calls
- * unsolicited. Confined to the connection's event loop.
+ * Reports the beginning and the end of each response on a connection to the handler of its bytes, and drops messages that it
+ * calls unsolicited. Confined to the connection's event loop.
  */
 final class ResponseEndHandler extends ChannelInboundHandlerAdapter {
     private final UnsolicitedBytesHandler bytesHandler;
@@ -28,6 +28,7 @@
         }
         if (message instanceof HttpResponse response) {
             informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            bytesHandler.onResponseBegin();
         }
         // Before the message is passed on, because the next request may be written while it is handled.
         if (message instanceof LastHttpContent && !informational) {
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.daemon.connection;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
@@ -13,7 +14,8 @@
  * Closes a client connection when bytes arrive while no response is expected, as RFC 9112, section 9.2, asks for.
  *
  * <p>Invariants: such bytes never reach the HTTP decoder; what was read together with the end of a response is no part of a
- * response to a request that was written later. The next handler must be the decoder. Confined to the connection's event loop.
+ * response to a request that was written later; a connection that was not closed by its peer does not end a response. The next
+ * handler must be the decoder. Confined to the connection's event loop.
  */
 final class UnsolicitedBytesHandler extends ChannelDuplexHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -24,12 +26,17 @@
     /** Initially set, because the first request may be written before the handler is added. */
     private boolean responseExpected = true;
 
+    private boolean responseInProgress;
+
     /** Whether a response has ended with the bytes that are being decoded. */
     private boolean endedInThisRead;
 
     /** Whether the decoder has kept bytes of an earlier read, and may have merged others with them since. */
     private boolean decoderMayHoldBytes;
 
+    /** Whether the connection is closed by this side, or because a write failed, and not by its peer. */
+    private boolean failed;
+
     private int responses;
 
     UnsolicitedBytesHandler(Channel channel, ConnectionWatch.Listener listener) {
@@ -41,8 +48,13 @@
         return responses;
     }
 
+    void onResponseBegin() {
+        responseInProgress = true;
+    }
+
     void onResponseEnd() {
         responseExpected = false;
+        responseInProgress = false;
         endedInThisRead = true;
         responses++;
     }
@@ -61,7 +73,27 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
         responseExpected = true;
-        super.write(context, message, promise);
+        ChannelPromise watched = promise.unvoid();
+        watched.addListener(written -> failed |= !written.isSuccess());
+        super.write(context, message, watched);
+    }
+
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) throws Exception {
+        failed = true;
+        super.close(context, promise);
+    }
+
+    /**
+     * Reports a failure before the decoder sees the end of the connection, which it would take for the end of a response
+     * without a length.
+     */
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        if (failed && responseInProgress) {
+            context.fireExceptionCaught(new ClosedChannelException());
+        }
+        super.channelInactive(context);
     }
 
     @Override
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
@@ -59,6 +59,10 @@
 
     /** Sends a request without a body. */
     Future<BackendOutcome> send(String method, String id, Endpoint backend, Duration deadline) {
+        return send(method, id, backend, deadline, Buffer.buffer());
+    }
+
+    Future<BackendOutcome> send(String method, String id, Endpoint backend, Duration deadline, Buffer body) {
         BackendRequestData request = new BackendRequestData(
                 id,
                 new ServiceName("s"),
@@ -66,7 +70,7 @@
                 method,
                 "/x",
                 List.of(),
-                Buffer.buffer(),
+                body,
                 1,
                 Deadline.after(time, deadline),
                 "caller",
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -1,5 +1,9 @@
 package io.daisyhoist.mesh.connection;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Collections;
@@ -12,6 +16,8 @@
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.Unknown;
 import io.daisyhoist.wire.proto.ForwardResponse;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
@@ -303,6 +309,34 @@
         }
     }
 
+    /** The connection ends in the middle of a response that only its end delimits. */
+    @Nested
+    class Reset {
+        private static final int CLIENTS = 20;
+
+        /** Guards against taking a reset for the end of a body, if a failed write is the first that notices it. */
+        @Test
+        void send_resetWhileRequestIsWritten_isNoSuccess() throws Exception {
+            try (ServerSocket server = new ServerSocket(0, CLIENTS, InetAddress.getLoopbackAddress())) {
+                Endpoint backend = new Endpoint("127.0.0.1", server.getLocalPort());
+                for (int i = 1; i <= CLIENTS; i++) {
+                    Future<BackendOutcome> outcome =
+                            client.send("POST", "id-" + i, backend, DEADLINE, Buffer.buffer(new byte[8 << 20]));
+                    try (Socket socket = server.accept()) {
+                        socket.setSoLinger(true, 0);
+                        socket.getInputStream().read(new byte[1 << 16]);
+                        String head =
+                                "HTTP/1.1 200 OK\r\nId: id-" + i + "\r\nSignature: s\r\nConnection: close\r\n\r\n";
+                        socket.getOutputStream().write((head + "part").getBytes(StandardCharsets.US_ASCII));
+                        // The client reads the part while it waits to write the rest of its request.
+                        Thread.sleep(PAUSE.toMillis());
+                    }
+                    assertFalse(statusOf(BackendClientFixture.await(outcome)) == 200, "request " + i);
+                }
+            }
+        }
+    }
+
     /** Guards against a head in which fields of two responses stand. */
     @Nested
     class RepeatedFields {
