Recognize a body that another response has filled up by its head, not by the own id alone

Seen in review: a body that was cut off and filled up by a response to another request, or by the beginning of one, was delivered as a whole success; a refusal that was cut off and filled up by the own success was "not run"; and a sound body that quotes the own id and a status line was rejected (JoinedResponsesTest.CutOffInBody: five cases failed before).

Cause: the check looked for the own id anywhere behind a status line.

Change: a head is a status line that is followed by the header field of a request's id, whichever it names. Where the length cuts the head off before that field, the rest of it follows the response: a body with a status line is delivered only if no bytes follow that were read with its end. Refusals are checked as well. A status line may contain the spaces that the decoder accepts. Bodies that are not about HTTP are no longer copied for the check.

What remains: a head that is cut off where its body ends, with nothing behind it, looks like a sound body.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
@@ -65,6 +65,13 @@
                 .map(UnsolicitedBytesHandler::responses);
     }
 
+    /** Returns whether bytes have arrived on a watched connection that belong to no request. */
+    public static boolean hasSeenUnsolicitedBytes(HttpConnection connection) {
+        return Optional.ofNullable(context(connection).pipeline().get(UnsolicitedBytesHandler.class))
+                .map(UnsolicitedBytesHandler::hasSeenUnsolicitedBytes)
+                .orElse(false);
+    }
+
     private static ChannelHandlerContext context(HttpConnection connection) {
         return ((HttpClientConnectionInternal) connection).channelHandlerContext();
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseHeads.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseHeads.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 import io.vertx.core.buffer.Buffer;
@@ -12,7 +11,11 @@
 /** Checks whether an HTTP response consists of parts of several ones. Stateless. */
 public final class ResponseHeads {
     private static final String PROTOCOL = "HTTP/";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d +\\d{3}");
+    private static final byte[] PROTOCOL_BYTES = PROTOCOL.getBytes(StandardCharsets.US_ASCII);
+
+    /** The spaces are those that the HTTP decoder accepts between the parts of a status line. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d[ \\t\\x0b\\f\\r]+\\d{3}");
+
     private static final Pattern STATUS_LINE_WITH_END = Pattern.compile(STATUS_LINE.pattern() + "[^\\r\\n]*\\r\\n");
 
     private ResponseHeads() {}
@@ -35,26 +38,40 @@
         return false;
     }
 
+    private static boolean containsStatusLine(String text) {
+        return text != null
+                && text.contains(PROTOCOL)
+                && STATUS_LINE.matcher(text).find();
+    }
+
+    /** Returns whether a status line stands in a body. Sound bodies about HTTP contain one as well. */
+    public static boolean containsStatusLine(Buffer body) {
+        int start = indexOfProtocol(body);
+        return start >= 0 && STATUS_LINE.matcher(text(body)).find(start);
+    }
+
     /**
-     * Returns whether a body contains the head of another response to the same request.
+     * Returns whether a body contains the head of another response.
      *
-     * <p>The body was then cut off, and the response was begun once more. In a body whose end is known, the head counts only
-     * if the id of the request follows it, so that bodies about HTTP are sound. A body that ends with its connection takes in
-     * whatever follows it, also a head that is cut off before its id.
+     * <p>The body was then cut off, and another response was written behind it. In a body whose end is known, a head is a
+     * status line that is followed by the header field of a request's id, so that bodies about HTTP are sound. A body that
+     * ends with its connection takes in whatever follows it, and a whole status line is enough.
      *
-     * @param id id of the request, which the backend server repeats in its responses
+     * @param idName name of the header field that contains the id of a request
      */
-    public static boolean containsHead(HttpClientResponse response, Buffer body, String id) {
-        String text = body.toString(StandardCharsets.ISO_8859_1);
-        int start = text.indexOf(PROTOCOL);
+    public static boolean containsHead(HttpClientResponse response, Buffer body, String idName) {
+        int start = indexOfProtocol(body);
         if (start < 0) {
             return false;
         }
+        String text = text(body);
         if (!isFramed(response)) {
             return STATUS_LINE_WITH_END.matcher(text).find(start);
         }
-        Matcher statusLine = STATUS_LINE.matcher(text);
-        return statusLine.find(start) && text.indexOf(id, statusLine.end()) >= 0;
+        String idField = "\\r\\n" + Pattern.quote(idName) + ":";
+        Pattern head =
+                Pattern.compile(STATUS_LINE.pattern() + ".*?" + idField, Pattern.DOTALL | Pattern.CASE_INSENSITIVE);
+        return head.matcher(text).find(start);
     }
 
     private static boolean isFramed(HttpClientResponse response) {
@@ -62,9 +79,26 @@
                 || response.getHeader(HttpHeaders.TRANSFER_ENCODING) != null;
     }
 
-    private static boolean containsStatusLine(String text) {
-        return text != null
-                && text.contains(PROTOCOL)
-                && STATUS_LINE.matcher(text).find();
+    private static String text(Buffer body) {
+        return body.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Avoids a copy of bodies that are not about HTTP. */
+    private static int indexOfProtocol(Buffer body) {
+        for (int i = 0; i <= body.length() - PROTOCOL_BYTES.length; i++) {
+            if (startsWithProtocol(body, i)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private static boolean startsWithProtocol(Buffer body, int start) {
+        for (int i = 0; i < PROTOCOL_BYTES.length; i++) {
+            if (body.getByte(start + i) != PROTOCOL_BYTES[i]) {
+                return false;
+            }
+        }
+        return true;
     }
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
@@ -37,6 +37,7 @@
     /** Whether the connection is closed by this side, or because a write failed, and not by its peer. */
     private boolean failed;
 
+    private boolean unsolicitedBytesSeen;
     private int responses;
 
     UnsolicitedBytesHandler(Channel channel, ConnectionWatch.Listener listener) {
@@ -48,6 +49,10 @@
         return responses;
     }
 
+    boolean hasSeenUnsolicitedBytes() {
+        return unsolicitedBytesSeen;
+    }
+
     void onResponseBegin() {
         responseInProgress = true;
     }
@@ -144,6 +149,7 @@
         LOGGER.atWarning().log(
                 "event=unsolicited_bytes remote=%s local_port=%d responses=%d bytes=%d outcome=closed",
                 channel.remoteAddress(), localPort, responses, bytes);
+        unsolicitedBytesSeen = true;
         listener.onUnsolicitedBytes(localPort, responses, bytes);
         channel.close();
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -20,6 +20,7 @@
 import io.daisyhoist.mesh.connection.BackendOutcome.Unknown;
 import io.daisyhoist.mesh.connection.BackendOutcome.UnknownReason;
 import io.netty.channel.ConnectTimeoutException;
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -207,10 +208,7 @@
         }
         if (isRefusal(response)) {
             return readBody(response).transform(read -> {
-                complete(new NotRun(NotRunReason.REJECTED, true, Duration.ZERO));
-                if (read.failed()) {
-                    response.request().reset();
-                }
+                completeRefusal(response, read);
                 return Future.succeededFuture();
             });
         }
@@ -220,6 +218,17 @@
         });
     }
 
+    private void completeRefusal(HttpClientResponse response, AsyncResult<Buffer> read) {
+        if (read.succeeded() && containsHead(response, read.result())) {
+            reject(response, ResponseFault.BODY_CONTAINS_HEAD);
+            return;
+        }
+        complete(new NotRun(NotRunReason.REJECTED, true, Duration.ZERO));
+        if (read.failed()) {
+            response.request().reset();
+        }
+    }
+
     private Optional<ResponseFault> faultOfHead(HttpClientResponse response) {
         if (ResponseHeads.containsStatusLine(response)) {
             return Optional.of(ResponseFault.CONTAINS_STATUS_LINE);
@@ -294,10 +303,32 @@
             reject(response, ResponseFault.ENCODED);
             return;
         }
-        if (ResponseHeads.containsHead(response, body, request.id())) {
+        if (containsHead(response, body)) {
             reject(response, ResponseFault.BODY_CONTAINS_HEAD);
             return;
         }
+        if (ResponseHeads.containsStatusLine(body)) {
+            // Whether bytes follow the response is known when those that were read with its end have been decoded.
+            context.runOnContext(decoded -> completeUnlessBytesFollow(response, body));
+            return;
+        }
+        completeAnswered(response, body);
+    }
+
+    private boolean containsHead(HttpClientResponse response, Buffer body) {
+        return ResponseHeads.containsHead(response, body, headerNames.requestId());
+    }
+
+    /** A body that contains a status line and is followed by further bytes was filled up by another response. */
+    private void completeUnlessBytesFollow(HttpClientResponse response, Buffer body) {
+        if (ConnectionWatch.hasSeenUnsolicitedBytes(response.request().connection())) {
+            reject(response, ResponseFault.BODY_CONTAINS_HEAD);
+            return;
+        }
+        completeAnswered(response, body);
+    }
+
+    private void completeAnswered(HttpClientResponse response, Buffer body) {
         complete(new Answered(response.statusCode(), HopByHopHeaders.endToEnd(response.headers()), body));
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -275,6 +275,30 @@
             assertInstanceOf(Unknown.class, send(1, startServer(List.of(head, error(1)))));
         }
 
+        /** Guards against a body that is filled up by a response to another request. */
+        @ParameterizedTest
+        @ValueSource(strings = {"part", ""})
+        void send_bodyCutOffThenForeignResponse_isUnknown(String part) {
+            String foreign = error(0);
+            int length = part.length() + foreign.length();
+            String head = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: " + length + "\r\n\r\n";
+            assertInstanceOf(Unknown.class, send(1, startServer(List.of(head + part, foreign))));
+        }
+
+        /** Guards against a body that is filled up by the beginning of another response, without its id. */
+        @Test
+        void send_bodyCutOffThenLongerResponse_isUnknown() {
+            String head = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: 24\r\n\r\n";
+            assertInstanceOf(Unknown.class, send(1, startServer(List.of(head + "part", error(0)))));
+        }
+
+        /** Guards against "not run" for a request whose refusal was cut off, and that ran. */
+        @Test
+        void send_refusalCutOffThenOwnSuccess_isUnknown() {
+            String head = "HTTP/1.1 503 Full\r\nId: id-1\r\nNot-Run: 1\r\nContent-Length: 60\r\n\r\n";
+            assertInstanceOf(Unknown.class, send(1, startServer(List.of(head + "part", OK))));
+        }
+
         /** Guards against a body that contains the same response twice, because only the end of the connection ends it. */
         @Test
         void send_bodyWithoutLengthThenSecondResponse_isUnknown() {
@@ -302,7 +326,7 @@
         /** Guards against rejecting a sound response whose body is about HTTP. */
         @Test
         void send_bodyWithStatusLineOfAnother_isDelivered() {
-            String body = "log: HTTP/1.1 200 OK";
+            String body = "{\"answer\":\"HTTP/1.1 200 OK\",\"request\":\"id-1\"}";
             String response = "HTTP/1.1 200 OK\r\nId: id-1\r\nSignature: s\r\nContent-Length: " + body.length()
                     + "\r\n\r\n" + body;
             assertEquals(200, statusOf(send(1, startServer(List.of(response)))));
