Bound the connections that a repeated id closes, and count those that a head in parts costs

Seen in review: 2,000 sends of one id closed 2,000 connections, kept some requests waiting for over a second, and logged a failure of the unused request for each. A head that arrives in two reads costs its connection, which nothing showed, and no test covered why (taking that out left all tests green).

Change: after 8 connections that have carried the id, the request is refused as not run. The failure of the unused request is expected and not logged. A gauge counts the connections that heads in parts cost; send_bytesAfterResponseWithHeadInParts_… fails without closing them.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
@@ -32,6 +32,9 @@
          * @param bytes number of bytes; zero if they were read together with the end of a response
          */
         void onUnsolicitedBytes(int localPort, int responses, int bytes);
+
+        /** Called when a connection is closed because it cannot be told whether bytes follow its response. */
+        default void onRetired() {}
     }
 
     /** Creates a client without open connections, and without a listener. */
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
@@ -140,6 +140,7 @@
         } else if (decoderMayHoldBytes && !responseExpected) {
             // Of merged bytes, it cannot be told whether the decoder has consumed all of them.
             LOGGER.atFine().log("event=connection_retired remote=%s", channel.remoteAddress());
+            listener.onRetired();
             channel.close();
         }
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -34,6 +34,8 @@
     /** Written by the traffic event loop, and read by others for metrics. */
     private volatile long unsolicitedReads;
 
+    private volatile long retiredConnections;
+
     /**
      * Creates a client without open connections.
      *
@@ -52,7 +54,17 @@
                 new PoolOptions()
                         .setHttp1MaxSize(maxConnections)
                         .setMaxWaitQueueSize(MAX_QUEUED_PER_CONNECTION * maxConnections),
-                (localPort, responses, bytes) -> unsolicitedReads++);
+                new ConnectionWatch.Listener() {
+                    @Override
+                    public void onUnsolicitedBytes(int localPort, int responses, int bytes) {
+                        unsolicitedReads++;
+                    }
+
+                    @Override
+                    public void onRetired() {
+                        retiredConnections++;
+                    }
+                });
         this.exchangeDependencies = new BackendHttpExchange.Dependencies(
                 context, client, responseBudget, new SentRequestIds(), headerNames, time);
     }
@@ -67,6 +79,11 @@
         return unsolicitedReads;
     }
 
+    /** Returns how many connections were closed because it could not be told whether bytes follow their response. */
+    public long retiredConnections() {
+        return retiredConnections;
+    }
+
     /** Receives events of one exchange, on the traffic event loop. */
     public interface Observer {
         /** Returns whether the request may still be written; called immediately before the write. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -48,6 +48,9 @@
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /** Connections that have carried the id of a request, after which it is refused. */
+    private static final int MAX_USED_CONNECTIONS = 8;
+
     private enum Phase {
         WAITING,
         WRITTEN,
@@ -66,6 +69,7 @@
     private final Promise<BackendOutcome> result = Promise.promise();
     private Phase phase = Phase.WAITING;
     private Optional<HttpClientRequest> httpRequest = Optional.empty();
+    private int usedConnections;
 
     /**
      * Dependencies that all exchanges of a client share. Immutable.
@@ -134,6 +138,15 @@
         client.request(options).onSuccess(this::write).onFailure(this::onUnreachable);
     }
 
+    private void connectAgain() {
+        usedConnections++;
+        if (usedConnections >= MAX_USED_CONNECTIONS) {
+            completeNotRun(NotRunReason.UNREACHABLE);
+            return;
+        }
+        connect();
+    }
+
     private void onUnreachable(Throwable failure) {
         boolean timedOut = failure instanceof ConnectTimeoutException;
         if (failure instanceof ConnectException && !timedOut) {
@@ -153,8 +166,9 @@
         }
         if (!sentRequestIds.add(connectedRequest.connection(), request.id())) {
             // A late response to the earlier request could not be told from the one to this request.
+            connectedRequest.exceptionHandler(closed -> {});
             connectedRequest.connection().close();
-            connect();
+            connectAgain();
             return;
         }
         try {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -184,6 +184,10 @@
                 "daisyhoist.fleet.backend.unsolicited.reads",
                 "Times at which the backend server sent bytes on an unused connection",
                 backendClient::unsolicitedReads);
+        metrics.gauge(
+                "daisyhoist.fleet.backend.retired.connections",
+                "Connections that were closed because the head of a response arrived in parts",
+                backendClient::retiredConnections);
         metrics.gauge(
                 "daisyhoist.fleet.event.loop.delay",
                 "Milliseconds by which the traffic event loop last ran late",
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/JoinedResponsesTest.java
@@ -194,6 +194,17 @@
             assertEquals(1, connections.get(), "the sound connection was closed");
         }
 
+        /** Guards against bytes that follow a response whose head arrived in parts, of which the decoder keeps them. */
+        @Test
+        void send_bytesAfterResponseWithHeadInParts_nextRequestIsAnswered() {
+            for (int length = 1; length < OK.length(); length++) {
+                List<String> parts = List.of(OK.substring(0, length), OK.substring(length) + "HTTP/1.1 200 ");
+                Endpoint backend = startServer(parts, List.of(error(2)));
+                assertEquals(200, statusOf(send(1, backend)));
+                assertEquals(500, statusOf(send(2, backend)), "after " + length + " bytes");
+            }
+        }
+
         /** Guards against the loss of a response whose head arrives in parts, or of the one after it. */
         @Test
         void send_soundHeadInParts_itAndTheNextAreDelivered() {
