Name the test server that answers twice plainly, and keep the test of a final status in one place

Found by the review: a figurative name of a test class, the constant 200 in five classes, a special value without a name, and an order of events that needed a word. No change of behaviour.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
@@ -40,9 +40,6 @@
     /** Maximum size of a response body; with its headers, it must fit into a frame between daemons. */
     static final int MAX_RESPONSE_BYTES = 1 << 20;
 
-    /** Lower statuses are informational; another response to the same request follows them. */
-    private static final int FIRST_FINAL_STATUS = 200;
-
     private static final int PRECONDITION_FAILED = 412;
     private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -168,7 +165,7 @@
         if (!echoedIds.isEmpty() && !echoedIds.equals(List.of(requestId))) {
             return reject(response, UnknownReason.FOREIGN_RESPONSE, "response to requests " + echoedIds);
         }
-        if (response.statusCode() < FIRST_FINAL_STATUS) {
+        if (!ResponseHeads.isFinal(response.statusCode())) {
             return reject(response, UnknownReason.INFORMATIONAL_RESPONSE, "status " + response.statusCode());
         }
         boolean staleFence = response.statusCode() == PRECONDITION_FAILED
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/HttpPlatformStore.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/HttpPlatformStore.java
@@ -170,7 +170,7 @@
     private static Future<StoreResponse> readResponse(HttpClientResponse response) {
         List<String> entityTags = response.headers().getAll(HttpHeaders.ETAG);
         boolean consistsOfTwo = ResponseHeads.containsStatusLine(response) || entityTags.size() > 1;
-        if (consistsOfTwo || response.statusCode() < OK) {
+        if (consistsOfTwo || !ResponseHeads.isFinal(response.statusCode())) {
             // Resetting the request does not close a connection whose response has ended.
             response.request().connection().close();
             return Future.failedFuture("not one final response, status=" + response.statusCode());
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseHeads.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseHeads.java
@@ -18,8 +18,15 @@
 
     private static final Pattern STATUS_LINE_WITH_END = Pattern.compile(STATUS_LINE.pattern() + "[^\\r\\n]*\\r\\n");
 
+    private static final int FIRST_FINAL_STATUS = 200;
+
     private ResponseHeads() {}
 
+    /** Returns whether no other response to the same request follows one with this status. */
+    public static boolean isFinal(int status) {
+        return status >= FIRST_FINAL_STATUS;
+    }
+
     /**
      * Returns whether a status line stands in the reason phrase or in a header field.
      *
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
@@ -15,11 +15,19 @@
  *
  * <p>Invariants: such bytes never reach the HTTP decoder; what was read together with the end of a response is no part of a
  * response to a request that was written later; a connection that was not closed by its peer does not end a response. The next
- * handler must be the decoder. Confined to the connection's event loop.
+ * handler must be the decoder.
+ *
+ * <p>While one read is decoded, the end of a response is reported first; then the client may write its next request; then the
+ * decoder may find another message, or keep the rest of the bytes. Whether it keeps them shows in their reference count: a decoder
+ * releases bytes that it has consumed, and merges bytes that it has kept with those of the next read. Confined to the connection's
+ * event loop.
  */
 final class UnsolicitedBytesHandler extends ChannelDuplexHandler {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** Number of bytes that were read together with the end of a response. */
+    private static final int NOT_COUNTED = 0;
+
     private final Channel channel;
     private final ConnectionWatch.Listener listener;
 
@@ -71,7 +79,7 @@
 
     void closeAfterUnsolicitedMessage() {
         if (channel.isOpen()) {
-            close(0);
+            reportAndClose(NOT_COUNTED);
         }
     }
 
@@ -104,7 +112,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (!responseExpected && message instanceof ByteBuf bytes && bytes.isReadable()) {
-            close(bytes.readableBytes());
+            reportAndClose(bytes.readableBytes());
             bytes.release();
             return;
         }
@@ -121,7 +129,6 @@
         boolean kept;
         try {
             super.channelRead(context, bytes);
-            // A decoder releases the bytes that it has consumed, and keeps the others for the next read.
             kept = bytes.refCnt() > 1;
         } finally {
             bytes.release();
@@ -136,7 +143,7 @@
 
     private void afterResponse(boolean kept) {
         if (kept) {
-            close(0);
+            reportAndClose(NOT_COUNTED);
         } else if (decoderMayHoldBytes && !responseExpected) {
             // Of merged bytes, it cannot be told whether the decoder has consumed all of them.
             LOGGER.atFine().log("event=connection_retired remote=%s", channel.remoteAddress());
@@ -145,7 +152,7 @@
         }
     }
 
-    private void close(int bytes) {
+    private void reportAndClose(int bytes) {
         int localPort = ((InetSocketAddress) channel.localAddress()).getPort();
         LOGGER.atWarning().log(
                 "event=unsolicited_bytes remote=%s local_port=%d responses=%d bytes=%d outcome=closed",
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/ResponseWriter.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/ResponseWriter.java
@@ -6,14 +6,12 @@
 import io.daisyhoist.core.error.RefusalCode;
 import io.daisyhoist.daemon.connection.DaisyhoistHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.daemon.connection.ResponseHeads;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerResponse;
 
 /** Writes responses to clients. Stateless. */
 final class ResponseWriter {
-    /** A client waits for another response after a lower status. */
-    private static final int FIRST_FINAL_STATUS = 200;
-
     private ResponseWriter() {}
 
     /**
@@ -24,7 +22,7 @@
         if (http.ended() || http.closed()) {
             return;
         }
-        if (response.status() < FIRST_FINAL_STATUS) {
+        if (!ResponseHeads.isFinal(response.status())) {
             writeFinal(
                     http, Refusals.unknown(RefusalCode.BACKEND_LOST, "status " + response.status() + " is not final"));
             return;
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -46,7 +46,6 @@
     static final int MAX_RESPONSE_BODY_BYTES = 4 << 20;
 
     private static final int MISDIRECTED_REQUEST = 421;
-    private static final int FIRST_FINAL_STATUS = 200;
 
     /** Connections that have carried the id of a request, after which it is refused. */
     private static final int MAX_USED_CONNECTIONS = 8;
@@ -253,7 +252,7 @@
         if (isRepeated(response, headerNames.signature()) || isRepeated(response, headerNames.notRun())) {
             return Optional.of(ResponseFault.REPEATED_FIELD);
         }
-        if (response.statusCode() < FIRST_FINAL_STATUS) {
+        if (!ResponseHeads.isFinal(response.statusCode())) {
             return Optional.of(ResponseFault.INTERIM_STATUS);
         }
         return Optional.empty();
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -15,6 +15,7 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.daemon.connection.ResponseHeads;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -38,7 +39,6 @@
     private static final String REJECTED_BY_BACKEND_PREFIX = "arrived:";
 
     private static final double PERCENT = 100;
-    private static final int FIRST_FINAL_STATUS = 200;
 
     private ForwardCodec() {}
 
@@ -133,7 +133,7 @@
 
     /** Decodes an outcome; unrecognized run states and answers without a final status are decoded as an unknown outcome. */
     public static BackendOutcome decode(ForwardResponse message) {
-        if (message.getAnsweredByBackend() && message.getStatus() < FIRST_FINAL_STATUS) {
+        if (message.getAnsweredByBackend() && !ResponseHeads.isFinal(message.getStatus())) {
             return new Unknown(UnknownReason.DAMAGED_ANSWER);
         }
         if (message.getAnsweredByBackend()) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
@@ -2,7 +2,7 @@
 
 /** Fault of a response of a backend server. */
 public enum ResponseFault {
-    /** It does not contain the id of the request, or others as well. */
+    /** Its id is missing, is that of another request, or stands beside other ids. */
     FOREIGN_ID,
     /** Its head contains the status line of another response. */
     CONTAINS_STATUS_LINE,
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/StutteringBackendTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/DuplicateResponsesTest.java
@@ -18,11 +18,11 @@
 
 /**
  * Guards against delivering a status, a body or a rejection that the backend server did not give to this request, because it
- * writes answers a second time. {@code -Ddaisyhoist.stutter.seed=N} and {@code -Ddaisyhoist.stutter.requests=N} change the run.
+ * writes answers a second time. {@code -Ddaisyhoist.duplicates.seed=N} and {@code -Ddaisyhoist.duplicates.requests=N} change the run.
  */
-class StutteringBackendTest {
-    private static final int REQUESTS = Integer.getInteger("daisyhoist.stutter.requests", 1_500);
-    private static final long SEED = Long.getLong("daisyhoist.stutter.seed", 20261206);
+class DuplicateResponsesTest {
+    private static final int REQUESTS = Integer.getInteger("daisyhoist.duplicates.requests", 1_500);
+    private static final long SEED = Long.getLong("daisyhoist.duplicates.seed", 20261206);
     private static final int CONCURRENT_REQUESTS = 6;
     private static final int CONNECTIONS = 4;
     private static final double FAULT_SHARE = 0.3;
@@ -40,21 +40,21 @@
 
     /** Guards against taking the second answer to one request for the answer to the next one on the connection. */
     @ParameterizedTest
-    @EnumSource(StutteringBackend.When.class)
-    void send_secondAnswersWhole_eachRequestGetsItsOwn(StutteringBackend.When when) throws Exception {
-        assertOwnAnswers(when, StutteringBackend.Part.WHOLE);
+    @EnumSource(DuplicatingBackend.When.class)
+    void send_secondAnswersWhole_eachRequestGetsItsOwn(DuplicatingBackend.When when) throws Exception {
+        assertOwnAnswers(when, DuplicatingBackend.Part.WHOLE);
     }
 
     /** Guards against a success in place of a failure, because the beginning of a second answer precedes the next one. */
     @ParameterizedTest
-    @EnumSource(StutteringBackend.When.class)
-    void send_secondAnswersCutOff_eachRequestGetsItsOwn(StutteringBackend.When when) throws Exception {
-        assertOwnAnswers(when, StutteringBackend.Part.CUT_OFF);
+    @EnumSource(DuplicatingBackend.When.class)
+    void send_secondAnswersCutOff_eachRequestGetsItsOwn(DuplicatingBackend.When when) throws Exception {
+        assertOwnAnswers(when, DuplicatingBackend.Part.CUT_OFF);
     }
 
-    private void assertOwnAnswers(StutteringBackend.When when, StutteringBackend.Part part) throws Exception {
-        StutteringBackend backend =
-                new StutteringBackend(client.vertx(), new StutteringBackend.Fault(when, part, FAULT_SHARE), SEED);
+    private void assertOwnAnswers(DuplicatingBackend.When when, DuplicatingBackend.Part part) throws Exception {
+        DuplicatingBackend backend =
+                new DuplicatingBackend(client.vertx(), new DuplicatingBackend.Fault(when, part, FAULT_SHARE), SEED);
         Endpoint address = backend.start();
         for (int i = 1; i <= REQUESTS; i++) {
             String id = "request-" + i;
@@ -69,7 +69,7 @@
         assertTrue(delivered.size() > REQUESTS / 3, delivered.size() + " answers delivered");
     }
 
-    private void check(StutteringBackend backend, String id, BackendOutcome outcome) {
+    private void check(DuplicatingBackend backend, String id, BackendOutcome outcome) {
         int status;
         if (outcome instanceof Answered answered) {
             status = answered.status();
@@ -79,7 +79,7 @@
         } else {
             return;
         }
-        StutteringBackend.Answer given = backend.answerTo(id).orElse(new StutteringBackend.Answer(0, "none"));
+        DuplicatingBackend.Answer given = backend.answerTo(id).orElse(new DuplicatingBackend.Answer(0, "none"));
         boolean whole = !(outcome instanceof Answered answered)
                 || answered.body().toString().equals(given.body());
         if (status != given.status() || !whole) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/StutteringBackend.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/DuplicatingBackend.java
@@ -18,9 +18,9 @@
  * Backend server that answers some requests a second time, whole or cut off, at once, later, or before its next answer on the
  * same connection. Random, but for its seed. Thread-safe.
  */
-final class StutteringBackend {
+final class DuplicatingBackend {
     private static final int MAX_SERVICE_MILLIS = 3;
-    private static final int MAX_STUTTER_MILLIS = 4;
+    private static final int MAX_DUPLICATE_DELAY_MILLIS = 4;
     private static final int[] STATUSES = {200, 200, 200, 500, 500, 503};
     private static final int NOT_RUN = 503;
 
@@ -59,7 +59,7 @@
     private final Random random;
     private final Map<String, Answer> answers = new ConcurrentHashMap<>();
 
-    StutteringBackend(Vertx vertx, Fault fault, long seed) {
+    DuplicatingBackend(Vertx vertx, Fault fault, long seed) {
         this.vertx = vertx;
         this.fault = fault;
         this.random = new Random(seed);
@@ -114,7 +114,7 @@
             beforeNextAnswer = Optional.empty();
             socket.write(Buffer.buffer(bytes(id, answer)));
             if (random.nextDouble() < fault.share()) {
-                stutter(secondAnswer(id));
+                writeAgain(secondAnswer(id));
             }
         }
 
@@ -124,7 +124,7 @@
             return Arrays.copyOf(whole, length);
         }
 
-        private void stutter(byte[] bytes) {
+        private void writeAgain(byte[] bytes) {
             if (fault.when() == When.BEFORE_NEXT_ANSWER) {
                 beforeNextAnswer = Optional.of(bytes);
                 return;
@@ -133,7 +133,7 @@
                 socket.write(Buffer.buffer(bytes));
                 return;
             }
-            vertx.setTimer(1 + random.nextInt(MAX_STUTTER_MILLIS), fired -> socket.write(Buffer.buffer(bytes)));
+            vertx.setTimer(1 + random.nextInt(MAX_DUPLICATE_DELAY_MILLIS), fired -> socket.write(Buffer.buffer(bytes)));
         }
     }
 }
