--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendClient.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendClient.java
@@ -43,7 +43,7 @@
         this.context = context;
         this.backend = backend;
         this.time = time;
-        this.client = ConnectionWatch.createClient(
+        this.client = WatchedHttpClients.createClient(
                 vertx,
                 new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/HttpPlatformStore.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/HttpPlatformStore.java
@@ -63,7 +63,7 @@
         }
         this.baseUrls = List.copyOf(baseUrls);
         this.time = time;
-        this.client = ConnectionWatch.createClient(
+        this.client = WatchedHttpClients.createClient(
                 vertx,
                 new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
                 new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(MAX_WAIT_QUEUE_SIZE));
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/UnsolicitedBytesHandler.java
@@ -29,7 +29,7 @@
     private static final int NOT_COUNTED = 0;
 
     private final Channel channel;
-    private final ConnectionWatch.Listener listener;
+    private final WatchedHttpClients.Listener listener;
 
     /** Initially set, because the first request may be written before the handler is added. */
     private boolean responseExpected = true;
@@ -48,7 +48,7 @@
     private boolean unsolicitedBytesSeen;
     private int responses;
 
-    UnsolicitedBytesHandler(Channel channel, ConnectionWatch.Listener listener) {
+    UnsolicitedBytesHandler(Channel channel, WatchedHttpClients.Listener listener) {
         this.channel = channel;
         this.listener = listener;
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/WatchedHttpClients.java
@@ -19,8 +19,8 @@
  * <p>The HTTP decoder would keep such bytes if they are no complete head, and read them as the beginning of the next response.
  * Stateless.
  */
-public final class ConnectionWatch {
-    private ConnectionWatch() {}
+public final class WatchedHttpClients {
+    private WatchedHttpClients() {}
 
     /** Receives what happens on the connections of a client, on their event loops. */
     public interface Listener {
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -3,7 +3,7 @@
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.BodyBudget;
-import io.daisyhoist.daemon.connection.ConnectionWatch;
+import io.daisyhoist.daemon.connection.WatchedHttpClients;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -43,7 +43,7 @@
      */
     public BackendHttpClient(
             Vertx vertx, Context context, HeaderNames headerNames, int maxConnections, TimeSource time) {
-        this.client = ConnectionWatch.createClient(
+        this.client = WatchedHttpClients.createClient(
                 vertx,
                 new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
@@ -54,7 +54,7 @@
                 new PoolOptions()
                         .setHttp1MaxSize(maxConnections)
                         .setMaxWaitQueueSize(MAX_QUEUED_PER_CONNECTION * maxConnections),
-                new ConnectionWatch.Listener() {
+                new WatchedHttpClients.Listener() {
                     @Override
                     public void onUnsolicitedBytes(int localPort, int responses, int bytes) {
                         unsolicitedReads++;
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -10,10 +10,10 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.BodyBudget;
 import io.daisyhoist.daemon.connection.BoundedBody;
-import io.daisyhoist.daemon.connection.ConnectionWatch;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
 import io.daisyhoist.daemon.connection.ResponseHeads;
+import io.daisyhoist.daemon.connection.WatchedHttpClients;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -286,7 +286,7 @@
         return httpRequest
                 .map(HttpClientRequest::connection)
                 .map(connection -> connection.localAddress().port() + "/"
-                        + ConnectionWatch.responses(connection).orElse(0))
+                        + WatchedHttpClients.responses(connection).orElse(0))
                 .orElse("none");
     }
 
@@ -334,7 +334,7 @@
 
     /** A body that contains a status line and is followed by further bytes was filled up by another response. */
     private void completeUnlessBytesFollow(HttpClientResponse response, Buffer body) {
-        if (ConnectionWatch.hasSeenUnsolicitedBytes(response.request().connection())) {
+        if (WatchedHttpClients.hasSeenUnsolicitedBytes(response.request().connection())) {
             reject(response, ResponseFault.BODY_CONTAINS_HEAD);
             return;
         }
