--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendResponseFuzzTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendResponseFuzzTest.java
@@ -2,23 +2,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.List;
-import java.util.OptionalInt;
-import java.util.concurrent.TimeUnit;
 
-import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fuzz.InputMutator;
 import io.daisyhoist.core.model.Endpoint;
-import io.daisyhoist.core.model.ServiceName;
-import io.daisyhoist.core.time.Deadline;
-import io.daisyhoist.core.time.SystemTimeSource;
-import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
-import io.vertx.core.Context;
-import io.vertx.core.Future;
-import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import org.junit.jupiter.api.AfterEach;
@@ -34,41 +22,13 @@
 class BackendResponseFuzzTest {
     private static final int REQUESTS = 1_500;
     private static final Duration DEADLINE = Duration.ofMillis(150);
-    private static final BackendProcessId PROCESS = new BackendProcessId("b", 1);
 
-    private final Vertx vertx = Vertx.vertx();
-    private final Context context = vertx.getOrCreateContext();
-    private final TimeSource time = new SystemTimeSource();
-    private final BackendHttpClient client = new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, 4, time);
+    private final BackendClientFixture client = new BackendClientFixture(4);
     private final InputMutator mutator = new InputMutator(Long.getLong("daisyhoist.fuzz.seed", 20261205));
 
-    private static final class PermissiveObserver implements BackendHttpClient.Observer {
-        @Override
-        public boolean mayBeWritten() {
-            return true;
-        }
-
-        @Override
-        public void onWrite() {
-            // Nothing is recorded.
-        }
-
-        @Override
-        public void onConnectionRefused() {}
-
-        @Override
-        public void onSlowdown(double slowdown) {
-            // Nothing is recorded.
-        }
-    }
-
     @AfterEach
     void close() {
-        vertx.close();
-    }
-
-    private static <T> T await(Future<T> future) throws Exception {
-        return future.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        client.close();
     }
 
     private static byte[] answer(String id) {
@@ -95,34 +55,18 @@
         };
     }
 
-    private BackendOutcome send(Endpoint backend, String id) throws Exception {
-        BackendRequestData request = new BackendRequestData(
-                id,
-                new ServiceName("s"),
-                OptionalInt.empty(),
-                "GET",
-                "/x",
-                List.of(),
-                Buffer.buffer(),
-                1,
-                Deadline.after(time, DEADLINE),
-                "caller",
-                PROCESS,
-                false);
-        Promise<BackendOutcome> outcome = Promise.promise();
-        Future<Void> neverCancelled = Promise.<Void>promise().future();
-        context.runOnContext(run -> client.send(backend, request, neverCancelled, new PermissiveObserver())
-                .onComplete(outcome));
-        return await(outcome.future());
+    private BackendOutcome send(Endpoint backend, String id) {
+        return BackendClientFixture.await(client.send("GET", id, backend, DEADLINE));
     }
 
     @Test
-    void send_damagedResponses_neverTakenForTheResponseToAnotherRequest() throws Exception {
+    void send_damagedResponses_neverTakenForTheResponseToAnotherRequest() {
         int[] number = {0};
-        NetServer server = vertx.createNetServer()
+        NetServer server = client.vertx()
+                .createNetServer()
                 .connectHandler(socket ->
                         socket.exceptionHandler(failure -> {}).handler(head -> socket.write(response(number[0]))));
-        await(server.listen(0, "127.0.0.1"));
+        BackendClientFixture.await(server.listen(0, "127.0.0.1"));
         Endpoint backend = new Endpoint("127.0.0.1", server.actualPort());
         int answered = 0;
         for (int i = 1; i <= REQUESTS; i++) {
@@ -137,7 +81,7 @@
     }
 
     /** Sound responses are accepted again afterwards. */
-    private BackendOutcome lastOutcome(Endpoint backend, int[] number) throws Exception {
+    private BackendOutcome lastOutcome(Endpoint backend, int[] number) {
         number[0] = 6 * REQUESTS;
         return send(backend, "r" + number[0]);
     }
