Move the checks of a response out of its exchange

ResponseInspector finds the faults of a head and of a body, the exchange acts on them. A refusal with the status of a success and no signature, which contradicts itself, is an unknown outcome now.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -2,7 +2,6 @@
 
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 
 import com.google.common.flogger.FluentLogger;
@@ -64,6 +63,7 @@
     private final TimeSource time;
     private final Endpoint backend;
     private final BackendRequestData request;
+    private final ResponseInspector inspector;
     private final BackendHttpClient.Observer observer;
     private final Promise<BackendOutcome> result = Promise.promise();
     private Phase phase = Phase.WAITING;
@@ -101,6 +101,7 @@
         this.time = dependencies.time();
         this.backend = backend;
         this.request = request;
+        this.inspector = new ResponseInspector(headerNames, request.id());
         this.observer = observer;
     }
 
@@ -216,7 +217,7 @@
         Optional.ofNullable(response.getHeader(headerNames.load()))
                 .map(headerNames.loadParser()::slowdown)
                 .ifPresent(reported -> reported.ifPresent(observer::onSlowdown));
-        Optional<ResponseFault> fault = faultOfHead(response);
+        Optional<ResponseFault> fault = inspector.faultOfHead(response);
         if (fault.isPresent()) {
             reject(response, fault.get());
             return Future.succeededFuture();
@@ -234,8 +235,10 @@
     }
 
     private void completeRefusal(HttpClientResponse response, AsyncResult<Buffer> read) {
-        if (read.succeeded() && containsHead(response, read.result())) {
-            reject(response, ResponseFault.BODY_CONTAINS_HEAD);
+        Optional<ResponseFault> fault =
+                read.succeeded() ? inspector.faultOfBody(response, read.result()) : Optional.empty();
+        if (fault.isPresent()) {
+            reject(response, fault.get());
             return;
         }
         complete(new NotRun(NotRunReason.REJECTED, true, Duration.ZERO));
@@ -244,26 +247,6 @@
         }
     }
 
-    private Optional<ResponseFault> faultOfHead(HttpClientResponse response) {
-        if (ResponseHeads.containsStatusLine(response)) {
-            return Optional.of(ResponseFault.CONTAINS_STATUS_LINE);
-        }
-        if (!isResponseToRequest(response)) {
-            return Optional.of(ResponseFault.FOREIGN_ID);
-        }
-        if (isRepeated(response, headerNames.signature()) || isRepeated(response, headerNames.notRun())) {
-            return Optional.of(ResponseFault.REPEATED_FIELD);
-        }
-        if (!ResponseHeads.isFinal(response.statusCode())) {
-            return Optional.of(ResponseFault.INTERIM_STATUS);
-        }
-        return Optional.empty();
-    }
-
-    private static boolean isRepeated(HttpClientResponse response, String name) {
-        return response.headers().getAll(name).size() > 1;
-    }
-
     /** Closes the connection as well, since a reset leaves it open once the response has ended. */
     private void reject(HttpClientResponse response, ResponseFault fault) {
         report(response, fault);
@@ -297,30 +280,14 @@
         return responseBudget.read(response, MAX_RESPONSE_BODY_BYTES);
     }
 
-    /**
-     * Accepts only a response that contains the id of this request. On a reused connection, any other one may be a late
-     * duplicate of an earlier response, and a refusal of an earlier request says nothing about this one.
-     */
-    private boolean isResponseToRequest(HttpClientResponse response) {
-        return response.headers().getAll(headerNames.requestId()).equals(List.of(request.id()));
-    }
-
     private boolean isRefusal(HttpClientResponse response) {
         return response.getHeader(headerNames.notRun()) != null || response.statusCode() == MISDIRECTED_REQUEST;
     }
 
     private void complete(HttpClientResponse response, Buffer body) {
-        boolean success = response.statusCode() >= 200 && response.statusCode() < 300;
-        if (success && response.getHeader(headerNames.signature()) == null) {
-            reject(response, ResponseFault.UNSIGNED);
-            return;
-        }
-        if (success && response.getHeader("content-encoding") != null) {
-            reject(response, ResponseFault.ENCODED);
-            return;
-        }
-        if (containsHead(response, body)) {
-            reject(response, ResponseFault.BODY_CONTAINS_HEAD);
+        Optional<ResponseFault> fault = inspector.faultOfBody(response, body);
+        if (fault.isPresent()) {
+            reject(response, fault.get());
             return;
         }
         if (ResponseHeads.containsStatusLine(body)) {
@@ -331,10 +298,6 @@
         completeAnswered(response, body);
     }
 
-    private boolean containsHead(HttpClientResponse response, Buffer body) {
-        return ResponseHeads.containsHead(response, body, headerNames.requestId());
-    }
-
     /** A body that contains a status line and is followed by further bytes was filled up by another response. */
     private void completeUnlessBytesFollow(HttpClientResponse response, Buffer body) {
         if (WatchedHttpClients.hasSeenUnsolicitedBytes(response.request().connection())) {
