--- a/core/src/main/java/io/daisyhoist/core/route/Route.java
+++ b/core/src/main/java/io/daisyhoist/core/route/Route.java
@@ -15,6 +15,7 @@
  * @param priority priority, 0 being the highest
  * @param services weighted services that handle the requests, at least one
  * @param maxAttempts maximum number of backend servers to which one request is sent, at least 1
+ * @param anonymous whether its requests need no API key although the fleet has customers
  */
 public record Route(
         String name,
@@ -25,7 +26,8 @@
         Duration targetLatency,
         int priority,
         List<WeightedService> services,
-        int maxAttempts) {
+        int maxAttempts,
+        boolean anonymous) {
     public Route {
         services = List.copyOf(services);
     }
--- a/core/src/test/java/io/daisyhoist/core/route/RouteTableTest.java
+++ b/core/src/test/java/io/daisyhoist/core/route/RouteTableTest.java
@@ -23,7 +23,8 @@
                 Duration.ofMillis(200),
                 1,
                 List.of(services),
-                2);
+                2,
+                false);
     }
 
     @Nested
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
@@ -1,8 +1,11 @@
 package io.daisyhoist.mesh.connection;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 
+import io.daisyhoist.core.customer.CustomerCredential;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.time.Deadline;
@@ -24,6 +27,9 @@
  * @param callerService service of the instance at which it entered the fleet
  * @param expectedProcess expected process of the backend server
  * @param hasAlternative whether the sender can choose another backend server if this one is currently slow
+ * @param customer customer whose key the request carried; empty if it needs no key
+ * @param target time until which the response meets the latency target of its route
+ * @param expectedWork expected run time at a backend server of usual speed; zero if unknown
  */
 public record BackendRequestData(
         String id,
@@ -37,7 +43,11 @@
         Deadline deadline,
         String callerService,
         BackendProcessId expectedProcess,
-        boolean hasAlternative) {
+        boolean hasAlternative,
+        Optional<CustomerCredential> customer,
+        Deadline target,
+        Duration expectedWork) {
+
     /** Returns the host that the client addressed; empty if the request has no host header. */
     public String host() {
         return headers.stream()
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -89,7 +89,11 @@
                 new BackendProcessId(
                         message.getExpectedBackend().getId(),
                         message.getExpectedBackend().getStartedMs()),
-                message.getHasAlternative());
+                message.getHasAlternative(),
+                Optional.empty(),
+                Deadline.after(
+                        time, Duration.ofMillis(requireNonNegative("deadline", message.getRemainingDeadlineMs()))),
+                Duration.ZERO);
     }
 
     private static void requireText(String field, String value) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetBounds.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetBounds.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import io.daisyhoist.core.customer.CustomerBounds;
+
 /**
  * Limits that the deployment sets for the fleet. Immutable.
  *
@@ -14,6 +16,7 @@
  * @param retryWindow time window in which retries are counted
  * @param coldRateFactor factor by which the configured request rate of a cold backend server may be exceeded
  * @param coldRateSlack requests per second that are allowed in addition to that
+ * @param customers limits for the keys and quotas of customers
  */
 public record FleetBounds(
         Duration stopGrace,
@@ -24,4 +27,5 @@
         double retrySlack,
         Duration retryWindow,
         double coldRateFactor,
-        double coldRateSlack) {}
+        double coldRateSlack,
+        CustomerBounds customers) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
@@ -202,7 +202,8 @@
                 TIMEOUT,
                 1,
                 List.of(new WeightedService(SERVICE, 1)),
-                2);
+                2,
+                false);
         fleet = new FleetSnapshot(
                 Optional.of(new FleetConfig(1, new RouteTable(List.of(route)), Map.of(), ClientLimits.DEFAULT)),
                 Set.of(),
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -186,7 +186,10 @@
                 request.deadline(),
                 context.callerService().name(),
                 member.backend().orElseThrow().process(),
-                hasAlternative());
+                hasAlternative(),
+                Optional.empty(),
+                request.deadline(),
+                Duration.ZERO);
         Duration queueWait = queueWait();
         context.backendSender()
                 .send(member, backendRequest, queueWait, request.cancelled())
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
@@ -75,7 +76,10 @@
                 Deadline.after(time, deadline),
                 "caller",
                 new BackendProcessId("b", 1),
-                false);
+                false,
+                Optional.empty(),
+                Deadline.after(time, deadline),
+                Duration.ZERO);
         Promise<BackendOutcome> outcome = Promise.promise();
         Future<Void> neverCancelled = Promise.<Void>promise().future();
         context.runOnContext(run -> client.send(backend, request, neverCancelled, new PermissiveObserver())
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -93,7 +94,10 @@
                 Deadline.after(time, deadline),
                 "caller",
                 new BackendProcessId("b", 1),
-                false);
+                false,
+                Optional.empty(),
+                Deadline.after(time, deadline),
+                Duration.ZERO);
         Promise<BackendOutcome> outcome = Promise.promise();
         context.runOnContext(run -> client.send(backend, request, cancelled.future(), new BackendHttpClient.Observer() {
                     @Override
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/EndlessAnswersProbe.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/EndlessAnswersProbe.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -52,7 +53,10 @@
                 Deadline.after(time, Duration.ofSeconds(20)),
                 "caller",
                 new BackendProcessId("b", 1),
-                false);
+                false,
+                Optional.empty(),
+                Deadline.after(time, Duration.ofSeconds(20)),
+                Duration.ZERO);
     }
 
     private static final class PermissiveObserver implements BackendHttpClient.Observer {
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 
+import io.daisyhoist.core.customer.CustomerBounds;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.LocalBackend;
@@ -53,7 +54,8 @@
                 50,
                 Duration.ofSeconds(10),
                 1.5,
-                5);
+                5,
+                CustomerBounds.DEFAULT);
         FleetSettings settings = new FleetSettings(
                 new DaemonId("d"),
                 new AvailabilityZone("z"),
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.UnaryOperator;
 
+import io.daisyhoist.core.customer.CustomerBounds;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
@@ -94,7 +95,8 @@
                         50,
                         Duration.ofSeconds(10),
                         1.5,
-                        5));
+                        5,
+                        CustomerBounds.DEFAULT));
         startDaemon();
         startBackend();
     }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
@@ -102,7 +102,10 @@
                 Deadline.after(time, Duration.ofSeconds(20)),
                 "caller",
                 process(),
-                false);
+                false,
+                Optional.empty(),
+                Deadline.after(time, Duration.ofSeconds(20)),
+                Duration.ZERO);
     }
 
     static <T> T result(Future<T> future) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -127,7 +127,8 @@
                 Duration.ofMillis(200),
                 1,
                 List.of(new WeightedService(SERVICE, 1)),
-                2);
+                2,
+                false);
         FleetConfig config = new FleetConfig(1, new RouteTable(List.of(route)), Map.of(), ClientLimits.DEFAULT);
         FleetMember member = new FleetMember(
                 new DaemonId("d"),
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/CrashGuardTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/CrashGuardTest.java
@@ -115,7 +115,10 @@
                 Deadline.after(time, Duration.ofSeconds(1)),
                 "caller",
                 new BackendProcessId("b", 1),
-                false);
+                false,
+                Optional.empty(),
+                Deadline.after(time, Duration.ofSeconds(1)),
+                Duration.ZERO);
     }
 
     private void start(int count) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
@@ -92,7 +92,8 @@
                 Duration.ofMillis(200),
                 1,
                 List.of(new WeightedService(SERVICE, 1)),
-                2);
+                2,
+                false);
     }
 
     private FleetSnapshot fleet() {
--- a/wire/src/main/java/io/daisyhoist/wire/proto/BackendLoad.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/BackendLoad.java
@@ -100,6 +100,36 @@
     return slowdownPercent_;
   }
 
+  public static final int COMPLETED_PER_1000_S_FIELD_NUMBER = 5;
+  private int completedPer1000S_ = 0;
+  /**
+   * <pre>
+   * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 completed_per_1000_s = 5;</code>
+   * @return The completedPer1000S.
+   */
+  @java.lang.Override
+  public int getCompletedPer1000S() {
+    return completedPer1000S_;
+  }
+
+  public static final int REJECTED_PERCENT_FIELD_NUMBER = 6;
+  private int rejectedPercent_ = 0;
+  /**
+   * <pre>
+   * Percentage of recent requests that the backend server itself rejected as full.
+   * </pre>
+   *
+   * <code>uint32 rejected_percent = 6;</code>
+   * @return The rejectedPercent.
+   */
+  @java.lang.Override
+  public int getRejectedPercent() {
+    return rejectedPercent_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -126,6 +156,12 @@
     if (slowdownPercent_ != 0) {
       output.writeUInt32(4, slowdownPercent_);
     }
+    if (completedPer1000S_ != 0) {
+      output.writeUInt32(5, completedPer1000S_);
+    }
+    if (rejectedPercent_ != 0) {
+      output.writeUInt32(6, rejectedPercent_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -151,6 +187,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, slowdownPercent_);
     }
+    if (completedPer1000S_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, completedPer1000S_);
+    }
+    if (rejectedPercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, rejectedPercent_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -174,6 +218,10 @@
         != other.getLimit()) return false;
     if (getSlowdownPercent()
         != other.getSlowdownPercent()) return false;
+    if (getCompletedPer1000S()
+        != other.getCompletedPer1000S()) return false;
+    if (getRejectedPercent()
+        != other.getRejectedPercent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -193,6 +241,10 @@
     hash = (53 * hash) + getLimit();
     hash = (37 * hash) + SLOWDOWN_PERCENT_FIELD_NUMBER;
     hash = (53 * hash) + getSlowdownPercent();
+    hash = (37 * hash) + COMPLETED_PER_1000_S_FIELD_NUMBER;
+    hash = (53 * hash) + getCompletedPer1000S();
+    hash = (37 * hash) + REJECTED_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getRejectedPercent();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -332,6 +384,8 @@
       queued_ = 0;
       limit_ = 0;
       slowdownPercent_ = 0;
+      completedPer1000S_ = 0;
+      rejectedPercent_ = 0;
       return this;
     }
 
@@ -377,6 +431,12 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.slowdownPercent_ = slowdownPercent_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.completedPer1000S_ = completedPer1000S_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.rejectedPercent_ = rejectedPercent_;
+      }
     }
 
     @java.lang.Override
@@ -403,6 +463,12 @@
       if (other.getSlowdownPercent() != 0) {
         setSlowdownPercent(other.getSlowdownPercent());
       }
+      if (other.getCompletedPer1000S() != 0) {
+        setCompletedPer1000S(other.getCompletedPer1000S());
+      }
+      if (other.getRejectedPercent() != 0) {
+        setRejectedPercent(other.getRejectedPercent());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -449,6 +515,16 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              completedPer1000S_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              rejectedPercent_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -606,6 +682,94 @@
       return this;
     }
 
+    private int completedPer1000S_ ;
+    /**
+     * <pre>
+     * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 completed_per_1000_s = 5;</code>
+     * @return The completedPer1000S.
+     */
+    @java.lang.Override
+    public int getCompletedPer1000S() {
+      return completedPer1000S_;
+    }
+    /**
+     * <pre>
+     * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 completed_per_1000_s = 5;</code>
+     * @param value The completedPer1000S to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompletedPer1000S(int value) {
+
+      completedPer1000S_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 completed_per_1000_s = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompletedPer1000S() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      completedPer1000S_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int rejectedPercent_ ;
+    /**
+     * <pre>
+     * Percentage of recent requests that the backend server itself rejected as full.
+     * </pre>
+     *
+     * <code>uint32 rejected_percent = 6;</code>
+     * @return The rejectedPercent.
+     */
+    @java.lang.Override
+    public int getRejectedPercent() {
+      return rejectedPercent_;
+    }
+    /**
+     * <pre>
+     * Percentage of recent requests that the backend server itself rejected as full.
+     * </pre>
+     *
+     * <code>uint32 rejected_percent = 6;</code>
+     * @param value The rejectedPercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRejectedPercent(int value) {
+
+      rejectedPercent_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Percentage of recent requests that the backend server itself rejected as full.
+     * </pre>
+     *
+     * <code>uint32 rejected_percent = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRejectedPercent() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      rejectedPercent_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.BackendLoad)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/BackendLoadOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/BackendLoadOrBuilder.java
@@ -37,4 +37,24 @@
    * @return The slowdownPercent.
    */
   int getSlowdownPercent();
+
+  /**
+   * <pre>
+   * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 completed_per_1000_s = 5;</code>
+   * @return The completedPer1000S.
+   */
+  int getCompletedPer1000S();
+
+  /**
+   * <pre>
+   * Percentage of recent requests that the backend server itself rejected as full.
+   * </pre>
+   *
+   * <code>uint32 rejected_percent = 6;</code>
+   * @return The rejectedPercent.
+   */
+  int getRejectedPercent();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Envelope.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Envelope.java
@@ -73,6 +73,10 @@
     FLEET_LOAD(18),
     OPERATOR_ITEMS(19),
     STORE_CHANGES(20),
+    QUOTA_REQUEST(21),
+    QUOTA_LOAN(22),
+    BODY_CHUNK(23),
+    BODY_CREDIT(24),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -109,6 +113,10 @@
         case 18: return FLEET_LOAD;
         case 19: return OPERATOR_ITEMS;
         case 20: return STORE_CHANGES;
+        case 21: return QUOTA_REQUEST;
+        case 22: return QUOTA_LOAN;
+        case 23: return BODY_CHUNK;
+        case 24: return BODY_CREDIT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -728,6 +736,130 @@
     return io.daisyhoist.wire.proto.StoreChanges.getDefaultInstance();
   }
 
+  public static final int QUOTA_REQUEST_FIELD_NUMBER = 21;
+  /**
+   * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+   * @return Whether the quotaRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotaRequest() {
+    return bodyCase_ == 21;
+  }
+  /**
+   * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+   * @return The quotaRequest.
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.QuotaRequest getQuotaRequest() {
+    if (bodyCase_ == 21) {
+       return (io.daisyhoist.wire.proto.QuotaRequest) body_;
+    }
+    return io.daisyhoist.wire.proto.QuotaRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.QuotaRequestOrBuilder getQuotaRequestOrBuilder() {
+    if (bodyCase_ == 21) {
+       return (io.daisyhoist.wire.proto.QuotaRequest) body_;
+    }
+    return io.daisyhoist.wire.proto.QuotaRequest.getDefaultInstance();
+  }
+
+  public static final int QUOTA_LOAN_FIELD_NUMBER = 22;
+  /**
+   * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+   * @return Whether the quotaLoan field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotaLoan() {
+    return bodyCase_ == 22;
+  }
+  /**
+   * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+   * @return The quotaLoan.
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.QuotaLoan getQuotaLoan() {
+    if (bodyCase_ == 22) {
+       return (io.daisyhoist.wire.proto.QuotaLoan) body_;
+    }
+    return io.daisyhoist.wire.proto.QuotaLoan.getDefaultInstance();
+  }
+  /**
+   * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.QuotaLoanOrBuilder getQuotaLoanOrBuilder() {
+    if (bodyCase_ == 22) {
+       return (io.daisyhoist.wire.proto.QuotaLoan) body_;
+    }
+    return io.daisyhoist.wire.proto.QuotaLoan.getDefaultInstance();
+  }
+
+  public static final int BODY_CHUNK_FIELD_NUMBER = 23;
+  /**
+   * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+   * @return Whether the bodyChunk field is set.
+   */
+  @java.lang.Override
+  public boolean hasBodyChunk() {
+    return bodyCase_ == 23;
+  }
+  /**
+   * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+   * @return The bodyChunk.
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.BodyChunk getBodyChunk() {
+    if (bodyCase_ == 23) {
+       return (io.daisyhoist.wire.proto.BodyChunk) body_;
+    }
+    return io.daisyhoist.wire.proto.BodyChunk.getDefaultInstance();
+  }
+  /**
+   * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.BodyChunkOrBuilder getBodyChunkOrBuilder() {
+    if (bodyCase_ == 23) {
+       return (io.daisyhoist.wire.proto.BodyChunk) body_;
+    }
+    return io.daisyhoist.wire.proto.BodyChunk.getDefaultInstance();
+  }
+
+  public static final int BODY_CREDIT_FIELD_NUMBER = 24;
+  /**
+   * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+   * @return Whether the bodyCredit field is set.
+   */
+  @java.lang.Override
+  public boolean hasBodyCredit() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+   * @return The bodyCredit.
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.BodyCredit getBodyCredit() {
+    if (bodyCase_ == 24) {
+       return (io.daisyhoist.wire.proto.BodyCredit) body_;
+    }
+    return io.daisyhoist.wire.proto.BodyCredit.getDefaultInstance();
+  }
+  /**
+   * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.BodyCreditOrBuilder getBodyCreditOrBuilder() {
+    if (bodyCase_ == 24) {
+       return (io.daisyhoist.wire.proto.BodyCredit) body_;
+    }
+    return io.daisyhoist.wire.proto.BodyCredit.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -802,6 +934,18 @@
     if (bodyCase_ == 20) {
       output.writeMessage(20, (io.daisyhoist.wire.proto.StoreChanges) body_);
     }
+    if (bodyCase_ == 21) {
+      output.writeMessage(21, (io.daisyhoist.wire.proto.QuotaRequest) body_);
+    }
+    if (bodyCase_ == 22) {
+      output.writeMessage(22, (io.daisyhoist.wire.proto.QuotaLoan) body_);
+    }
+    if (bodyCase_ == 23) {
+      output.writeMessage(23, (io.daisyhoist.wire.proto.BodyChunk) body_);
+    }
+    if (bodyCase_ == 24) {
+      output.writeMessage(24, (io.daisyhoist.wire.proto.BodyCredit) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -891,6 +1035,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(20, (io.daisyhoist.wire.proto.StoreChanges) body_);
     }
+    if (bodyCase_ == 21) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, (io.daisyhoist.wire.proto.QuotaRequest) body_);
+    }
+    if (bodyCase_ == 22) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(22, (io.daisyhoist.wire.proto.QuotaLoan) body_);
+    }
+    if (bodyCase_ == 23) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(23, (io.daisyhoist.wire.proto.BodyChunk) body_);
+    }
+    if (bodyCase_ == 24) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, (io.daisyhoist.wire.proto.BodyCredit) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -986,6 +1146,22 @@
         if (!getStoreChanges()
             .equals(other.getStoreChanges())) return false;
         break;
+      case 21:
+        if (!getQuotaRequest()
+            .equals(other.getQuotaRequest())) return false;
+        break;
+      case 22:
+        if (!getQuotaLoan()
+            .equals(other.getQuotaLoan())) return false;
+        break;
+      case 23:
+        if (!getBodyChunk()
+            .equals(other.getBodyChunk())) return false;
+        break;
+      case 24:
+        if (!getBodyCredit()
+            .equals(other.getBodyCredit())) return false;
+        break;
       case 0:
       default:
     }
@@ -1080,6 +1256,22 @@
         hash = (37 * hash) + STORE_CHANGES_FIELD_NUMBER;
         hash = (53 * hash) + getStoreChanges().hashCode();
         break;
+      case 21:
+        hash = (37 * hash) + QUOTA_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getQuotaRequest().hashCode();
+        break;
+      case 22:
+        hash = (37 * hash) + QUOTA_LOAN_FIELD_NUMBER;
+        hash = (53 * hash) + getQuotaLoan().hashCode();
+        break;
+      case 23:
+        hash = (37 * hash) + BODY_CHUNK_FIELD_NUMBER;
+        hash = (53 * hash) + getBodyChunk().hashCode();
+        break;
+      case 24:
+        hash = (37 * hash) + BODY_CREDIT_FIELD_NUMBER;
+        hash = (53 * hash) + getBodyCredit().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1272,6 +1464,18 @@
       if (storeChangesBuilder_ != null) {
         storeChangesBuilder_.clear();
       }
+      if (quotaRequestBuilder_ != null) {
+        quotaRequestBuilder_.clear();
+      }
+      if (quotaLoanBuilder_ != null) {
+        quotaLoanBuilder_.clear();
+      }
+      if (bodyChunkBuilder_ != null) {
+        bodyChunkBuilder_.clear();
+      }
+      if (bodyCreditBuilder_ != null) {
+        bodyCreditBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1392,6 +1596,22 @@
           storeChangesBuilder_ != null) {
         result.body_ = storeChangesBuilder_.build();
       }
+      if (bodyCase_ == 21 &&
+          quotaRequestBuilder_ != null) {
+        result.body_ = quotaRequestBuilder_.build();
+      }
+      if (bodyCase_ == 22 &&
+          quotaLoanBuilder_ != null) {
+        result.body_ = quotaLoanBuilder_.build();
+      }
+      if (bodyCase_ == 23 &&
+          bodyChunkBuilder_ != null) {
+        result.body_ = bodyChunkBuilder_.build();
+      }
+      if (bodyCase_ == 24 &&
+          bodyCreditBuilder_ != null) {
+        result.body_ = bodyCreditBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1486,6 +1706,22 @@
           mergeStoreChanges(other.getStoreChanges());
           break;
         }
+        case QUOTA_REQUEST: {
+          mergeQuotaRequest(other.getQuotaRequest());
+          break;
+        }
+        case QUOTA_LOAN: {
+          mergeQuotaLoan(other.getQuotaLoan());
+          break;
+        }
+        case BODY_CHUNK: {
+          mergeBodyChunk(other.getBodyChunk());
+          break;
+        }
+        case BODY_CREDIT: {
+          mergeBodyCredit(other.getBodyCredit());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1654,6 +1890,34 @@
               bodyCase_ = 20;
               break;
             } // case 162
+            case 170: {
+              input.readMessage(
+                  internalGetQuotaRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 21;
+              break;
+            } // case 170
+            case 178: {
+              input.readMessage(
+                  internalGetQuotaLoanFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 22;
+              break;
+            } // case 178
+            case 186: {
+              input.readMessage(
+                  internalGetBodyChunkFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 23;
+              break;
+            } // case 186
+            case 194: {
+              input.readMessage(
+                  internalGetBodyCreditFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 24;
+              break;
+            } // case 194
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4428,6 +4692,574 @@
       return storeChangesBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.QuotaRequest, io.daisyhoist.wire.proto.QuotaRequest.Builder, io.daisyhoist.wire.proto.QuotaRequestOrBuilder> quotaRequestBuilder_;
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     * @return Whether the quotaRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuotaRequest() {
+      return bodyCase_ == 21;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     * @return The quotaRequest.
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.QuotaRequest getQuotaRequest() {
+      if (quotaRequestBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          return (io.daisyhoist.wire.proto.QuotaRequest) body_;
+        }
+        return io.daisyhoist.wire.proto.QuotaRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 21) {
+          return quotaRequestBuilder_.getMessage();
+        }
+        return io.daisyhoist.wire.proto.QuotaRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     */
+    public Builder setQuotaRequest(io.daisyhoist.wire.proto.QuotaRequest value) {
+      if (quotaRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        quotaRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     */
+    public Builder setQuotaRequest(
+        io.daisyhoist.wire.proto.QuotaRequest.Builder builderForValue) {
+      if (quotaRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        quotaRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     */
+    public Builder mergeQuotaRequest(io.daisyhoist.wire.proto.QuotaRequest value) {
+      if (quotaRequestBuilder_ == null) {
+        if (bodyCase_ == 21 &&
+            body_ != io.daisyhoist.wire.proto.QuotaRequest.getDefaultInstance()) {
+          body_ = io.daisyhoist.wire.proto.QuotaRequest.newBuilder((io.daisyhoist.wire.proto.QuotaRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 21) {
+          quotaRequestBuilder_.mergeFrom(value);
+        } else {
+          quotaRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     */
+    public Builder clearQuotaRequest() {
+      if (quotaRequestBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 21) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        quotaRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     */
+    public io.daisyhoist.wire.proto.QuotaRequest.Builder getQuotaRequestBuilder() {
+      return internalGetQuotaRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.QuotaRequestOrBuilder getQuotaRequestOrBuilder() {
+      if ((bodyCase_ == 21) && (quotaRequestBuilder_ != null)) {
+        return quotaRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 21) {
+          return (io.daisyhoist.wire.proto.QuotaRequest) body_;
+        }
+        return io.daisyhoist.wire.proto.QuotaRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.QuotaRequest, io.daisyhoist.wire.proto.QuotaRequest.Builder, io.daisyhoist.wire.proto.QuotaRequestOrBuilder> 
+        internalGetQuotaRequestFieldBuilder() {
+      if (quotaRequestBuilder_ == null) {
+        if (!(bodyCase_ == 21)) {
+          body_ = io.daisyhoist.wire.proto.QuotaRequest.getDefaultInstance();
+        }
+        quotaRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.daisyhoist.wire.proto.QuotaRequest, io.daisyhoist.wire.proto.QuotaRequest.Builder, io.daisyhoist.wire.proto.QuotaRequestOrBuilder>(
+                (io.daisyhoist.wire.proto.QuotaRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 21;
+      onChanged();
+      return quotaRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.QuotaLoan, io.daisyhoist.wire.proto.QuotaLoan.Builder, io.daisyhoist.wire.proto.QuotaLoanOrBuilder> quotaLoanBuilder_;
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     * @return Whether the quotaLoan field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuotaLoan() {
+      return bodyCase_ == 22;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     * @return The quotaLoan.
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.QuotaLoan getQuotaLoan() {
+      if (quotaLoanBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          return (io.daisyhoist.wire.proto.QuotaLoan) body_;
+        }
+        return io.daisyhoist.wire.proto.QuotaLoan.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 22) {
+          return quotaLoanBuilder_.getMessage();
+        }
+        return io.daisyhoist.wire.proto.QuotaLoan.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     */
+    public Builder setQuotaLoan(io.daisyhoist.wire.proto.QuotaLoan value) {
+      if (quotaLoanBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        quotaLoanBuilder_.setMessage(value);
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     */
+    public Builder setQuotaLoan(
+        io.daisyhoist.wire.proto.QuotaLoan.Builder builderForValue) {
+      if (quotaLoanBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        quotaLoanBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     */
+    public Builder mergeQuotaLoan(io.daisyhoist.wire.proto.QuotaLoan value) {
+      if (quotaLoanBuilder_ == null) {
+        if (bodyCase_ == 22 &&
+            body_ != io.daisyhoist.wire.proto.QuotaLoan.getDefaultInstance()) {
+          body_ = io.daisyhoist.wire.proto.QuotaLoan.newBuilder((io.daisyhoist.wire.proto.QuotaLoan) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 22) {
+          quotaLoanBuilder_.mergeFrom(value);
+        } else {
+          quotaLoanBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     */
+    public Builder clearQuotaLoan() {
+      if (quotaLoanBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 22) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        quotaLoanBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     */
+    public io.daisyhoist.wire.proto.QuotaLoan.Builder getQuotaLoanBuilder() {
+      return internalGetQuotaLoanFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.QuotaLoanOrBuilder getQuotaLoanOrBuilder() {
+      if ((bodyCase_ == 22) && (quotaLoanBuilder_ != null)) {
+        return quotaLoanBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 22) {
+          return (io.daisyhoist.wire.proto.QuotaLoan) body_;
+        }
+        return io.daisyhoist.wire.proto.QuotaLoan.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.QuotaLoan, io.daisyhoist.wire.proto.QuotaLoan.Builder, io.daisyhoist.wire.proto.QuotaLoanOrBuilder> 
+        internalGetQuotaLoanFieldBuilder() {
+      if (quotaLoanBuilder_ == null) {
+        if (!(bodyCase_ == 22)) {
+          body_ = io.daisyhoist.wire.proto.QuotaLoan.getDefaultInstance();
+        }
+        quotaLoanBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.daisyhoist.wire.proto.QuotaLoan, io.daisyhoist.wire.proto.QuotaLoan.Builder, io.daisyhoist.wire.proto.QuotaLoanOrBuilder>(
+                (io.daisyhoist.wire.proto.QuotaLoan) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 22;
+      onChanged();
+      return quotaLoanBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.BodyChunk, io.daisyhoist.wire.proto.BodyChunk.Builder, io.daisyhoist.wire.proto.BodyChunkOrBuilder> bodyChunkBuilder_;
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     * @return Whether the bodyChunk field is set.
+     */
+    @java.lang.Override
+    public boolean hasBodyChunk() {
+      return bodyCase_ == 23;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     * @return The bodyChunk.
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.BodyChunk getBodyChunk() {
+      if (bodyChunkBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          return (io.daisyhoist.wire.proto.BodyChunk) body_;
+        }
+        return io.daisyhoist.wire.proto.BodyChunk.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 23) {
+          return bodyChunkBuilder_.getMessage();
+        }
+        return io.daisyhoist.wire.proto.BodyChunk.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     */
+    public Builder setBodyChunk(io.daisyhoist.wire.proto.BodyChunk value) {
+      if (bodyChunkBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        bodyChunkBuilder_.setMessage(value);
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     */
+    public Builder setBodyChunk(
+        io.daisyhoist.wire.proto.BodyChunk.Builder builderForValue) {
+      if (bodyChunkBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        bodyChunkBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     */
+    public Builder mergeBodyChunk(io.daisyhoist.wire.proto.BodyChunk value) {
+      if (bodyChunkBuilder_ == null) {
+        if (bodyCase_ == 23 &&
+            body_ != io.daisyhoist.wire.proto.BodyChunk.getDefaultInstance()) {
+          body_ = io.daisyhoist.wire.proto.BodyChunk.newBuilder((io.daisyhoist.wire.proto.BodyChunk) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 23) {
+          bodyChunkBuilder_.mergeFrom(value);
+        } else {
+          bodyChunkBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 23;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     */
+    public Builder clearBodyChunk() {
+      if (bodyChunkBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 23) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        bodyChunkBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     */
+    public io.daisyhoist.wire.proto.BodyChunk.Builder getBodyChunkBuilder() {
+      return internalGetBodyChunkFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.BodyChunkOrBuilder getBodyChunkOrBuilder() {
+      if ((bodyCase_ == 23) && (bodyChunkBuilder_ != null)) {
+        return bodyChunkBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 23) {
+          return (io.daisyhoist.wire.proto.BodyChunk) body_;
+        }
+        return io.daisyhoist.wire.proto.BodyChunk.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.BodyChunk, io.daisyhoist.wire.proto.BodyChunk.Builder, io.daisyhoist.wire.proto.BodyChunkOrBuilder> 
+        internalGetBodyChunkFieldBuilder() {
+      if (bodyChunkBuilder_ == null) {
+        if (!(bodyCase_ == 23)) {
+          body_ = io.daisyhoist.wire.proto.BodyChunk.getDefaultInstance();
+        }
+        bodyChunkBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.daisyhoist.wire.proto.BodyChunk, io.daisyhoist.wire.proto.BodyChunk.Builder, io.daisyhoist.wire.proto.BodyChunkOrBuilder>(
+                (io.daisyhoist.wire.proto.BodyChunk) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 23;
+      onChanged();
+      return bodyChunkBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.BodyCredit, io.daisyhoist.wire.proto.BodyCredit.Builder, io.daisyhoist.wire.proto.BodyCreditOrBuilder> bodyCreditBuilder_;
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     * @return Whether the bodyCredit field is set.
+     */
+    @java.lang.Override
+    public boolean hasBodyCredit() {
+      return bodyCase_ == 24;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     * @return The bodyCredit.
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.BodyCredit getBodyCredit() {
+      if (bodyCreditBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          return (io.daisyhoist.wire.proto.BodyCredit) body_;
+        }
+        return io.daisyhoist.wire.proto.BodyCredit.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 24) {
+          return bodyCreditBuilder_.getMessage();
+        }
+        return io.daisyhoist.wire.proto.BodyCredit.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     */
+    public Builder setBodyCredit(io.daisyhoist.wire.proto.BodyCredit value) {
+      if (bodyCreditBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        bodyCreditBuilder_.setMessage(value);
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     */
+    public Builder setBodyCredit(
+        io.daisyhoist.wire.proto.BodyCredit.Builder builderForValue) {
+      if (bodyCreditBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        bodyCreditBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     */
+    public Builder mergeBodyCredit(io.daisyhoist.wire.proto.BodyCredit value) {
+      if (bodyCreditBuilder_ == null) {
+        if (bodyCase_ == 24 &&
+            body_ != io.daisyhoist.wire.proto.BodyCredit.getDefaultInstance()) {
+          body_ = io.daisyhoist.wire.proto.BodyCredit.newBuilder((io.daisyhoist.wire.proto.BodyCredit) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 24) {
+          bodyCreditBuilder_.mergeFrom(value);
+        } else {
+          bodyCreditBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     */
+    public Builder clearBodyCredit() {
+      if (bodyCreditBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        bodyCreditBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     */
+    public io.daisyhoist.wire.proto.BodyCredit.Builder getBodyCreditBuilder() {
+      return internalGetBodyCreditFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.BodyCreditOrBuilder getBodyCreditOrBuilder() {
+      if ((bodyCase_ == 24) && (bodyCreditBuilder_ != null)) {
+        return bodyCreditBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 24) {
+          return (io.daisyhoist.wire.proto.BodyCredit) body_;
+        }
+        return io.daisyhoist.wire.proto.BodyCredit.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.daisyhoist.wire.proto.BodyCredit, io.daisyhoist.wire.proto.BodyCredit.Builder, io.daisyhoist.wire.proto.BodyCreditOrBuilder> 
+        internalGetBodyCreditFieldBuilder() {
+      if (bodyCreditBuilder_ == null) {
+        if (!(bodyCase_ == 24)) {
+          body_ = io.daisyhoist.wire.proto.BodyCredit.getDefaultInstance();
+        }
+        bodyCreditBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.daisyhoist.wire.proto.BodyCredit, io.daisyhoist.wire.proto.BodyCredit.Builder, io.daisyhoist.wire.proto.BodyCreditOrBuilder>(
+                (io.daisyhoist.wire.proto.BodyCredit) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 24;
+      onChanged();
+      return bodyCreditBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.Envelope)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/EnvelopeOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/EnvelopeOrBuilder.java
@@ -305,5 +305,65 @@
    */
   io.daisyhoist.wire.proto.StoreChangesOrBuilder getStoreChangesOrBuilder();
 
+  /**
+   * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+   * @return Whether the quotaRequest field is set.
+   */
+  boolean hasQuotaRequest();
+  /**
+   * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+   * @return The quotaRequest.
+   */
+  io.daisyhoist.wire.proto.QuotaRequest getQuotaRequest();
+  /**
+   * <code>.daisyhoist.peer.QuotaRequest quota_request = 21;</code>
+   */
+  io.daisyhoist.wire.proto.QuotaRequestOrBuilder getQuotaRequestOrBuilder();
+
+  /**
+   * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+   * @return Whether the quotaLoan field is set.
+   */
+  boolean hasQuotaLoan();
+  /**
+   * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+   * @return The quotaLoan.
+   */
+  io.daisyhoist.wire.proto.QuotaLoan getQuotaLoan();
+  /**
+   * <code>.daisyhoist.peer.QuotaLoan quota_loan = 22;</code>
+   */
+  io.daisyhoist.wire.proto.QuotaLoanOrBuilder getQuotaLoanOrBuilder();
+
+  /**
+   * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+   * @return Whether the bodyChunk field is set.
+   */
+  boolean hasBodyChunk();
+  /**
+   * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+   * @return The bodyChunk.
+   */
+  io.daisyhoist.wire.proto.BodyChunk getBodyChunk();
+  /**
+   * <code>.daisyhoist.peer.BodyChunk body_chunk = 23;</code>
+   */
+  io.daisyhoist.wire.proto.BodyChunkOrBuilder getBodyChunkOrBuilder();
+
+  /**
+   * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+   * @return Whether the bodyCredit field is set.
+   */
+  boolean hasBodyCredit();
+  /**
+   * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+   * @return The bodyCredit.
+   */
+  io.daisyhoist.wire.proto.BodyCredit getBodyCredit();
+  /**
+   * <code>.daisyhoist.peer.BodyCredit body_credit = 24;</code>
+   */
+  io.daisyhoist.wire.proto.BodyCreditOrBuilder getBodyCreditOrBuilder();
+
   io.daisyhoist.wire.proto.Envelope.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoad.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoad.java
@@ -180,6 +180,63 @@
     return storeContactAgeMs_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 7;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of the store in which the revisions were read.
+   * </pre>
+   *
+   * <code>uint64 era = 7;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
+  public static final int CONFIG_VERSION_FIELD_NUMBER = 8;
+  private long configVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the operators' configuration that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 config_version = 8;</code>
+   * @return The configVersion.
+   */
+  @java.lang.Override
+  public long getConfigVersion() {
+    return configVersion_;
+  }
+
+  public static final int CONFIG_CONFIRMED_AGE_MS_FIELD_NUMBER = 9;
+  private int configConfirmedAgeMs_ = 0;
+  /**
+   * <pre>
+   * Time since the sender asked the store and learnt that config_version is the newest one.
+   * </pre>
+   *
+   * <code>optional uint32 config_confirmed_age_ms = 9;</code>
+   * @return Whether the configConfirmedAgeMs field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfigConfirmedAgeMs() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Time since the sender asked the store and learnt that config_version is the newest one.
+   * </pre>
+   *
+   * <code>optional uint32 config_confirmed_age_ms = 9;</code>
+   * @return The configConfirmedAgeMs.
+   */
+  @java.lang.Override
+  public int getConfigConfirmedAgeMs() {
+    return configConfirmedAgeMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -212,6 +269,15 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeUInt32(6, storeContactAgeMs_);
     }
+    if (era_ != 0L) {
+      output.writeUInt64(7, era_);
+    }
+    if (configVersion_ != 0L) {
+      output.writeUInt64(8, configVersion_);
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeUInt32(9, configConfirmedAgeMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -244,6 +310,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(6, storeContactAgeMs_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, era_);
+    }
+    if (configVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(8, configVersion_);
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(9, configConfirmedAgeMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -275,6 +353,15 @@
       if (getStoreContactAgeMs()
           != other.getStoreContactAgeMs()) return false;
     }
+    if (getEra()
+        != other.getEra()) return false;
+    if (getConfigVersion()
+        != other.getConfigVersion()) return false;
+    if (hasConfigConfirmedAgeMs() != other.hasConfigConfirmedAgeMs()) return false;
+    if (hasConfigConfirmedAgeMs()) {
+      if (getConfigConfirmedAgeMs()
+          != other.getConfigConfirmedAgeMs()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -304,6 +391,16 @@
       hash = (37 * hash) + STORE_CONTACT_AGE_MS_FIELD_NUMBER;
       hash = (53 * hash) + getStoreContactAgeMs();
     }
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
+    hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigVersion());
+    if (hasConfigConfirmedAgeMs()) {
+      hash = (37 * hash) + CONFIG_CONFIRMED_AGE_MS_FIELD_NUMBER;
+      hash = (53 * hash) + getConfigConfirmedAgeMs();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -445,6 +542,9 @@
       operatorRevision_ = 0L;
       fleetRevision_ = 0L;
       storeContactAgeMs_ = 0;
+      era_ = 0L;
+      configVersion_ = 0L;
+      configConfirmedAgeMs_ = 0;
       return this;
     }
 
@@ -498,6 +598,16 @@
         result.storeContactAgeMs_ = storeContactAgeMs_;
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.era_ = era_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.configVersion_ = configVersion_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.configConfirmedAgeMs_ = configConfirmedAgeMs_;
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -533,6 +643,15 @@
       if (other.hasStoreContactAgeMs()) {
         setStoreContactAgeMs(other.getStoreContactAgeMs());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
+      if (other.getConfigVersion() != 0L) {
+        setConfigVersion(other.getConfigVersion());
+      }
+      if (other.hasConfigConfirmedAgeMs()) {
+        setConfigConfirmedAgeMs(other.getConfigConfirmedAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -589,6 +708,21 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              era_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 64: {
+              configVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              configConfirmedAgeMs_ = input.readUInt32();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -910,6 +1044,150 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of the store in which the revisions were read.
+     * </pre>
+     *
+     * <code>uint64 era = 7;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the revisions were read.
+     * </pre>
+     *
+     * <code>uint64 era = 7;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the revisions were read.
+     * </pre>
+     *
+     * <code>uint64 era = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long configVersion_ ;
+    /**
+     * <pre>
+     * Version of the operators' configuration that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 config_version = 8;</code>
+     * @return The configVersion.
+     */
+    @java.lang.Override
+    public long getConfigVersion() {
+      return configVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the operators' configuration that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 config_version = 8;</code>
+     * @param value The configVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigVersion(long value) {
+
+      configVersion_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the operators' configuration that the sender knows.
+     * </pre>
+     *
+     * <code>uint64 config_version = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigVersion() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      configVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int configConfirmedAgeMs_ ;
+    /**
+     * <pre>
+     * Time since the sender asked the store and learnt that config_version is the newest one.
+     * </pre>
+     *
+     * <code>optional uint32 config_confirmed_age_ms = 9;</code>
+     * @return Whether the configConfirmedAgeMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfigConfirmedAgeMs() {
+      return ((bitField0_ & 0x00000100) != 0);
+    }
+    /**
+     * <pre>
+     * Time since the sender asked the store and learnt that config_version is the newest one.
+     * </pre>
+     *
+     * <code>optional uint32 config_confirmed_age_ms = 9;</code>
+     * @return The configConfirmedAgeMs.
+     */
+    @java.lang.Override
+    public int getConfigConfirmedAgeMs() {
+      return configConfirmedAgeMs_;
+    }
+    /**
+     * <pre>
+     * Time since the sender asked the store and learnt that config_version is the newest one.
+     * </pre>
+     *
+     * <code>optional uint32 config_confirmed_age_ms = 9;</code>
+     * @param value The configConfirmedAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigConfirmedAgeMs(int value) {
+
+      configConfirmedAgeMs_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the sender asked the store and learnt that config_version is the newest one.
+     * </pre>
+     *
+     * <code>optional uint32 config_confirmed_age_ms = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigConfirmedAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      configConfirmedAgeMs_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.FleetLoad)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoadOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/FleetLoadOrBuilder.java
@@ -80,4 +80,43 @@
    * @return The storeContactAgeMs.
    */
   int getStoreContactAgeMs();
+
+  /**
+   * <pre>
+   * Era of the store in which the revisions were read.
+   * </pre>
+   *
+   * <code>uint64 era = 7;</code>
+   * @return The era.
+   */
+  long getEra();
+
+  /**
+   * <pre>
+   * Version of the operators' configuration that the sender knows.
+   * </pre>
+   *
+   * <code>uint64 config_version = 8;</code>
+   * @return The configVersion.
+   */
+  long getConfigVersion();
+
+  /**
+   * <pre>
+   * Time since the sender asked the store and learnt that config_version is the newest one.
+   * </pre>
+   *
+   * <code>optional uint32 config_confirmed_age_ms = 9;</code>
+   * @return Whether the configConfirmedAgeMs field is set.
+   */
+  boolean hasConfigConfirmedAgeMs();
+  /**
+   * <pre>
+   * Time since the sender asked the store and learnt that config_version is the newest one.
+   * </pre>
+   *
+   * <code>optional uint32 config_confirmed_age_ms = 9;</code>
+   * @return The configConfirmedAgeMs.
+   */
+  int getConfigConfirmedAgeMs();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequest.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequest.java
@@ -39,6 +39,8 @@
     traceparent_ = "";
     requestId_ = "";
     callerService_ = "";
+    customer_ = "";
+    customerKeyHash_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -631,6 +633,137 @@
     return hasAlternative_;
   }
 
+  public static final int CUSTOMER_FIELD_NUMBER = 19;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object customer_ = "";
+  /**
+   * <pre>
+   * Customer that the request belongs to; not set where requests need no key.
+   * </pre>
+   *
+   * <code>optional string customer = 19;</code>
+   * @return Whether the customer field is set.
+   */
+  @java.lang.Override
+  public boolean hasCustomer() {
+    return ((bitField0_ & 0x00000010) != 0);
+  }
+  /**
+   * <pre>
+   * Customer that the request belongs to; not set where requests need no key.
+   * </pre>
+   *
+   * <code>optional string customer = 19;</code>
+   * @return The customer.
+   */
+  @java.lang.Override
+  public java.lang.String getCustomer() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      customer_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Customer that the request belongs to; not set where requests need no key.
+   * </pre>
+   *
+   * <code>optional string customer = 19;</code>
+   * @return The bytes for customer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCustomerBytes() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      customer_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int CUSTOMER_KEY_HASH_FIELD_NUMBER = 20;
+  private com.google.protobuf.ByteString customerKeyHash_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * Hash of the customer's key, by which the receiver checks again that the key is valid.
+   * </pre>
+   *
+   * <code>optional bytes customer_key_hash = 20;</code>
+   * @return Whether the customerKeyHash field is set.
+   */
+  @java.lang.Override
+  public boolean hasCustomerKeyHash() {
+    return ((bitField0_ & 0x00000020) != 0);
+  }
+  /**
+   * <pre>
+   * Hash of the customer's key, by which the receiver checks again that the key is valid.
+   * </pre>
+   *
+   * <code>optional bytes customer_key_hash = 20;</code>
+   * @return The customerKeyHash.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getCustomerKeyHash() {
+    return customerKeyHash_;
+  }
+
+  public static final int BODY_FOLLOWS_FIELD_NUMBER = 21;
+  private boolean bodyFollows_ = false;
+  /**
+   * <pre>
+   * The rest of the body follows in BodyChunk messages once the receiver has granted credit.
+   * </pre>
+   *
+   * <code>bool body_follows = 21;</code>
+   * @return The bodyFollows.
+   */
+  @java.lang.Override
+  public boolean getBodyFollows() {
+    return bodyFollows_;
+  }
+
+  public static final int REMAINING_TARGET_MS_FIELD_NUMBER = 22;
+  private int remainingTargetMs_ = 0;
+  /**
+   * <pre>
+   * Time left until the latency target of the route; 0 once it has passed.
+   * </pre>
+   *
+   * <code>uint32 remaining_target_ms = 22;</code>
+   * @return The remainingTargetMs.
+   */
+  @java.lang.Override
+  public int getRemainingTargetMs() {
+    return remainingTargetMs_;
+  }
+
+  public static final int EXPECTED_WORK_MS_FIELD_NUMBER = 23;
+  private int expectedWorkMs_ = 0;
+  /**
+   * <pre>
+   * Expected run time of the request at a backend server of usual speed, as the sender has observed it; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 expected_work_ms = 23;</code>
+   * @return The expectedWorkMs.
+   */
+  @java.lang.Override
+  public int getExpectedWorkMs() {
+    return expectedWorkMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -699,6 +832,21 @@
     if (hasAlternative_ != false) {
       output.writeBool(18, hasAlternative_);
     }
+    if (((bitField0_ & 0x00000010) != 0)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 19, customer_);
+    }
+    if (((bitField0_ & 0x00000020) != 0)) {
+      output.writeBytes(20, customerKeyHash_);
+    }
+    if (bodyFollows_ != false) {
+      output.writeBool(21, bodyFollows_);
+    }
+    if (remainingTargetMs_ != 0) {
+      output.writeUInt32(22, remainingTargetMs_);
+    }
+    if (expectedWorkMs_ != 0) {
+      output.writeUInt32(23, expectedWorkMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -776,6 +924,25 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(18, hasAlternative_);
     }
+    if (((bitField0_ & 0x00000010) != 0)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(19, customer_);
+    }
+    if (((bitField0_ & 0x00000020) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(20, customerKeyHash_);
+    }
+    if (bodyFollows_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(21, bodyFollows_);
+    }
+    if (remainingTargetMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(22, remainingTargetMs_);
+    }
+    if (expectedWorkMs_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(23, expectedWorkMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -839,6 +1006,22 @@
         != other.getConfigVersion()) return false;
     if (getHasAlternative()
         != other.getHasAlternative()) return false;
+    if (hasCustomer() != other.hasCustomer()) return false;
+    if (hasCustomer()) {
+      if (!getCustomer()
+          .equals(other.getCustomer())) return false;
+    }
+    if (hasCustomerKeyHash() != other.hasCustomerKeyHash()) return false;
+    if (hasCustomerKeyHash()) {
+      if (!getCustomerKeyHash()
+          .equals(other.getCustomerKeyHash())) return false;
+    }
+    if (getBodyFollows()
+        != other.getBodyFollows()) return false;
+    if (getRemainingTargetMs()
+        != other.getRemainingTargetMs()) return false;
+    if (getExpectedWorkMs()
+        != other.getExpectedWorkMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -899,6 +1082,21 @@
     hash = (37 * hash) + HAS_ALTERNATIVE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getHasAlternative());
+    if (hasCustomer()) {
+      hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomer().hashCode();
+    }
+    if (hasCustomerKeyHash()) {
+      hash = (37 * hash) + CUSTOMER_KEY_HASH_FIELD_NUMBER;
+      hash = (53 * hash) + getCustomerKeyHash().hashCode();
+    }
+    hash = (37 * hash) + BODY_FOLLOWS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getBodyFollows());
+    hash = (37 * hash) + REMAINING_TARGET_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getRemainingTargetMs();
+    hash = (37 * hash) + EXPECTED_WORK_MS_FIELD_NUMBER;
+    hash = (53 * hash) + getExpectedWorkMs();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1065,6 +1263,11 @@
       queueWaitMs_ = 0;
       configVersion_ = 0L;
       hasAlternative_ = false;
+      customer_ = "";
+      customerKeyHash_ = com.google.protobuf.ByteString.EMPTY;
+      bodyFollows_ = false;
+      remainingTargetMs_ = 0;
+      expectedWorkMs_ = 0;
       return this;
     }
 
@@ -1169,6 +1372,23 @@
       if (((from_bitField0_ & 0x00020000) != 0)) {
         result.hasAlternative_ = hasAlternative_;
       }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.customer_ = customer_;
+        to_bitField0_ |= 0x00000010;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.customerKeyHash_ = customerKeyHash_;
+        to_bitField0_ |= 0x00000020;
+      }
+      if (((from_bitField0_ & 0x00100000) != 0)) {
+        result.bodyFollows_ = bodyFollows_;
+      }
+      if (((from_bitField0_ & 0x00200000) != 0)) {
+        result.remainingTargetMs_ = remainingTargetMs_;
+      }
+      if (((from_bitField0_ & 0x00400000) != 0)) {
+        result.expectedWorkMs_ = expectedWorkMs_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1279,6 +1499,23 @@
       if (other.getHasAlternative() != false) {
         setHasAlternative(other.getHasAlternative());
       }
+      if (other.hasCustomer()) {
+        customer_ = other.customer_;
+        bitField0_ |= 0x00040000;
+        onChanged();
+      }
+      if (other.hasCustomerKeyHash()) {
+        setCustomerKeyHash(other.getCustomerKeyHash());
+      }
+      if (other.getBodyFollows() != false) {
+        setBodyFollows(other.getBodyFollows());
+      }
+      if (other.getRemainingTargetMs() != 0) {
+        setRemainingTargetMs(other.getRemainingTargetMs());
+      }
+      if (other.getExpectedWorkMs() != 0) {
+        setExpectedWorkMs(other.getExpectedWorkMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1405,6 +1642,31 @@
               bitField0_ |= 0x00020000;
               break;
             } // case 144
+            case 154: {
+              customer_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 154
+            case 162: {
+              customerKeyHash_ = input.readBytes();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 162
+            case 168: {
+              bodyFollows_ = input.readBool();
+              bitField0_ |= 0x00100000;
+              break;
+            } // case 168
+            case 176: {
+              remainingTargetMs_ = input.readUInt32();
+              bitField0_ |= 0x00200000;
+              break;
+            } // case 176
+            case 184: {
+              expectedWorkMs_ = input.readUInt32();
+              bitField0_ |= 0x00400000;
+              break;
+            } // case 184
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2817,6 +3079,297 @@
       return this;
     }
 
+    private java.lang.Object customer_ = "";
+    /**
+     * <pre>
+     * Customer that the request belongs to; not set where requests need no key.
+     * </pre>
+     *
+     * <code>optional string customer = 19;</code>
+     * @return Whether the customer field is set.
+     */
+    public boolean hasCustomer() {
+      return ((bitField0_ & 0x00040000) != 0);
+    }
+    /**
+     * <pre>
+     * Customer that the request belongs to; not set where requests need no key.
+     * </pre>
+     *
+     * <code>optional string customer = 19;</code>
+     * @return The customer.
+     */
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Customer that the request belongs to; not set where requests need no key.
+     * </pre>
+     *
+     * <code>optional string customer = 19;</code>
+     * @return The bytes for customer.
+     */
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Customer that the request belongs to; not set where requests need no key.
+     * </pre>
+     *
+     * <code>optional string customer = 19;</code>
+     * @param value The customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomer(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      customer_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Customer that the request belongs to; not set where requests need no key.
+     * </pre>
+     *
+     * <code>optional string customer = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCustomer() {
+      customer_ = getDefaultInstance().getCustomer();
+      bitField0_ = (bitField0_ & ~0x00040000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Customer that the request belongs to; not set where requests need no key.
+     * </pre>
+     *
+     * <code>optional string customer = 19;</code>
+     * @param value The bytes for customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomerBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      customer_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString customerKeyHash_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * Hash of the customer's key, by which the receiver checks again that the key is valid.
+     * </pre>
+     *
+     * <code>optional bytes customer_key_hash = 20;</code>
+     * @return Whether the customerKeyHash field is set.
+     */
+    @java.lang.Override
+    public boolean hasCustomerKeyHash() {
+      return ((bitField0_ & 0x00080000) != 0);
+    }
+    /**
+     * <pre>
+     * Hash of the customer's key, by which the receiver checks again that the key is valid.
+     * </pre>
+     *
+     * <code>optional bytes customer_key_hash = 20;</code>
+     * @return The customerKeyHash.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getCustomerKeyHash() {
+      return customerKeyHash_;
+    }
+    /**
+     * <pre>
+     * Hash of the customer's key, by which the receiver checks again that the key is valid.
+     * </pre>
+     *
+     * <code>optional bytes customer_key_hash = 20;</code>
+     * @param value The customerKeyHash to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomerKeyHash(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      customerKeyHash_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hash of the customer's key, by which the receiver checks again that the key is valid.
+     * </pre>
+     *
+     * <code>optional bytes customer_key_hash = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCustomerKeyHash() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      customerKeyHash_ = getDefaultInstance().getCustomerKeyHash();
+      onChanged();
+      return this;
+    }
+
+    private boolean bodyFollows_ ;
+    /**
+     * <pre>
+     * The rest of the body follows in BodyChunk messages once the receiver has granted credit.
+     * </pre>
+     *
+     * <code>bool body_follows = 21;</code>
+     * @return The bodyFollows.
+     */
+    @java.lang.Override
+    public boolean getBodyFollows() {
+      return bodyFollows_;
+    }
+    /**
+     * <pre>
+     * The rest of the body follows in BodyChunk messages once the receiver has granted credit.
+     * </pre>
+     *
+     * <code>bool body_follows = 21;</code>
+     * @param value The bodyFollows to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBodyFollows(boolean value) {
+
+      bodyFollows_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The rest of the body follows in BodyChunk messages once the receiver has granted credit.
+     * </pre>
+     *
+     * <code>bool body_follows = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBodyFollows() {
+      bitField0_ = (bitField0_ & ~0x00100000);
+      bodyFollows_ = false;
+      onChanged();
+      return this;
+    }
+
+    private int remainingTargetMs_ ;
+    /**
+     * <pre>
+     * Time left until the latency target of the route; 0 once it has passed.
+     * </pre>
+     *
+     * <code>uint32 remaining_target_ms = 22;</code>
+     * @return The remainingTargetMs.
+     */
+    @java.lang.Override
+    public int getRemainingTargetMs() {
+      return remainingTargetMs_;
+    }
+    /**
+     * <pre>
+     * Time left until the latency target of the route; 0 once it has passed.
+     * </pre>
+     *
+     * <code>uint32 remaining_target_ms = 22;</code>
+     * @param value The remainingTargetMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRemainingTargetMs(int value) {
+
+      remainingTargetMs_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time left until the latency target of the route; 0 once it has passed.
+     * </pre>
+     *
+     * <code>uint32 remaining_target_ms = 22;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRemainingTargetMs() {
+      bitField0_ = (bitField0_ & ~0x00200000);
+      remainingTargetMs_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int expectedWorkMs_ ;
+    /**
+     * <pre>
+     * Expected run time of the request at a backend server of usual speed, as the sender has observed it; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 expected_work_ms = 23;</code>
+     * @return The expectedWorkMs.
+     */
+    @java.lang.Override
+    public int getExpectedWorkMs() {
+      return expectedWorkMs_;
+    }
+    /**
+     * <pre>
+     * Expected run time of the request at a backend server of usual speed, as the sender has observed it; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 expected_work_ms = 23;</code>
+     * @param value The expectedWorkMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExpectedWorkMs(int value) {
+
+      expectedWorkMs_ = value;
+      bitField0_ |= 0x00400000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Expected run time of the request at a backend server of usual speed, as the sender has observed it; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 expected_work_ms = 23;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExpectedWorkMs() {
+      bitField0_ = (bitField0_ & ~0x00400000);
+      expectedWorkMs_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.ForwardRequest)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequestOrBuilder.java
@@ -265,4 +265,82 @@
    * @return The hasAlternative.
    */
   boolean getHasAlternative();
+
+  /**
+   * <pre>
+   * Customer that the request belongs to; not set where requests need no key.
+   * </pre>
+   *
+   * <code>optional string customer = 19;</code>
+   * @return Whether the customer field is set.
+   */
+  boolean hasCustomer();
+  /**
+   * <pre>
+   * Customer that the request belongs to; not set where requests need no key.
+   * </pre>
+   *
+   * <code>optional string customer = 19;</code>
+   * @return The customer.
+   */
+  java.lang.String getCustomer();
+  /**
+   * <pre>
+   * Customer that the request belongs to; not set where requests need no key.
+   * </pre>
+   *
+   * <code>optional string customer = 19;</code>
+   * @return The bytes for customer.
+   */
+  com.google.protobuf.ByteString
+      getCustomerBytes();
+
+  /**
+   * <pre>
+   * Hash of the customer's key, by which the receiver checks again that the key is valid.
+   * </pre>
+   *
+   * <code>optional bytes customer_key_hash = 20;</code>
+   * @return Whether the customerKeyHash field is set.
+   */
+  boolean hasCustomerKeyHash();
+  /**
+   * <pre>
+   * Hash of the customer's key, by which the receiver checks again that the key is valid.
+   * </pre>
+   *
+   * <code>optional bytes customer_key_hash = 20;</code>
+   * @return The customerKeyHash.
+   */
+  com.google.protobuf.ByteString getCustomerKeyHash();
+
+  /**
+   * <pre>
+   * The rest of the body follows in BodyChunk messages once the receiver has granted credit.
+   * </pre>
+   *
+   * <code>bool body_follows = 21;</code>
+   * @return The bodyFollows.
+   */
+  boolean getBodyFollows();
+
+  /**
+   * <pre>
+   * Time left until the latency target of the route; 0 once it has passed.
+   * </pre>
+   *
+   * <code>uint32 remaining_target_ms = 22;</code>
+   * @return The remainingTargetMs.
+   */
+  int getRemainingTargetMs();
+
+  /**
+   * <pre>
+   * Expected run time of the request at a backend server of usual speed, as the sender has observed it; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 expected_work_ms = 23;</code>
+   * @return The expectedWorkMs.
+   */
+  int getExpectedWorkMs();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/OperatorItems.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/OperatorItems.java
@@ -770,6 +770,21 @@
     return asOf_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 3;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of the store in which the items were read.
+   * </pre>
+   *
+   * <code>uint64 era = 3;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -790,6 +805,9 @@
     if (asOf_ != 0L) {
       output.writeUInt64(2, asOf_);
     }
+    if (era_ != 0L) {
+      output.writeUInt64(3, era_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -812,6 +830,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, asOf_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, era_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -831,6 +853,8 @@
         .equals(other.getItemsList())) return false;
     if (getAsOf()
         != other.getAsOf()) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -849,6 +873,9 @@
     hash = (37 * hash) + AS_OF_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAsOf());
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -992,6 +1019,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000001);
       asOf_ = 0L;
+      era_ = 0L;
       return this;
     }
 
@@ -1041,6 +1069,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.asOf_ = asOf_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -1084,6 +1115,9 @@
       if (other.getAsOf() != 0L) {
         setAsOf(other.getAsOf());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1128,6 +1162,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              era_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1429,6 +1468,50 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of the store in which the items were read.
+     * </pre>
+     *
+     * <code>uint64 era = 3;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the items were read.
+     * </pre>
+     *
+     * <code>uint64 era = 3;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the items were read.
+     * </pre>
+     *
+     * <code>uint64 era = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.OperatorItems)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/OperatorItemsOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/OperatorItemsOrBuilder.java
@@ -43,4 +43,14 @@
    * @return The asOf.
    */
   long getAsOf();
+
+  /**
+   * <pre>
+   * Era of the store in which the items were read.
+   * </pre>
+   *
+   * <code>uint64 era = 3;</code>
+   * @return The era.
+   */
+  long getEra();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -191,6 +191,36 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_daisyhoist_peer_OperatorItems_Item_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_QuotaRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_QuotaRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_QuotaRequest_Demand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_QuotaRequest_Demand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_QuotaLoan_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_QuotaLoan_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_QuotaLoan_Part_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_QuotaLoan_Part_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_BodyChunk_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_BodyChunk_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_BodyCredit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_BodyCredit_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -200,7 +230,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017daisyhoist.peer\"\266\010\n\010Envelo" +
+      "\n\npeer.proto\022\017daisyhoist.peer\"\206\n\n\010Envelo" +
       "pe\022\022\n\nrequest_id\030\001 \001(\004\022\'\n\005hello\030\002 \001(\0132\026." +
       "daisyhoist.peer.HelloH\000\022/\n\theartbeat\030\003 \001" +
       "(\0132\032.daisyhoist.peer.HeartbeatH\000\0226\n\rhear" +
@@ -227,103 +257,129 @@
       ".daisyhoist.peer.FleetLoadH\000\0228\n\016operator" +
       "_items\030\023 \001(\0132\036.daisyhoist.peer.OperatorI" +
       "temsH\000\0226\n\rstore_changes\030\024 \001(\0132\035.daisyhoi" +
-      "st.peer.StoreChangesH\000B\006\n\004body\">\n\007Sessio" +
-      "n\022\016\n\006daemon\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\016" +
-      "\n\006number\030\003 \001(\r\"W\n\005Hello\022\017\n\007cluster\030\001 \001(\t" +
-      "\022\016\n\006daemon\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\006\022\030\n" +
-      "\020protocol_version\030\004 \001(\r\"Z\n\010Versions\022\025\n\rg" +
-      "roup_version\030\001 \001(\004\022\026\n\016config_version\030\002 \001" +
-      "(\004\022\037\n\027config_confirmed_age_ms\030\003 \001(\r\"(\n\004L" +
-      "oad\022\021\n\tin_flight\030\001 \001(\r\022\r\n\005limit\030\002 \001(\r\"\210\001" +
-      "\n\tHeartbeat\022)\n\007session\030\001 \001(\0132\030.daisyhois" +
-      "t.peer.Session\022+\n\010versions\030\002 \001(\0132\031.daisy" +
-      "hoist.peer.Versions\022#\n\004load\030\003 \001(\0132\025.dais" +
-      "yhoist.peer.Load\"\356\001\n\014HeartbeatAck\0224\n\006res" +
-      "ult\030\001 \001(\0162$.daisyhoist.peer.HeartbeatAck" +
-      ".Result\022\033\n\023witness_incarnation\030\002 \001(\006\022+\n\010" +
-      "versions\030\003 \001(\0132\031.daisyhoist.peer.Version" +
-      "s\022#\n\004load\030\004 \001(\0132\025.daisyhoist.peer.Load\"9" +
-      "\n\006Result\022\020\n\014ACKNOWLEDGED\020\000\022\n\n\006FENCED\020\001\022\021" +
-      "\n\rNOT_A_WITNESS\020\002\"V\n\014FenceRequest\022)\n\007ses" +
-      "sion\030\001 \001(\0132\030.daisyhoist.peer.Session\022\033\n\023" +
-      "witness_incarnation\030\002 \001(\006\"\265\001\n\nFenceReply" +
-      "\0222\n\006result\030\001 \001(\0162\".daisyhoist.peer.Fence" +
-      "Reply.Result\022\033\n\023witness_incarnation\030\002 \001(" +
-      "\006\022\017\n\007time_ms\030\003 \001(\r\"E\n\006Result\022\n\n\006FENCED\020\000" +
-      "\022\014\n\010PROMISED\020\001\022\021\n\rNOT_A_WITNESS\020\002\022\016\n\nSUP" +
-      "ERSEDED\020\003\"E\n\013GroupUpdate\022\017\n\007version\030\001 \001(" +
-      "\004\022\023\n\013record_json\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004" +
-      "\"\014\n\nGroupFetch\"$\n\013ConfigFetch\022\025\n\rknown_v" +
-      "ersion\030\001 \001(\004\"b\n\014ConfigUpdate\022\017\n\007version\030" +
-      "\001 \001(\004\022\025\n\rdocument_json\030\002 \001(\014\022\030\n\020confirme" +
-      "d_age_ms\030\003 \001(\r\022\020\n\010revision\030\004 \001(\004\"+\n\tPart" +
-      "ition\022\017\n\007service\030\001 \001(\t\022\r\n\005index\030\002 \001(\r\"y\n" +
-      "\013MoveRequest\022-\n\tpartition\030\001 \001(\0132\032.daisyh" +
-      "oist.peer.Partition\022$\n\002to\030\002 \001(\0132\030.daisyh" +
-      "oist.peer.Session\022\025\n\rgroup_version\030\003 \001(\004" +
-      "\"\342\001\n\rAttemptRecord\022\r\n\005token\030\001 \001(\t\0223\n\005sta" +
-      "te\030\002 \001(\0162$.daisyhoist.peer.AttemptRecord" +
-      ".State\022\016\n\006age_ms\030\003 \001(\r\022\016\n\006status\030\004 \001(\005\022(" +
-      "\n\007headers\030\005 \003(\0132\027.daisyhoist.peer.Header" +
-      "\022\014\n\004body\030\006 \001(\014\022\021\n\tbody_kept\030\007 \001(\010\"\"\n\005Sta" +
-      "te\022\013\n\007UNKNOWN\020\000\022\014\n\010FINISHED\020\001\"\353\002\n\020Transf" +
-      "erAttempts\022-\n\tpartition\030\001 \001(\0132\032.daisyhoi" +
-      "st.peer.Partition\022/\n\007records\030\003 \003(\0132\036.dai" +
-      "syhoist.peer.AttemptRecord\022(\n\006sender\030\004 \001" +
-      "(\0132\030.daisyhoist.peer.Session\022\024\n\014source_e" +
-      "poch\030\005 \001(\004\022\024\n\014target_epoch\030\006 \001(\004\022\025\n\rexpo" +
-      "rt_number\030\007 \001(\r\022N\n\020dropped_up_to_ms\030\010 \003(" +
-      "\01324.daisyhoist.peer.TransferAttempts.Dro" +
-      "ppedUpToMsEntry\0324\n\022DroppedUpToMsEntry\022\013\n" +
-      "\003key\030\001 \001(\004\022\r\n\005value\030\002 \001(\022:\0028\001J\004\010\002\020\003\"\037\n\013T" +
-      "ransferAck\022\020\n\010accepted\030\001 \001(\010\"%\n\006Header\022\014" +
-      "\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\220\004\n\016ForwardR" +
-      "equest\022\017\n\007service\030\001 \001(\t\022\034\n\017partition_ind" +
-      "ex\030\002 \001(\rH\000\210\001\001\022\020\n\003key\030\003 \001(\tH\001\210\001\001\022\016\n\006metho" +
-      "d\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 \003(\0132\027" +
-      ".daisyhoist.peer.Header\022\014\n\004body\030\007 \001(\014\022\035\n" +
-      "\025remaining_deadline_ms\030\010 \001(\r\022\014\n\004rank\030\t \001" +
-      "(\t\022\032\n\rattempt_token\030\n \001(\tH\002\210\001\001\022\023\n\013tracep" +
-      "arent\030\013 \001(\t\022\022\n\ntoken_only\030\014 \001(\010\022\022\n\nreque" +
-      "st_id\030\r \001(\t\022\026\n\016caller_service\030\016 \001(\t\022>\n\020e" +
-      "xpected_backend\030\017 \001(\0132\037.daisyhoist.peer." +
-      "BackendProcessH\003\210\001\001\022\025\n\rqueue_wait_ms\030\020 \001" +
-      "(\r\022\026\n\016config_version\030\021 \001(\004\022\027\n\017has_altern" +
-      "ative\030\022 \001(\010B\022\n\020_partition_indexB\006\n\004_keyB" +
-      "\020\n\016_attempt_tokenB\023\n\021_expected_backend\"0" +
-      "\n\016BackendProcess\022\n\n\002id\030\001 \001(\t\022\022\n\nstarted_" +
-      "ms\030\002 \001(\006\"Y\n\013BackendLoad\022\021\n\tin_flight\030\001 \001" +
-      "(\r\022\016\n\006queued\030\002 \001(\r\022\r\n\005limit\030\003 \001(\r\022\030\n\020slo" +
-      "wdown_percent\030\004 \001(\r\"\302\002\n\017ForwardResponse\022" +
-      "\016\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003(\0132\027.daisy" +
-      "hoist.peer.Header\022\014\n\004body\030\003 \001(\014\022.\n\007refus" +
-      "al\030\004 \001(\0132\030.daisyhoist.peer.RefusalH\000\210\001\001\022" +
-      "\025\n\rgroup_version\030\005 \001(\004\022\017\n\007backend\030\006 \001(\t\022" +
-      "\032\n\rattempt_token\030\007 \001(\tH\001\210\001\001\022/\n\004load\030\010 \001(" +
-      "\0132\034.daisyhoist.peer.BackendLoadH\002\210\001\001\022\033\n\023" +
-      "answered_by_backend\030\t \001(\010B\n\n\010_refusalB\020\n" +
-      "\016_attempt_tokenB\007\n\005_load\"S\n\007Refusal\022\014\n\004c" +
-      "ode\030\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030" +
-      "\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n\rCancelR" +
-      "equest\022\034\n\024cancelled_request_id\030\001 \001(\004\"o\n\013" +
-      "CrashReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_" +
-      "incarnation\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\t\022" +
-      "\034\n\024cleared_fingerprints\030\004 \003(\t\"\267\001\n\tFleetL" +
-      "oad\022\016\n\006daemon\030\001 \001(\t\022\026\n\016key_busy_slots\030\002 " +
-      "\001(\001\022\023\n\013keys_follow\030\003 \001(\010\022\031\n\021operator_rev" +
-      "ision\030\004 \001(\004\022\026\n\016fleet_revision\030\005 \001(\004\022!\n\024s" +
-      "tore_contact_age_ms\030\006 \001(\rH\000\210\001\001B\027\n\025_store" +
-      "_contact_age_ms\"\352\001\n\014StoreChanges\022\016\n\006pref" +
-      "ix\030\001 \001(\t\022\025\n\rfrom_revision\030\002 \001(\004\022\r\n\005as_of" +
-      "\030\003 \001(\004\022\030\n\020deflated_changes\030\004 \001(\014\032E\n\006Chan" +
-      "ge\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005val" +
-      "ue\030\003 \001(\014H\000\210\001\001B\010\n\006_value\032C\n\nChangeList\0225\n" +
-      "\007changes\030\001 \003(\0132$.daisyhoist.peer.StoreCh" +
-      "anges.Change\"\210\001\n\rOperatorItems\0222\n\005items\030" +
-      "\001 \003(\0132#.daisyhoist.peer.OperatorItems.It" +
-      "em\022\r\n\005as_of\030\002 \001(\004\0324\n\004Item\022\013\n\003key\030\001 \001(\t\022\r" +
-      "\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004B\034\n\030io.da" +
-      "isyhoist.wire.protoP\001b\006proto3"
+      "st.peer.StoreChangesH\000\0226\n\rquota_request\030" +
+      "\025 \001(\0132\035.daisyhoist.peer.QuotaRequestH\000\0220" +
+      "\n\nquota_loan\030\026 \001(\0132\032.daisyhoist.peer.Quo" +
+      "taLoanH\000\0220\n\nbody_chunk\030\027 \001(\0132\032.daisyhois" +
+      "t.peer.BodyChunkH\000\0222\n\013body_credit\030\030 \001(\0132" +
+      "\033.daisyhoist.peer.BodyCreditH\000B\006\n\004body\">" +
+      "\n\007Session\022\016\n\006daemon\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\006\022\016\n\006number\030\003 \001(\r\"W\n\005Hello\022\017\n\007clust" +
+      "er\030\001 \001(\t\022\016\n\006daemon\030\002 \001(\t\022\023\n\013incarnation\030" +
+      "\003 \001(\006\022\030\n\020protocol_version\030\004 \001(\r\"Z\n\010Versi" +
+      "ons\022\025\n\rgroup_version\030\001 \001(\004\022\026\n\016config_ver" +
+      "sion\030\002 \001(\004\022\037\n\027config_confirmed_age_ms\030\003 " +
+      "\001(\r\"(\n\004Load\022\021\n\tin_flight\030\001 \001(\r\022\r\n\005limit\030" +
+      "\002 \001(\r\"\210\001\n\tHeartbeat\022)\n\007session\030\001 \001(\0132\030.d" +
+      "aisyhoist.peer.Session\022+\n\010versions\030\002 \001(\013" +
+      "2\031.daisyhoist.peer.Versions\022#\n\004load\030\003 \001(" +
+      "\0132\025.daisyhoist.peer.Load\"\356\001\n\014HeartbeatAc" +
+      "k\0224\n\006result\030\001 \001(\0162$.daisyhoist.peer.Hear" +
+      "tbeatAck.Result\022\033\n\023witness_incarnation\030\002" +
+      " \001(\006\022+\n\010versions\030\003 \001(\0132\031.daisyhoist.peer" +
+      ".Versions\022#\n\004load\030\004 \001(\0132\025.daisyhoist.pee" +
+      "r.Load\"9\n\006Result\022\020\n\014ACKNOWLEDGED\020\000\022\n\n\006FE" +
+      "NCED\020\001\022\021\n\rNOT_A_WITNESS\020\002\"V\n\014FenceReques" +
+      "t\022)\n\007session\030\001 \001(\0132\030.daisyhoist.peer.Ses" +
+      "sion\022\033\n\023witness_incarnation\030\002 \001(\006\"\265\001\n\nFe" +
+      "nceReply\0222\n\006result\030\001 \001(\0162\".daisyhoist.pe" +
+      "er.FenceReply.Result\022\033\n\023witness_incarnat" +
+      "ion\030\002 \001(\006\022\017\n\007time_ms\030\003 \001(\r\"E\n\006Result\022\n\n\006" +
+      "FENCED\020\000\022\014\n\010PROMISED\020\001\022\021\n\rNOT_A_WITNESS\020" +
+      "\002\022\016\n\nSUPERSEDED\020\003\"E\n\013GroupUpdate\022\017\n\007vers" +
+      "ion\030\001 \001(\004\022\023\n\013record_json\030\002 \001(\014\022\020\n\010revisi" +
+      "on\030\003 \001(\004\"\014\n\nGroupFetch\"$\n\013ConfigFetch\022\025\n" +
+      "\rknown_version\030\001 \001(\004\"b\n\014ConfigUpdate\022\017\n\007" +
+      "version\030\001 \001(\004\022\025\n\rdocument_json\030\002 \001(\014\022\030\n\020" +
+      "confirmed_age_ms\030\003 \001(\r\022\020\n\010revision\030\004 \001(\004" +
+      "\"+\n\tPartition\022\017\n\007service\030\001 \001(\t\022\r\n\005index\030" +
+      "\002 \001(\r\"y\n\013MoveRequest\022-\n\tpartition\030\001 \001(\0132" +
+      "\032.daisyhoist.peer.Partition\022$\n\002to\030\002 \001(\0132" +
+      "\030.daisyhoist.peer.Session\022\025\n\rgroup_versi" +
+      "on\030\003 \001(\004\"\342\001\n\rAttemptRecord\022\r\n\005token\030\001 \001(" +
+      "\t\0223\n\005state\030\002 \001(\0162$.daisyhoist.peer.Attem" +
+      "ptRecord.State\022\016\n\006age_ms\030\003 \001(\r\022\016\n\006status" +
+      "\030\004 \001(\005\022(\n\007headers\030\005 \003(\0132\027.daisyhoist.pee" +
+      "r.Header\022\014\n\004body\030\006 \001(\014\022\021\n\tbody_kept\030\007 \001(" +
+      "\010\"\"\n\005State\022\013\n\007UNKNOWN\020\000\022\014\n\010FINISHED\020\001\"\353\002" +
+      "\n\020TransferAttempts\022-\n\tpartition\030\001 \001(\0132\032." +
+      "daisyhoist.peer.Partition\022/\n\007records\030\003 \003" +
+      "(\0132\036.daisyhoist.peer.AttemptRecord\022(\n\006se" +
+      "nder\030\004 \001(\0132\030.daisyhoist.peer.Session\022\024\n\014" +
+      "source_epoch\030\005 \001(\004\022\024\n\014target_epoch\030\006 \001(\004" +
+      "\022\025\n\rexport_number\030\007 \001(\r\022N\n\020dropped_up_to" +
+      "_ms\030\010 \003(\01324.daisyhoist.peer.TransferAtte" +
+      "mpts.DroppedUpToMsEntry\0324\n\022DroppedUpToMs" +
+      "Entry\022\013\n\003key\030\001 \001(\004\022\r\n\005value\030\002 \001(\022:\0028\001J\004\010" +
+      "\002\020\003\"\037\n\013TransferAck\022\020\n\010accepted\030\001 \001(\010\"%\n\006" +
+      "Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\267\005\n\016" +
+      "ForwardRequest\022\017\n\007service\030\001 \001(\t\022\034\n\017parti" +
+      "tion_index\030\002 \001(\rH\000\210\001\001\022\020\n\003key\030\003 \001(\tH\001\210\001\001\022" +
+      "\016\n\006method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers" +
+      "\030\006 \003(\0132\027.daisyhoist.peer.Header\022\014\n\004body\030" +
+      "\007 \001(\014\022\035\n\025remaining_deadline_ms\030\010 \001(\r\022\014\n\004" +
+      "rank\030\t \001(\t\022\032\n\rattempt_token\030\n \001(\tH\002\210\001\001\022\023" +
+      "\n\013traceparent\030\013 \001(\t\022\022\n\ntoken_only\030\014 \001(\010\022" +
+      "\022\n\nrequest_id\030\r \001(\t\022\026\n\016caller_service\030\016 " +
+      "\001(\t\022>\n\020expected_backend\030\017 \001(\0132\037.daisyhoi" +
+      "st.peer.BackendProcessH\003\210\001\001\022\025\n\rqueue_wai" +
+      "t_ms\030\020 \001(\r\022\026\n\016config_version\030\021 \001(\004\022\027\n\017ha" +
+      "s_alternative\030\022 \001(\010\022\025\n\010customer\030\023 \001(\tH\004\210" +
+      "\001\001\022\036\n\021customer_key_hash\030\024 \001(\014H\005\210\001\001\022\024\n\014bo" +
+      "dy_follows\030\025 \001(\010\022\033\n\023remaining_target_ms\030" +
+      "\026 \001(\r\022\030\n\020expected_work_ms\030\027 \001(\rB\022\n\020_part" +
+      "ition_indexB\006\n\004_keyB\020\n\016_attempt_tokenB\023\n" +
+      "\021_expected_backendB\013\n\t_customerB\024\n\022_cust" +
+      "omer_key_hash\"0\n\016BackendProcess\022\n\n\002id\030\001 " +
+      "\001(\t\022\022\n\nstarted_ms\030\002 \001(\006\"\221\001\n\013BackendLoad\022" +
+      "\021\n\tin_flight\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\r\n\005li" +
+      "mit\030\003 \001(\r\022\030\n\020slowdown_percent\030\004 \001(\r\022\034\n\024c" +
+      "ompleted_per_1000_s\030\005 \001(\r\022\030\n\020rejected_pe" +
+      "rcent\030\006 \001(\r\"\302\002\n\017ForwardResponse\022\016\n\006statu" +
+      "s\030\001 \001(\005\022(\n\007headers\030\002 \003(\0132\027.daisyhoist.pe" +
+      "er.Header\022\014\n\004body\030\003 \001(\014\022.\n\007refusal\030\004 \001(\013" +
+      "2\030.daisyhoist.peer.RefusalH\000\210\001\001\022\025\n\rgroup" +
+      "_version\030\005 \001(\004\022\017\n\007backend\030\006 \001(\t\022\032\n\rattem" +
+      "pt_token\030\007 \001(\tH\001\210\001\001\022/\n\004load\030\010 \001(\0132\034.dais" +
+      "yhoist.peer.BackendLoadH\002\210\001\001\022\033\n\023answered" +
+      "_by_backend\030\t \001(\010B\n\n\010_refusalB\020\n\016_attemp" +
+      "t_tokenB\007\n\005_load\"S\n\007Refusal\022\014\n\004code\030\001 \001(" +
+      "\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030\003 \001(\t\022\026\n" +
+      "\016retry_after_ms\030\004 \001(\r\"-\n\rCancelRequest\022\034" +
+      "\n\024cancelled_request_id\030\001 \001(\004\"o\n\013CrashRep" +
+      "ort\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_incarnat" +
+      "ion\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\t\022\034\n\024clear" +
+      "ed_fingerprints\030\004 \003(\t\"\236\002\n\tFleetLoad\022\016\n\006d" +
+      "aemon\030\001 \001(\t\022\026\n\016key_busy_slots\030\002 \001(\001\022\023\n\013k" +
+      "eys_follow\030\003 \001(\010\022\031\n\021operator_revision\030\004 " +
+      "\001(\004\022\026\n\016fleet_revision\030\005 \001(\004\022!\n\024store_con" +
+      "tact_age_ms\030\006 \001(\rH\000\210\001\001\022\013\n\003era\030\007 \001(\004\022\026\n\016c" +
+      "onfig_version\030\010 \001(\004\022$\n\027config_confirmed_" +
+      "age_ms\030\t \001(\rH\001\210\001\001B\027\n\025_store_contact_age_" +
+      "msB\032\n\030_config_confirmed_age_ms\"\367\001\n\014Store" +
+      "Changes\022\016\n\006prefix\030\001 \001(\t\022\025\n\rfrom_revision" +
+      "\030\002 \001(\004\022\r\n\005as_of\030\003 \001(\004\022\030\n\020deflated_change" +
+      "s\030\004 \001(\014\022\013\n\003era\030\005 \001(\004\032E\n\006Change\022\013\n\003key\030\001 " +
+      "\001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\014H\000\210\001" +
+      "\001B\010\n\006_value\032C\n\nChangeList\0225\n\007changes\030\001 \003" +
+      "(\0132$.daisyhoist.peer.StoreChanges.Change" +
+      "\"\225\001\n\rOperatorItems\0222\n\005items\030\001 \003(\0132#.dais" +
+      "yhoist.peer.OperatorItems.Item\022\r\n\005as_of\030" +
+      "\002 \001(\004\022\013\n\003era\030\003 \001(\004\0324\n\004Item\022\013\n\003key\030\001 \001(\t\022" +
+      "\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004\"\306\001\n\014Quo" +
+      "taRequest\022\016\n\006daemon\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\0225\n\007demands\030\004 \003(\0132" +
+      "$.daisyhoist.peer.QuotaRequest.Demand\032J\n" +
+      "\006Demand\022\020\n\010customer\030\001 \001(\t\022\014\n\004used\030\002 \001(\r\022" +
+      "\016\n\006wanted\030\003 \001(\r\022\020\n\010returned\030\004 \001(\r\"\256\001\n\tQu" +
+      "otaLoan\022\014\n\004term\030\001 \001(\004\022\016\n\006number\030\002 \001(\004\022.\n" +
+      "\005parts\030\003 \003(\0132\037.daisyhoist.peer.QuotaLoan" +
+      ".Part\032S\n\004Part\022\020\n\010customer\030\001 \001(\t\022\020\n\010reque" +
+      "sts\030\002 \001(\r\022\020\n\010valid_ms\030\003 \001(\r\022\025\n\rmore_afte" +
+      "r_ms\030\004 \001(\r\"8\n\tBodyChunk\022\014\n\004data\030\001 \001(\014\022\014\n" +
+      "\004last\030\002 \001(\010\022\017\n\007aborted\030\003 \001(\010\"\033\n\nBodyCred" +
+      "it\022\r\n\005bytes\030\001 \001(\rB\034\n\030io.daisyhoist.wire." +
+      "protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -334,7 +390,7 @@
     internal_static_daisyhoist_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_Envelope_descriptor,
-        new java.lang.String[] { "RequestId", "Hello", "Heartbeat", "HeartbeatAck", "FenceRequest", "FenceReply", "GroupUpdate", "ConfigFetch", "ConfigUpdate", "MoveRequest", "TransferAttempts", "TransferAck", "ForwardRequest", "ForwardResponse", "CancelRequest", "CrashReport", "GroupFetch", "FleetLoad", "OperatorItems", "StoreChanges", "Body", });
+        new java.lang.String[] { "RequestId", "Hello", "Heartbeat", "HeartbeatAck", "FenceRequest", "FenceReply", "GroupUpdate", "ConfigFetch", "ConfigUpdate", "MoveRequest", "TransferAttempts", "TransferAck", "ForwardRequest", "ForwardResponse", "CancelRequest", "CrashReport", "GroupFetch", "FleetLoad", "OperatorItems", "StoreChanges", "QuotaRequest", "QuotaLoan", "BodyChunk", "BodyCredit", "Body", });
     internal_static_daisyhoist_peer_Session_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_daisyhoist_peer_Session_fieldAccessorTable = new
@@ -454,7 +510,7 @@
     internal_static_daisyhoist_peer_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_ForwardRequest_descriptor,
-        new java.lang.String[] { "Service", "PartitionIndex", "Key", "Method", "Path", "Headers", "Body", "RemainingDeadlineMs", "Rank", "AttemptToken", "Traceparent", "TokenOnly", "RequestId", "CallerService", "ExpectedBackend", "QueueWaitMs", "ConfigVersion", "HasAlternative", });
+        new java.lang.String[] { "Service", "PartitionIndex", "Key", "Method", "Path", "Headers", "Body", "RemainingDeadlineMs", "Rank", "AttemptToken", "Traceparent", "TokenOnly", "RequestId", "CallerService", "ExpectedBackend", "QueueWaitMs", "ConfigVersion", "HasAlternative", "Customer", "CustomerKeyHash", "BodyFollows", "RemainingTargetMs", "ExpectedWorkMs", });
     internal_static_daisyhoist_peer_BackendProcess_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_daisyhoist_peer_BackendProcess_fieldAccessorTable = new
@@ -466,7 +522,7 @@
     internal_static_daisyhoist_peer_BackendLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_BackendLoad_descriptor,
-        new java.lang.String[] { "InFlight", "Queued", "Limit", "SlowdownPercent", });
+        new java.lang.String[] { "InFlight", "Queued", "Limit", "SlowdownPercent", "CompletedPer1000S", "RejectedPercent", });
     internal_static_daisyhoist_peer_ForwardResponse_descriptor =
       getDescriptor().getMessageType(22);
     internal_static_daisyhoist_peer_ForwardResponse_fieldAccessorTable = new
@@ -496,13 +552,13 @@
     internal_static_daisyhoist_peer_FleetLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_FleetLoad_descriptor,
-        new java.lang.String[] { "Daemon", "KeyBusySlots", "KeysFollow", "OperatorRevision", "FleetRevision", "StoreContactAgeMs", });
+        new java.lang.String[] { "Daemon", "KeyBusySlots", "KeysFollow", "OperatorRevision", "FleetRevision", "StoreContactAgeMs", "Era", "ConfigVersion", "ConfigConfirmedAgeMs", });
     internal_static_daisyhoist_peer_StoreChanges_descriptor =
       getDescriptor().getMessageType(27);
     internal_static_daisyhoist_peer_StoreChanges_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_StoreChanges_descriptor,
-        new java.lang.String[] { "Prefix", "FromRevision", "AsOf", "DeflatedChanges", });
+        new java.lang.String[] { "Prefix", "FromRevision", "AsOf", "DeflatedChanges", "Era", });
     internal_static_daisyhoist_peer_StoreChanges_Change_descriptor =
       internal_static_daisyhoist_peer_StoreChanges_descriptor.getNestedType(0);
     internal_static_daisyhoist_peer_StoreChanges_Change_fieldAccessorTable = new
@@ -520,13 +576,49 @@
     internal_static_daisyhoist_peer_OperatorItems_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_OperatorItems_descriptor,
-        new java.lang.String[] { "Items", "AsOf", });
+        new java.lang.String[] { "Items", "AsOf", "Era", });
     internal_static_daisyhoist_peer_OperatorItems_Item_descriptor =
       internal_static_daisyhoist_peer_OperatorItems_descriptor.getNestedType(0);
     internal_static_daisyhoist_peer_OperatorItems_Item_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_OperatorItems_Item_descriptor,
         new java.lang.String[] { "Key", "Value", "Revision", });
+    internal_static_daisyhoist_peer_QuotaRequest_descriptor =
+      getDescriptor().getMessageType(29);
+    internal_static_daisyhoist_peer_QuotaRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_QuotaRequest_descriptor,
+        new java.lang.String[] { "Daemon", "Incarnation", "Number", "Demands", });
+    internal_static_daisyhoist_peer_QuotaRequest_Demand_descriptor =
+      internal_static_daisyhoist_peer_QuotaRequest_descriptor.getNestedType(0);
+    internal_static_daisyhoist_peer_QuotaRequest_Demand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_QuotaRequest_Demand_descriptor,
+        new java.lang.String[] { "Customer", "Used", "Wanted", "Returned", });
+    internal_static_daisyhoist_peer_QuotaLoan_descriptor =
+      getDescriptor().getMessageType(30);
+    internal_static_daisyhoist_peer_QuotaLoan_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_QuotaLoan_descriptor,
+        new java.lang.String[] { "Term", "Number", "Parts", });
+    internal_static_daisyhoist_peer_QuotaLoan_Part_descriptor =
+      internal_static_daisyhoist_peer_QuotaLoan_descriptor.getNestedType(0);
+    internal_static_daisyhoist_peer_QuotaLoan_Part_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_QuotaLoan_Part_descriptor,
+        new java.lang.String[] { "Customer", "Requests", "ValidMs", "MoreAfterMs", });
+    internal_static_daisyhoist_peer_BodyChunk_descriptor =
+      getDescriptor().getMessageType(31);
+    internal_static_daisyhoist_peer_BodyChunk_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_BodyChunk_descriptor,
+        new java.lang.String[] { "Data", "Last", "Aborted", });
+    internal_static_daisyhoist_peer_BodyCredit_descriptor =
+      getDescriptor().getMessageType(32);
+    internal_static_daisyhoist_peer_BodyCredit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_BodyCredit_descriptor,
+        new java.lang.String[] { "Bytes", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/StoreChanges.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/StoreChanges.java
@@ -1607,6 +1607,21 @@
     return deflatedChanges_;
   }
 
+  public static final int ERA_FIELD_NUMBER = 5;
+  private long era_ = 0L;
+  /**
+   * <pre>
+   * Era of the store in which the changes were read; revisions of different eras cannot be compared.
+   * </pre>
+   *
+   * <code>uint64 era = 5;</code>
+   * @return The era.
+   */
+  @java.lang.Override
+  public long getEra() {
+    return era_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1633,6 +1648,9 @@
     if (!deflatedChanges_.isEmpty()) {
       output.writeBytes(4, deflatedChanges_);
     }
+    if (era_ != 0L) {
+      output.writeUInt64(5, era_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1657,6 +1675,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(4, deflatedChanges_);
     }
+    if (era_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, era_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1680,6 +1702,8 @@
         != other.getAsOf()) return false;
     if (!getDeflatedChanges()
         .equals(other.getDeflatedChanges())) return false;
+    if (getEra()
+        != other.getEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1701,6 +1725,9 @@
         getAsOf());
     hash = (37 * hash) + DEFLATED_CHANGES_FIELD_NUMBER;
     hash = (53 * hash) + getDeflatedChanges().hashCode();
+    hash = (37 * hash) + ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1840,6 +1867,7 @@
       fromRevision_ = 0L;
       asOf_ = 0L;
       deflatedChanges_ = com.google.protobuf.ByteString.EMPTY;
+      era_ = 0L;
       return this;
     }
 
@@ -1885,6 +1913,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.deflatedChanges_ = deflatedChanges_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.era_ = era_;
+      }
     }
 
     @java.lang.Override
@@ -1913,6 +1944,9 @@
       if (!other.getDeflatedChanges().isEmpty()) {
         setDeflatedChanges(other.getDeflatedChanges());
       }
+      if (other.getEra() != 0L) {
+        setEra(other.getEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1959,6 +1993,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              era_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2168,6 +2207,50 @@
       return this;
     }
 
+    private long era_ ;
+    /**
+     * <pre>
+     * Era of the store in which the changes were read; revisions of different eras cannot be compared.
+     * </pre>
+     *
+     * <code>uint64 era = 5;</code>
+     * @return The era.
+     */
+    @java.lang.Override
+    public long getEra() {
+      return era_;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the changes were read; revisions of different eras cannot be compared.
+     * </pre>
+     *
+     * <code>uint64 era = 5;</code>
+     * @param value The era to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEra(long value) {
+
+      era_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the changes were read; revisions of different eras cannot be compared.
+     * </pre>
+     *
+     * <code>uint64 era = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEra() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      era_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.StoreChanges)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/StoreChangesOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/StoreChangesOrBuilder.java
@@ -47,4 +47,14 @@
    * @return The deflatedChanges.
    */
   com.google.protobuf.ByteString getDeflatedChanges();
+
+  /**
+   * <pre>
+   * Era of the store in which the changes were read; revisions of different eras cannot be compared.
+   * </pre>
+   *
+   * <code>uint64 era = 5;</code>
+   * @return The era.
+   */
+  long getEra();
 }
