--- a/core/src/main/java/io/daisyhoist/core/customer/CustomerTable.java
+++ b/core/src/main/java/io/daisyhoist/core/customer/CustomerTable.java
@@ -18,9 +18,20 @@
 
     private final Map<CustomerName, Customer> customers = new HashMap<>();
     private final Map<ApiKeyHash, Customer> customersByKey = new HashMap<>();
+    private final boolean empty;
 
     /** Creates a table; of two customers with the same name or key, the later one has it. */
     public CustomerTable(Collection<Customer> customers) {
+        this(customers, !customers.isEmpty());
+    }
+
+    /**
+     * Creates a table that may lack customers whose configuration could not be used.
+     *
+     * @param keysRequired whether requests need a key, also if none of the customers could be used
+     */
+    public CustomerTable(Collection<Customer> customers, boolean keysRequired) {
+        this.empty = customers.isEmpty() && !keysRequired;
         for (Customer customer : customers) {
             this.customers.put(customer.name(), customer);
             customer.apiKeys().forEach(key -> customersByKey.put(key, customer));
@@ -29,7 +40,7 @@
 
     /** Returns whether there are no customers, so that requests need no key. */
     public boolean isEmpty() {
-        return customers.isEmpty();
+        return empty;
     }
 
     /** Returns all customers. */
--- a/core/src/main/java/io/daisyhoist/core/route/Route.java
+++ b/core/src/main/java/io/daisyhoist/core/route/Route.java
@@ -32,6 +32,12 @@
         services = List.copyOf(services);
     }
 
+    /** Returns this route with another priority, which a customer's requests have. */
+    public Route withPriority(int customerPriority) {
+        return new Route(
+                name, host, prefix, kind, timeout, targetLatency, customerPriority, services, maxAttempts, anonymous);
+    }
+
     /** Returns whether a request of this route may run more than once. */
     public boolean isIdempotent() {
         return kind == RouteKind.IDEMPOTENT;
