Require API keys of requests in fleets with customers

The daemon that receives a request checks its key and replaces the key by the customer's name; the daemon that writes it to the backend server checks customer and key again by its own configuration, immediately before the write. Fleets without customers ask nothing.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -89,6 +89,11 @@
         /** Returns whether the request may still be written; called immediately before the write. */
         boolean mayBeWritten();
 
+        /** Returns whether the header fields for the API key and the customer are removed from what the client sent. */
+        default boolean removesCustomerHeaders() {
+            return false;
+        }
+
         /** Called when the request is written. */
         void onWrite();
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -203,7 +203,8 @@
     }
 
     private void setHeaders(HttpClientRequest connectedRequest) {
-        request.headers().forEach(field -> connectedRequest.headers().add(field.name(), field.value()));
+        CustomerHeaders.forBackend(headerNames, request, observer.removesCustomerHeaders())
+                .forEach(field -> connectedRequest.headers().add(field.name(), field.value()));
         connectedRequest.putHeader(headerNames.requestId(), request.id());
         connectedRequest.putHeader(
                 headerNames.deadlineMs(),
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
@@ -61,6 +61,10 @@
         CRASH_SUSPECT,
         /** The request cannot be written to a backend server, or its message cannot be decoded. */
         INVALID,
+        /** The newest configuration does not give the API key of the request to its customer. */
+        KEY_UNKNOWN,
+        /** It is not known whether the configuration with the API key of the request is the newest one. */
+        KEY_UNCONFIRMED,
         /** The deadline passed before the request was sent. */
         DEADLINE,
         /** The client has disconnected. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -9,6 +9,9 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
+import io.daisyhoist.core.customer.ApiKeyHash;
+import io.daisyhoist.core.customer.CustomerCredential;
+import io.daisyhoist.core.customer.CustomerName;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.routing.LoadBalancer;
@@ -61,6 +64,10 @@
                 .setHasAlternative(request.hasAlternative());
         request.key().ifPresent(key -> message.setKey(Integer.toString(key)));
         request.headers().forEach(field -> message.addHeaders(header(field)));
+        request.customer()
+                .ifPresent(credential -> message.setCustomer(
+                                credential.customer().name())
+                        .setCustomerKeyHash(ByteString.copyFrom(credential.key().bytes())));
         return Envelope.newBuilder().setForwardRequest(message).build();
     }
 
@@ -90,12 +97,23 @@
                         message.getExpectedBackend().getId(),
                         message.getExpectedBackend().getStartedMs()),
                 message.getHasAlternative(),
-                Optional.empty(),
+                credential(message),
                 Deadline.after(
                         time, Duration.ofMillis(requireNonNegative("deadline", message.getRemainingDeadlineMs()))),
                 Duration.ZERO);
     }
 
+    private static Optional<CustomerCredential> credential(ForwardRequest message) {
+        if (message.hasCustomer() != message.hasCustomerKeyHash()) {
+            throw new IllegalArgumentException("a customer without a key, or a key without a customer");
+        }
+        return message.hasCustomer()
+                ? Optional.of(new CustomerCredential(
+                        new CustomerName(message.getCustomer()),
+                        ApiKeyHash.ofBytes(message.getCustomerKeyHash().toByteArray())))
+                : Optional.empty();
+    }
+
     private static void requireText(String field, String value) {
         if (value.isEmpty()) {
             throw new IllegalArgumentException(field + " is missing");
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/HeaderNames.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/HeaderNames.java
@@ -15,6 +15,8 @@
  * @param notRun present if the backend server did not run the request
  * @param load load figures of a backend server
  * @param loadParser parser of the load figures
+ * @param apiKey API key of a customer, which only clients send
+ * @param customer name of the customer of a request, which only daemons send
  */
 public record HeaderNames(
         String requestId,
@@ -26,7 +28,9 @@
         String signature,
         String notRun,
         String load,
-        LoadParser loadParser) {
+        LoadParser loadParser,
+        String apiKey,
+        String customer) {
     /** Parses the load figures of a backend server. */
     @FunctionalInterface
     public interface LoadParser {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/ChangeRelay.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/ChangeRelay.java
@@ -41,6 +41,7 @@
     private final Sender sender;
     private List<FleetMember> followers = List.of();
     private volatile boolean following;
+    private Optional<FleetMember> ownWatcher = Optional.empty();
     private Optional<Duration> storeContactAge = Optional.empty();
     private long heardContactNanos;
 
@@ -74,6 +75,7 @@
         boolean watcher = watchers.contains(self);
         followers = watcher && storeContactAge.isPresent() ? followersOf(zoneMembers, watchers) : List.of();
         boolean nowFollowing = !watcher && heardContactAge().compareTo(MAX_CONTACT_AGE) < 0;
+        ownWatcher = nowFollowing ? memberOf(zoneMembers, watcherOf(self, watchers)) : Optional.empty();
         if (nowFollowing != following) {
             following = nowFollowing;
             LOGGER.atInfo().log(
@@ -94,6 +96,12 @@
                 .toList();
     }
 
+    private static Optional<FleetMember> memberOf(List<FleetMember> members, Optional<DaemonId> daemon) {
+        return members.stream()
+                .filter(member -> daemon.equals(Optional.of(member.daemon())))
+                .findFirst();
+    }
+
     private List<FleetMember> followersOf(List<FleetMember> zoneMembers, List<DaemonId> watchers) {
         return zoneMembers.stream()
                 .filter(member -> !watchers.contains(member.daemon()))
@@ -122,6 +130,11 @@
         return !following;
     }
 
+    /** Returns the daemon that passes changes on to this one; empty if this one watches the store itself. */
+    Optional<FleetMember> ownWatcher() {
+        return ownWatcher;
+    }
+
     /** Returns the daemons to which this one passes changes on; empty if it is not a watcher. */
     List<FleetMember> followers() {
         return followers;
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.customer.ConfigConfirmation;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
@@ -70,6 +71,8 @@
     private final DepartureRecord departures;
     private final LocalBackendTracker tracker;
     private final StoreFollower follower;
+    private final ConfigConfirmation configConfirmation;
+    private final ConfirmationLoop confirmationLoop;
     private final PeerMessageHandler peerMessageHandler;
     private boolean operatorSynchronized;
     private boolean fleetSynchronized;
@@ -78,10 +81,15 @@
     private volatile LocalBackendSnapshot localBackend = LocalBackendSnapshot.EMPTY;
     private volatile boolean ready;
 
-    /** Sends one-way messages to other daemons. */
+    /** Sends messages to other daemons. */
     public interface PeerSender {
-        /** Sends a message to each of the given daemons. */
+        /** Sends a one-way message to each of the given daemons. */
         void send(List<FleetMember> receivers, Envelope message);
+
+        /** Sends a question; the answer fails if it does not arrive in time, or if questions are not supported. */
+        default CompletableFuture<Envelope> call(FleetMember receiver, Envelope question, Duration timeout) {
+            return CompletableFuture.failedFuture(new UnsupportedOperationException("questions are not supported"));
+        }
     }
 
     /**
@@ -127,7 +135,16 @@
                 this::fleet,
                 this::localReport,
                 dependencies.peerSender());
-        this.peerMessageHandler = new PeerMessageHandler(control, metrics, gossip, follower, documents.prefix());
+        this.configConfirmation =
+                new ConfigConfirmation(time, settings.bounds().customers().revocationDelay());
+        this.confirmationLoop = new ConfirmationLoop(
+                settings.daemon(),
+                access,
+                new ConfirmationLoop.State(operatorCache, configConfirmation, () -> fleet.config(), follower::watcher),
+                dependencies.peerSender(),
+                incarnation);
+        this.peerMessageHandler =
+                new PeerMessageHandler(control, metrics, gossip, follower, confirmationLoop, documents.prefix());
         this.registration =
                 new Registration(tracker.member(), access, settings.bounds().minLeaseTtl(), new RegistrationListener());
         Duration keyLeaseDuration =
@@ -190,6 +207,11 @@
         return localBackend;
     }
 
+    /** Returns how long ago the configuration was last proved to be the newest one. */
+    public ConfigConfirmation configConfirmation() {
+        return configConfirmation;
+    }
+
     /** Returns whether the initial state has been read from the store, a configuration is known and no stop is in progress. */
     public boolean isReady() {
         return ready;
@@ -328,8 +350,11 @@
         follower.update(fleet.members().values(), state::isAbsent, registrationLease.confirmationAge());
         follower.report(this::localReport);
         rangeAssigner.tick(tracker.member().service(), tracker.backend());
-        boolean initialized =
-                operatorSynchronized && fleetSynchronized && fleet.config().isPresent();
+        confirmationLoop.tick();
+        boolean initialized = operatorSynchronized
+                && fleetSynchronized
+                && fleet.config().isPresent()
+                && (configConfirmation.permitsKeys() || !confirmationLoop.hasCustomers());
         ready = (ready || initialized) && !tracker.isStopping();
     }
 
@@ -341,6 +366,8 @@
 
     private void publishFleet(FleetSnapshot snapshot) {
         fleet = snapshot;
+        // Customers that the snapshot brings need a proof at once; the changes of its batch are applied by then.
+        control.execute(confirmationLoop::tick);
         heartbeatResponder.onChange();
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.customer.ApiKeyCheck;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ProcessId;
@@ -118,8 +119,11 @@
                         control,
                         new CountedStore(store, metrics::onStoreCall),
                         documents,
-                        this::sendToPeers,
+                        new ControlMessageSender(),
                         metrics));
+        ApiKeyCheck keyCheck = new ApiKeyCheck(
+                fleetControl.configConfirmation(),
+                () -> fleetControl.fleet().config().map(FleetConfig::customers));
         BackendHttpClient backendClient =
                 new BackendHttpClient(vertx, context, headerNames, MAX_BACKEND_CONNECTIONS, time);
         this.crashGuard = new CrashGuard(
@@ -129,7 +133,8 @@
                 (receivers, report) -> sendToPeers(receivers, CrashReportCodec.encode(report)));
         this.admission = new BackendAdmission(
                 time,
-                new BackendAdmission.KnownState(settings.zone(), fleetControl::fleet, fleetControl::localBackend),
+                new BackendAdmission.KnownState(
+                        settings.zone(), fleetControl::fleet, fleetControl::localBackend, keyCheck),
                 backendClient,
                 fleetControl::onKeyRequest,
                 crashGuard,
@@ -155,7 +160,7 @@
                         settings.bounds().retrySlack(),
                         settings.bounds().retryWindow()),
                 metrics);
-        this.clientServer = new ClientServer(vertx, requestContext, headerNames);
+        this.clientServer = new ClientServer(vertx, requestContext, headerNames, keyCheck);
         addGauges(backendClient);
     }
 
@@ -200,6 +205,14 @@
                 "daisyhoist.fleet.config.version",
                 "Version of the configuration in force",
                 () -> fleetControl.fleet().config().map(FleetConfig::version).orElse(0L));
+        metrics.gauge(
+                "daisyhoist.fleet.config.confirmed.age",
+                "Milliseconds since the configuration was last proved to be the newest one; -1 without a proof",
+                () -> fleetControl
+                        .configConfirmation()
+                        .age()
+                        .map(Duration::toMillis)
+                        .orElse(-1L));
     }
 
     /** Returns all metrics as text. */
@@ -305,4 +318,17 @@
     private void sendToPeers(List<FleetMember> receivers, Envelope message) {
         receivers.forEach(member -> peerClient.send(member.peerAddress(), PeerChannel.TRAFFIC, message));
     }
+
+    /** Sends the control messages of this daemon. */
+    private final class ControlMessageSender implements FleetControl.PeerSender {
+        @Override
+        public void send(List<FleetMember> receivers, Envelope message) {
+            sendToPeers(receivers, message);
+        }
+
+        @Override
+        public CompletableFuture<Envelope> call(FleetMember receiver, Envelope question, Duration timeout) {
+            return peerClient.call(receiver.peerAddress(), PeerChannel.TRAFFIC, question, timeout);
+        }
+    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/PeerMessageHandler.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/PeerMessageHandler.java
@@ -3,10 +3,12 @@
 import java.util.function.Consumer;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.daemon.connection.PeerReply;
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.request.ForwardReceiver;
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
+import io.daisyhoist.wire.proto.ConfigFetch;
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.OperatorItems;
 import io.daisyhoist.wire.proto.StoreChanges;
@@ -23,6 +25,7 @@
     private final FleetMetrics metrics;
     private final FleetGossip gossip;
     private final StoreFollower follower;
+    private final ConfirmationLoop confirmationLoop;
     private final String operatorPrefix;
 
     /**
@@ -35,11 +38,13 @@
             FleetMetrics metrics,
             FleetGossip gossip,
             StoreFollower follower,
+            ConfirmationLoop confirmationLoop,
             String operatorPrefix) {
         this.control = control;
         this.metrics = metrics;
         this.gossip = gossip;
         this.follower = follower;
+        this.confirmationLoop = confirmationLoop;
         this.operatorPrefix = operatorPrefix;
     }
 
@@ -61,6 +66,11 @@
         accept("store_changes", PeerMessages.decode(changes), delta -> follower.onChanges(changes.getPrefix(), delta));
     }
 
+    @Override
+    public void onConfigQuestion(ConfigFetch question, PeerReply reply) {
+        control.execute(() -> reply.accept(confirmationLoop.answer()));
+    }
+
     private <T> void accept(String message, Decoded<T> decoded, Consumer<T> consumer) {
         if (decoded instanceof Decoded.Valid<T> valid) {
             control.execute(() -> consumer.accept(valid.value()));
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -138,11 +138,17 @@
         watchLoopActive = false;
     }
 
-    /** Asks the store once for the changes that this copy lacks. */
-    void catchUp() {
+    /**
+     * Asks the store once for the changes that this copy lacks.
+     *
+     * @return whether this copy has all changes that the store had when this method was called; false also if an earlier
+     *     call is in progress. Completes on the control thread
+     */
+    CompletableFuture<Boolean> catchUp() {
         if (!listed || catchUpInProgress) {
-            return;
+            return CompletableFuture.completedFuture(false);
         }
+        CompletableFuture<Boolean> complete = new CompletableFuture<>();
         catchUpInProgress = true;
         control.whenComplete(store.watch(prefix, asOf, CATCH_UP_WAIT), (result, failure) -> {
             catchUpInProgress = false;
@@ -158,7 +164,9 @@
             } else if (result instanceof WatchResult.HistoryLost) {
                 reload();
             }
+            complete.complete(result instanceof WatchResult.Changes);
         });
+        return complete;
     }
 
     private void listAll(long startedGeneration) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreFollower.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreFollower.java
@@ -66,6 +66,11 @@
         return relay.mustWatch();
     }
 
+    /** Returns the daemon that passes changes on to this one; empty if this one watches the store itself. */
+    Optional<FleetMember> watcher() {
+        return relay.ownWatcher();
+    }
+
     /** Tells the daemons to which this one passes changes on, if there are any, when it last had contact with the store. */
     void report(Supplier<LoadReport> localReport) {
         List<FleetMember> followers = relay.followers();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -17,12 +17,16 @@
 import io.daisyhoist.core.admission.QueueEntry;
 import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.admission.SlotLimit;
+import io.daisyhoist.core.customer.ApiKeyCheck;
+import io.daisyhoist.core.customer.ConfigConfirmation;
 import io.daisyhoist.core.error.Refusal;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.ServicePolicy;
 import io.daisyhoist.core.routing.LoadBalancer;
 import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.BackendOutcome;
@@ -42,7 +46,7 @@
  *
  * <p>Invariants: a request is written only if, at that moment, the backend server is the expected process, is not leaving,
  * its availability zone is known not to be evacuated, the request has not crashed backend servers, the backend server holds
- * its key and has capacity for another request; otherwise the request is refused as not run. Confined to the traffic event
+ * its key, the newest configuration gives the API key to the customer, and there is capacity for another request; otherwise the request is refused as not run. Confined to the traffic event
  * loop.
  */
 public final class BackendAdmission {
@@ -62,6 +66,7 @@
     private final AvailabilityZone zone;
     private final Supplier<FleetSnapshot> fleet;
     private final Supplier<LocalBackendSnapshot> localBackend;
+    private final ApiKeyCheck keyCheck;
     private final BackendHttpClient client;
     private final AdmissionController admissionController;
     private final SlotLimit slots = new SlotLimit(1);
@@ -91,9 +96,25 @@
      * @param zone availability zone of the backend server
      * @param fleet present state of the fleet
      * @param localBackend present state of the backend server
+     * @param keyCheck checks the API keys of requests
      */
     public record KnownState(
-            AvailabilityZone zone, Supplier<FleetSnapshot> fleet, Supplier<LocalBackendSnapshot> localBackend) {}
+            AvailabilityZone zone,
+            Supplier<FleetSnapshot> fleet,
+            Supplier<LocalBackendSnapshot> localBackend,
+            ApiKeyCheck keyCheck) {
+        /** Creates the state of a daemon in a fleet without a revocation limit. */
+        public KnownState(
+                AvailabilityZone zone, Supplier<FleetSnapshot> fleet, Supplier<LocalBackendSnapshot> localBackend) {
+            this(zone, fleet, localBackend, withoutRevocationLimit(fleet));
+        }
+
+        private static ApiKeyCheck withoutRevocationLimit(Supplier<FleetSnapshot> fleet) {
+            return new ApiKeyCheck(
+                    new ConfigConfirmation(new SystemTimeSource(), Optional.empty()),
+                    () -> fleet.get().config().map(FleetConfig::customers));
+        }
+    }
 
     /** Creates admission control that accepts requests. */
     public BackendAdmission(
@@ -107,6 +128,7 @@
         this.zone = state.zone();
         this.fleet = state.fleet();
         this.localBackend = state.localBackend();
+        this.keyCheck = state.keyCheck();
         this.client = client;
         this.keyRequestListener = keyRequestListener;
         this.crashGuard = crashGuard;
@@ -250,6 +272,11 @@
         if (crashGuard.mustRefuse(request)) {
             return Optional.of(NotRunReason.CRASH_SUSPECT);
         }
+        Optional<NotRunReason> keyRefusal =
+                request.customer().flatMap(credential -> keyRefusalReason(keyCheck.recheck(credential)));
+        if (keyRefusal.isPresent()) {
+            return keyRefusal;
+        }
         boolean held = request.key().isEmpty() || snapshot.holds(request.key().getAsInt(), time.monotonicNanos());
         if (held) {
             return Optional.empty();
@@ -257,6 +284,14 @@
         return Optional.of(snapshot.mayGrant() ? NotRunReason.KEY_MOVING : NotRunReason.KEY_NOT_HELD);
     }
 
+    private static Optional<NotRunReason> keyRefusalReason(ApiKeyCheck.Verdict verdict) {
+        return switch (verdict) {
+            case VALID -> Optional.empty();
+            case UNKNOWN -> Optional.of(NotRunReason.KEY_UNKNOWN);
+            case UNCONFIRMED -> Optional.of(NotRunReason.KEY_UNCONFIRMED);
+        };
+    }
+
     private NotRun refuse(BackendRequestData request, NotRunReason reason, Duration retryAfter) {
         metrics.onRefusal(reason.name().toLowerCase(Locale.ROOT));
         LOGGER.atInfo().log(
@@ -367,6 +402,14 @@
             return refusalReason(request).isEmpty() && coldStartLimiter.allowsSend(backend, policy(request));
         }
 
+        @Override
+        public boolean removesCustomerHeaders() {
+            return fleet.get()
+                    .config()
+                    .filter(config -> !config.customers().isEmpty())
+                    .isPresent();
+        }
+
         @Override
         public void onWrite() {
             coldStartLimiter.recordSend();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientResponse.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientResponse.java
@@ -25,6 +25,7 @@
     /** Status of a request whose deadline passed while it may have been running. */
     public static final int TIMED_OUT = 504;
 
+    private static final int UNAUTHORIZED = 401;
     private static final int NO_ROUTE = 404;
     private static final int TOO_LARGE = 413;
     private static final int INVALID = 400;
@@ -39,6 +40,11 @@
         return new ClientResponse(status, List.of(), Buffer.buffer(), Optional.empty());
     }
 
+    /** Returns the response to a request without a valid API key; it has not run. */
+    public static ClientResponse unauthorized() {
+        return status(UNAUTHORIZED);
+    }
+
     /** Returns the response to a request that matches no route. */
     public static ClientResponse noRoute() {
         return status(NO_ROUTE);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -8,6 +8,8 @@
 import java.util.OptionalInt;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.customer.ApiKeyCheck;
+import io.daisyhoist.core.customer.ConfigConfirmation;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.route.FleetConfig;
@@ -17,6 +19,7 @@
 import io.daisyhoist.daemon.connection.BoundedBody;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.mesh.connection.CustomerHeaders;
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -46,6 +49,7 @@
 
     private final RequestContext context;
     private final HeaderNames headerNames;
+    private final CustomerAuthenticator authenticator;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final HttpServer server;
     private final PollBarrier pollBarrier;
@@ -53,10 +57,22 @@
     private Optional<Deadline> plannedExit = Optional.empty();
     private boolean refusing;
 
-    /** Creates a server that is not listening. */
+    /** Creates a server of a fleet without a revocation limit, which is not listening. */
     public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames) {
+        this(
+                vertx,
+                context,
+                headerNames,
+                new ApiKeyCheck(
+                        new ConfigConfirmation(context.time(), Optional.empty()),
+                        () -> context.fleet().get().config().map(FleetConfig::customers)));
+    }
+
+    /** Creates a server that is not listening. */
+    public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames, ApiKeyCheck keyCheck) {
         this.context = context;
         this.headerNames = headerNames;
+        this.authenticator = new CustomerAuthenticator(keyCheck, headerNames);
         this.pollBarrier = new PollBarrier(vertx);
         this.server = vertx.createHttpServer(new HttpServerOptions()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
@@ -159,6 +175,13 @@
         if (route.isEmpty()) {
             return refuse(http, "no_route version=" + config.get().version(), ClientResponse.noRoute());
         }
+        CustomerAuthenticator.Result authenticated =
+                authenticator.authenticate(config.get(), route.get(), http.headers());
+        if (authenticated instanceof CustomerAuthenticator.Refused refused) {
+            context.metrics().onRefusal(refused.reason());
+            return refuse(http, refused.reason(), refused.response());
+        }
+        CustomerAuthenticator.Accepted accepted = (CustomerAuthenticator.Accepted) authenticated;
         Deadline deadline = deadline(http, route.get(), arrivedNanos);
         boolean mayBeInterrupted =
                 plannedExit.filter(exit -> exit.isBefore(deadline)).isPresent();
@@ -167,16 +190,19 @@
         }
         ClientRequest request = new ClientRequest(
                 id,
-                route.get(),
+                accepted.priority().isPresent()
+                        ? route.get().withPriority(accepted.priority().getAsInt())
+                        : route.get(),
                 config.get().version(),
                 key(http),
                 http.method().name(),
                 http.uri(),
-                headers(http),
+                headers(http, !config.get().customers().isEmpty()),
                 body,
                 arrivedNanos,
                 deadline,
-                clientClosed);
+                clientClosed,
+                accepted.customer());
         return new RequestDispatch(
                         context, request, serviceSelector.next(config.get().version(), route.get()))
                 .start()
@@ -215,10 +241,11 @@
         }
     }
 
-    private List<HttpField> headers(HttpServerRequest http) {
+    private List<HttpField> headers(HttpServerRequest http, boolean fleetHasCustomers) {
         List<HttpField> forwardedHeaders = new ArrayList<>();
         for (HttpField field : HopByHopHeaders.endToEnd(http.headers())) {
-            if (!isReplaced(field.name())) {
+            boolean ofCustomer = fleetHasCustomers && CustomerHeaders.isReplaced(headerNames, field.name());
+            if (!isReplaced(field.name()) && !ofCustomer) {
                 forwardedHeaders.add(field);
             }
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -19,6 +19,7 @@
 import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.CrashReportCodec;
 import io.daisyhoist.mesh.connection.ForwardCodec;
+import io.daisyhoist.wire.proto.ConfigFetch;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.ForwardRequest;
@@ -63,6 +64,11 @@
 
         /** Called with changes of the store that a daemon passes on. */
         void onStoreChanges(StoreChanges changes);
+
+        /** Called when a daemon asks whether its configuration is the newest one; the reply is a {@code FleetLoad}. */
+        default void onConfigQuestion(ConfigFetch question, PeerReply reply) {
+            // Without a reply, the question fails after its timeout.
+        }
     }
 
     /**
@@ -97,6 +103,7 @@
                 LossReport report = CrashReportCodec.decode(message.getCrashReport());
                 context.runOnContext(run -> crashGuard.onReport(report));
             }
+            case CONFIG_FETCH -> messageListener.onConfigQuestion(message.getConfigFetch(), reply);
             case OPERATOR_ITEMS -> messageListener.onOperatorItems(message.getOperatorItems());
             default ->
                 LOGGER.atWarning().log("event=peer_message_ignored peer=%s body=%s", from, message.getBodyCase());
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -187,7 +187,7 @@
                 context.callerService().name(),
                 member.backend().orElseThrow().process(),
                 hasAlternative(),
-                Optional.empty(),
+                request.customer(),
                 request.deadline(),
                 Duration.ZERO);
         Duration queueWait = queueWait();
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/TestHeaderNames.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/TestHeaderNames.java
@@ -14,7 +14,9 @@
             "Signature",
             "Not-Run",
             "Load",
-            value -> OptionalDouble.empty());
+            value -> OptionalDouble.empty(),
+            "Customer-Key",
+            "Customer");
 
     private TestHeaderNames() {}
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
@@ -140,7 +140,8 @@
                 Buffer.buffer(),
                 time.monotonicNanos(),
                 Deadline.after(time, deadline),
-                disconnected.future());
+                disconnected.future(),
+                Optional.empty());
         try {
             Promise<ClientResponse> result = Promise.promise();
             vertx.getOrCreateContext()
