--- a/core/src/main/java/io/daisyhoist/core/customer/ConfigConfirmation.java
+++ b/core/src/main/java/io/daisyhoist/core/customer/ConfigConfirmation.java
@@ -116,13 +116,17 @@
 
     /** Voids the proof if one clock was set or stood still since its question; to be called several times per second. */
     public synchronized void detectClockStep() {
-        ElapsedTimer now = ElapsedTimer.start(time);
-        Duration monotonic = Duration.ofNanos(now.startNanos() - reference.startNanos());
-        Duration wall = Duration.between(reference.startWall(), now.startWall());
-        if (wall.minus(monotonic).abs().compareTo(MAX_CLOCK_STEP) > 0) {
+        // A pause between the reads of the two clocks looks like a step, but only once.
+        if (hasStepped(ElapsedTimer.start(time)) && hasStepped(ElapsedTimer.start(time))) {
             clockSteps++;
-            reference = now;
+            reference = ElapsedTimer.start(time);
             proof = Optional.empty();
         }
     }
+
+    private boolean hasStepped(ElapsedTimer now) {
+        Duration monotonic = Duration.ofNanos(now.startNanos() - reference.startNanos());
+        Duration wall = Duration.between(reference.startWall(), now.startWall());
+        return wall.minus(monotonic).abs().compareTo(MAX_CLOCK_STEP) > 0;
+    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
@@ -39,6 +39,9 @@
     /** Longer than usual round trips of busy instances, short enough to ask the store in time afterwards. */
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(300);
 
+    /** Longer than the timeout of any call, so that a failed callback does not end the loop. */
+    private static final Duration MAX_QUESTION_TIME = Duration.ofSeconds(3);
+
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(200);
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(1_000);
 
@@ -97,7 +100,8 @@
         // A clock step has voided a proof; there is nothing to wait for.
         boolean voided = lastConfirmed && confirmation.age().isEmpty();
         boolean due = voided || lastQuestion.elapsed(time).compareTo(nextQuestionAfter) >= 0;
-        if (inProgress || !due) {
+        boolean waiting = inProgress && lastQuestion.elapsed(time).compareTo(MAX_QUESTION_TIME) < 0;
+        if (waiting || !due) {
             return;
         }
         Optional<FleetMember> askedWatcher = watcher.get();
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -4,9 +4,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
 
+import io.daisyhoist.core.customer.ApiKeyCheck;
+import io.daisyhoist.core.customer.ApiKeyHash;
 import io.daisyhoist.core.customer.CustomerBounds;
+import io.daisyhoist.core.customer.CustomerTable;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
@@ -21,6 +25,7 @@
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.daemon.connection.PeerReply;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
@@ -29,6 +34,9 @@
 /** Simulated instance: the control state of a daemon, and its backend server, which holds the granted keys. */
 final class SimulatedInstance {
     static final ServiceName SERVICE = new ServiceName("archive");
+    private static final CustomerBounds BOUNDS =
+            new CustomerBounds(Optional.of(Duration.ofSeconds(5)), Duration.ofSeconds(5), 0.1, 20);
+
     private static final Duration HEARTBEAT = Duration.ofMillis(870);
     private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(1);
 
@@ -51,6 +59,11 @@
     interface Network {
         /** Delivers or drops a message. */
         void deliver(DaemonId receiver, Envelope message);
+
+        /** Delivers a question and its answer, or drops one of them, after which the answer never completes. */
+        default CompletableFuture<Envelope> ask(DaemonId receiver, Envelope question) {
+            return new CompletableFuture<>();
+        }
     }
 
     SimulatedInstance(
@@ -96,7 +109,7 @@
                         Duration.ofSeconds(10),
                         1.5,
                         5,
-                        CustomerBounds.DEFAULT));
+                        BOUNDS));
         startDaemon();
         startBackend();
     }
@@ -133,12 +146,37 @@
         control = new FleetControl(
                 settings,
                 starts,
-                new FleetControl.Dependencies(process, process, store, documents, this::deliver, new FleetMetrics()));
+                new FleetControl.Dependencies(process, process, store, documents, new Peers(), new FleetMetrics()));
         control.start();
     }
 
-    private void deliver(List<FleetMember> receivers, Envelope message) {
-        receivers.forEach(member -> network.deliver(member.daemon(), message));
+    private final class Peers implements FleetControl.PeerSender {
+        @Override
+        public void send(List<FleetMember> receivers, Envelope message) {
+            receivers.forEach(member -> network.deliver(member.daemon(), message));
+        }
+
+        @Override
+        public CompletableFuture<Envelope> call(FleetMember receiver, Envelope question, Duration timeout) {
+            CompletableFuture<Envelope> answer = network.ask(receiver.daemon(), question);
+            process.scheduleOnce(() -> answer.completeExceptionally(new IllegalStateException("timeout")), timeout);
+            return answer;
+        }
+    }
+
+    /** Answers a question of another daemon. */
+    void answer(Envelope question, PeerReply reply) {
+        control.peerMessageListener().onConfigQuestion(question.getConfigFetch(), reply);
+    }
+
+    /** Checks an API key as the daemon does for a request of a client at this moment. */
+    ApiKeyCheck.Verdict check(String apiKey) {
+        Optional<CustomerTable> customers = control.fleet().config().map(FleetConfig::customers);
+        if (process.isFrozen() || customers.isEmpty()) {
+            return ApiKeyCheck.Verdict.UNCONFIRMED;
+        }
+        return new ApiKeyCheck(control.configConfirmation(), () -> customers)
+                .check(customers.get(), ApiKeyHash.ofKey(apiKey));
     }
 
     /** Handles a message of another daemon. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import io.daisyhoist.core.customer.ApiKeyCheck;
+import io.daisyhoist.core.customer.ConfigConfirmation;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.LocalBackend;
@@ -19,6 +21,7 @@
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.RouteTable;
 import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.core.time.ManualTimeSource;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
@@ -48,6 +51,11 @@
             Set.of(),
             Map.of(),
             Map.of());
+    final ManualTimeSource confirmationClock = new ManualTimeSource();
+    final ConfigConfirmation confirmation =
+            new ConfigConfirmation(confirmationClock, Optional.of(Duration.ofSeconds(5)));
+    final ApiKeyCheck keyCheck =
+            new ApiKeyCheck(confirmation, () -> fleet.config().map(FleetConfig::customers));
     final CrashGuard crashGuard = new CrashGuard(new DaemonId("d"), time, List::of, (receivers, report) -> {});
     final BackendAdmission admission;
     private final int slots;
@@ -62,7 +70,7 @@
         this.snapshot = snapshot(FIRST_PROCESS);
         this.admission = new BackendAdmission(
                 time,
-                new BackendAdmission.KnownState(new AvailabilityZone("z"), () -> fleet, () -> snapshot),
+                new BackendAdmission.KnownState(new AvailabilityZone("z"), () -> fleet, () -> snapshot, keyCheck),
                 new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, 4, time),
                 (key, duration) -> {},
                 crashGuard,
