Ask other daemons for a proof when the store does not answer

Daemons that the store turns away, watchers among them, refused keys that the others accepted: the new test storeTurnsSomeDaemonsAway_theyAskOthersAndRefuseNothingValid was red with UNCONFIRMED. They now ask up to four other daemons after a failed question to the store.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.mesh.process;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
@@ -13,6 +14,7 @@
 import io.daisyhoist.core.time.ElapsedTimer;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.process.ControlExecutor;
+import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.wire.proto.ConfigFetch;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
@@ -22,7 +24,7 @@
  *
  * <p>A daemon that watches the store asks the store; its followers ask that daemon, whose answer has the age of its own
  * proof. A follower dates the proof by the time of its own question, so that time in transit counts. A follower whose proof
- * becomes old asks the store itself. Invariants: a proof is recorded only while this daemon knows a configuration at least
+ * becomes old asks the store itself, and another daemon if the store does not answer it. Invariants: a proof is recorded only while this daemon knows a configuration at least
  * as new as the proven one; at most one question is in progress. Confined to the control thread.
  */
 final class ConfirmationLoop {
@@ -36,6 +38,9 @@
 
     private static final Duration OWN_QUESTION_JITTER = Duration.ofMillis(400);
 
+    /** Questions to other daemons after the store has not answered; some of them may be cut off from it as well. */
+    private static final int MAX_QUESTIONS_TO_OTHERS = 4;
+
     /** Longer than usual round trips of busy instances, short enough to ask the store in time afterwards. */
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(300);
 
@@ -50,7 +55,7 @@
     private final TimeSource time;
     private final StoreCache operatorCache;
     private final ConfigConfirmation confirmation;
-    private final Supplier<Optional<FleetConfig>> config;
+    private final Supplier<FleetSnapshot> fleet;
     private final Supplier<Optional<FleetMember>> watcher;
     private final FleetControl.PeerSender peers;
     private final SplittableRandom random;
@@ -60,6 +65,7 @@
     private Duration ownQuestionAge = MIN_OWN_QUESTION_AGE;
     private boolean inProgress;
     private boolean lastConfirmed;
+    private int questionsToOthers;
     private boolean permitting;
 
     /**
@@ -67,13 +73,13 @@
      *
      * @param operatorCache copy of the operators' items
      * @param confirmation age of the last proof
-     * @param config configuration in force
+     * @param fleet present state of the fleet, with the configuration in force
      * @param watcher daemon that passes changes of the store on to this one; empty if this one watches the store itself
      */
     record State(
             StoreCache operatorCache,
             ConfigConfirmation confirmation,
-            Supplier<Optional<FleetConfig>> config,
+            Supplier<FleetSnapshot> fleet,
             Supplier<Optional<FleetMember>> watcher) {}
 
     /** Creates a loop that has asked nothing. */
@@ -83,7 +89,7 @@
         this.time = access.time();
         this.operatorCache = state.operatorCache();
         this.confirmation = state.confirmation();
-        this.config = state.config();
+        this.fleet = state.fleet();
         this.watcher = state.watcher();
         this.peers = peers;
         this.random = new SplittableRandom(seed);
@@ -104,21 +110,34 @@
         if (waiting || !due) {
             return;
         }
-        Optional<FleetMember> askedWatcher = watcher.get();
-        boolean young = confirmation
+        Optional<FleetMember> daemon = isYoung() ? watcher.get() : Optional.empty();
+        if (daemon.isEmpty() && questionsToOthers > 0) {
+            questionsToOthers--;
+            daemon = randomMember();
+        }
+        daemon.ifPresentOrElse(this::askDaemon, this::askStore);
+    }
+
+    private boolean isYoung() {
+        return confirmation
                 .age()
                 .filter(age -> age.compareTo(ownQuestionAge) < 0)
                 .isPresent();
-        if (askedWatcher.isPresent() && young) {
-            askWatcher(askedWatcher.get());
-        } else {
-            askStore();
-        }
+    }
+
+    private Optional<FleetMember> randomMember() {
+        List<FleetMember> others = fleet.get().members().values().stream()
+                .filter(member -> !member.daemon().equals(self))
+                .toList();
+        return others.isEmpty() ? Optional.empty() : Optional.of(others.get(random.nextInt(others.size())));
     }
 
     /** Returns whether the configuration in force has customers, so that proofs are needed. */
     boolean hasCustomers() {
-        return config.get().filter(known -> !known.customers().isEmpty()).isPresent();
+        return fleet.get()
+                .config()
+                .filter(known -> !known.customers().isEmpty())
+                .isPresent();
     }
 
     private ConfigConfirmation.Question begin() {
@@ -141,19 +160,23 @@
 
     private void askStore() {
         ConfigConfirmation.Question question = begin();
-        control.whenComplete(
-                operatorCache.catchUp(),
-                (complete, failure) ->
-                        end(failure == null && complete && confirmation.onConfirmed(question, Duration.ZERO)));
+        control.whenComplete(operatorCache.catchUp(), (complete, failure) -> {
+            boolean answered = failure == null && complete;
+            questionsToOthers = answered ? 0 : MAX_QUESTIONS_TO_OTHERS;
+            end(answered && confirmation.onConfirmed(question, Duration.ZERO));
+        });
     }
 
-    private void askWatcher(FleetMember askedWatcher) {
+    private void askDaemon(FleetMember daemon) {
         ConfigConfirmation.Question question = begin();
         Envelope message = Envelope.newBuilder()
                 .setConfigFetch(ConfigFetch.newBuilder().setKnownVersion(version()))
                 .build();
-        control.whenComplete(peers.call(askedWatcher, message, PEER_TIMEOUT), (reply, failure) -> {
-            boolean confirmed = failure == null && reply.hasFleetLoad() && accept(question, reply.getFleetLoad());
+        control.whenComplete(peers.call(daemon, message, PEER_TIMEOUT), (reply, failure) -> {
+            boolean accepted = failure == null && reply.hasFleetLoad() && accept(question, reply.getFleetLoad());
+            // The proof of the daemon may be as old as the own one.
+            boolean confirmed = accepted && isYoung();
+            questionsToOthers = confirmed ? 0 : questionsToOthers;
             end(confirmed);
         });
     }
@@ -183,7 +206,7 @@
     }
 
     private long version() {
-        return config.get().map(FleetConfig::version).orElse(0L);
+        return fleet.get().config().map(FleetConfig::version).orElse(0L);
     }
 
     private void logChange() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -141,7 +141,7 @@
         this.confirmationLoop = new ConfirmationLoop(
                 settings.daemon(),
                 access,
-                new ConfirmationLoop.State(operatorCache, configConfirmation, () -> fleet.config(), follower::watcher),
+                new ConfirmationLoop.State(operatorCache, configConfirmation, this::fleet, follower::watcher),
                 dependencies.peerSender(),
                 incarnation);
         this.peerMessageHandler =
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/KeyRevocationTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/KeyRevocationTest.java
@@ -290,6 +290,21 @@
             });
         }
 
+        /** Guards against daemons, watchers among them, that the store turns away and that refuse what others accept. */
+        @Test
+        void storeTurnsSomeDaemonsAway_theyAskOthersAndRefuseNothingValid() {
+            Fleet fleet = new Fleet(60);
+            fleet.instances.values().stream()
+                    .filter(instance ->
+                            instance.isWatching() || instance.daemon().name().endsWith("7"))
+                    .forEach(instance -> instance.store().setDisconnected(true));
+            fleet.runChecked(
+                    Duration.ofSeconds(20),
+                    instance -> assertEquals(
+                            Verdict.VALID, instance.check("kept"), instance.daemon() + " " + instance.proofAge()));
+            fleet.requireRefusedOnceRevoked();
+        }
+
         /** Guards against an instance that was suspended while a key was removed, and takes its proof for young. */
         @ParameterizedTest
         @ValueSource(ints = {1_000, 4_000, 5_000, 8_000})
