Take no proof from an answer of the store that is older than the copy; shorten the admission class

A second answer to an earlier call cannot be told from the answer to the current one except by its revision.

--- a/core/src/main/java/io/daisyhoist/core/customer/ApiKeyCheck.java
+++ b/core/src/main/java/io/daisyhoist/core/customer/ApiKeyCheck.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import io.daisyhoist.core.time.TimeSource;
+
 /**
  * Decides whether an API key admits a request now.
  *
@@ -33,6 +35,11 @@
         this.customers = customers;
     }
 
+    /** Creates a check for a deployment without a revocation limit, which accepts keys whatever the age of the proof. */
+    public static ApiKeyCheck withoutRevocationLimit(TimeSource time, Supplier<Optional<CustomerTable>> customers) {
+        return new ApiKeyCheck(new ConfigConfirmation(time, Optional.empty()), customers);
+    }
+
     /** Checks a key that a client sent, against the given customers. */
     public Verdict check(CustomerTable table, ApiKeyHash key) {
         if (!confirmation.permitsKeys()) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
@@ -24,8 +24,9 @@
  *
  * <p>A daemon that watches the store asks the store; its followers ask that daemon, whose answer has the age of its own
  * proof. A follower dates the proof by the time of its own question, so that time in transit counts. A follower whose proof
- * becomes old asks the store itself, and another daemon if the store does not answer it. Invariants: a proof is recorded only while this daemon knows a configuration at least
- * as new as the proven one; at most one question is in progress. Confined to the control thread.
+ * becomes old asks the store itself, and another daemon if the store does not answer it. Invariants: a proof is recorded
+ * only while this daemon knows a configuration at least as new as the proven one; at most one question is in progress.
+ * Confined to the control thread.
  */
 final class ConfirmationLoop {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -146,14 +146,14 @@
     /**
      * Asks the store once for the changes that this copy lacks.
      *
-     * @return whether this copy has all changes that the store had when this method was called; false also if an earlier
-     *     call is in progress. Completes on the control thread
+     * @return whether this copy has all changes that the store had at the call; false also during an earlier call
      */
     CompletableFuture<Boolean> catchUp() {
         if (!listed || catchUpInProgress) {
             return CompletableFuture.completedFuture(false);
         }
         CompletableFuture<Boolean> complete = new CompletableFuture<>();
+        long askedAsOf = asOf;
         catchUpInProgress = true;
         control.whenComplete(store.watch(prefix, asOf, CATCH_UP_WAIT), (result, failure) -> {
             catchUpInProgress = false;
@@ -169,7 +169,8 @@
             } else if (result instanceof WatchResult.HistoryLost) {
                 reload();
             }
-            complete.complete(result instanceof WatchResult.Changes);
+            // A lower revision is that of an answer to an earlier call.
+            complete.complete(result instanceof WatchResult.Changes answer && answer.asOf() >= askedAsOf);
         });
         return complete;
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -18,7 +18,6 @@
 import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.admission.SlotLimit;
 import io.daisyhoist.core.customer.ApiKeyCheck;
-import io.daisyhoist.core.customer.ConfigConfirmation;
 import io.daisyhoist.core.error.Refusal;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.model.AvailabilityZone;
@@ -106,13 +105,12 @@
         /** Creates the state of a daemon in a fleet without a revocation limit. */
         public KnownState(
                 AvailabilityZone zone, Supplier<FleetSnapshot> fleet, Supplier<LocalBackendSnapshot> localBackend) {
-            this(zone, fleet, localBackend, withoutRevocationLimit(fleet));
-        }
-
-        private static ApiKeyCheck withoutRevocationLimit(Supplier<FleetSnapshot> fleet) {
-            return new ApiKeyCheck(
-                    new ConfigConfirmation(new SystemTimeSource(), Optional.empty()),
-                    () -> fleet.get().config().map(FleetConfig::customers));
+            this(
+                    zone,
+                    fleet,
+                    localBackend,
+                    ApiKeyCheck.withoutRevocationLimit(
+                            new SystemTimeSource(), () -> fleet.get().config().map(FleetConfig::customers)));
         }
     }
 
@@ -272,26 +270,13 @@
         if (crashGuard.mustRefuse(request)) {
             return Optional.of(NotRunReason.CRASH_SUSPECT);
         }
-        Optional<NotRunReason> keyRefusal =
-                request.customer().flatMap(credential -> keyRefusalReason(keyCheck.recheck(credential)));
-        if (keyRefusal.isPresent()) {
-            return keyRefusal;
-        }
         boolean held = request.key().isEmpty() || snapshot.holds(request.key().getAsInt(), time.monotonicNanos());
         if (held) {
-            return Optional.empty();
+            return CustomerAuthenticator.refusalReason(keyCheck, request);
         }
         return Optional.of(snapshot.mayGrant() ? NotRunReason.KEY_MOVING : NotRunReason.KEY_NOT_HELD);
     }
 
-    private static Optional<NotRunReason> keyRefusalReason(ApiKeyCheck.Verdict verdict) {
-        return switch (verdict) {
-            case VALID -> Optional.empty();
-            case UNKNOWN -> Optional.of(NotRunReason.KEY_UNKNOWN);
-            case UNCONFIRMED -> Optional.of(NotRunReason.KEY_UNCONFIRMED);
-        };
-    }
-
     private NotRun refuse(BackendRequestData request, NotRunReason reason, Duration retryAfter) {
         metrics.onRefusal(reason.name().toLowerCase(Locale.ROOT));
         LOGGER.atInfo().log(
@@ -404,10 +389,8 @@
 
         @Override
         public boolean removesCustomerHeaders() {
-            return fleet.get()
-                    .config()
-                    .filter(config -> !config.customers().isEmpty())
-                    .isPresent();
+            return fleet.get().config().stream()
+                    .anyMatch(config -> !config.customers().isEmpty());
         }
 
         @Override
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -9,7 +9,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.customer.ApiKeyCheck;
-import io.daisyhoist.core.customer.ConfigConfirmation;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.route.FleetConfig;
@@ -63,9 +62,8 @@
                 vertx,
                 context,
                 headerNames,
-                new ApiKeyCheck(
-                        new ConfigConfirmation(context.time(), Optional.empty()),
-                        () -> context.fleet().get().config().map(FleetConfig::customers)));
+                ApiKeyCheck.withoutRevocationLimit(
+                        context.time(), () -> context.fleet().get().config().map(FleetConfig::customers)));
     }
 
     /** Creates a server that is not listening. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/CustomerAuthenticator.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/CustomerAuthenticator.java
@@ -12,6 +12,8 @@
 import io.daisyhoist.core.customer.CustomerTable;
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.Route;
+import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
+import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.vertx.core.MultiMap;
 
@@ -73,6 +75,15 @@
         };
     }
 
+    /** Checks the key of a request to the local backend server again; empty if the request may be written or needs no key. */
+    static Optional<NotRunReason> refusalReason(ApiKeyCheck check, BackendRequestData request) {
+        return request.customer().flatMap(credential -> switch (check.recheck(credential)) {
+            case VALID -> Optional.empty();
+            case UNKNOWN -> Optional.of(NotRunReason.KEY_UNKNOWN);
+            case UNCONFIRMED -> Optional.of(NotRunReason.KEY_UNCONFIRMED);
+        });
+    }
+
     private static Accepted accept(Customer customer, ApiKeyHash key) {
         return new Accepted(Optional.of(new CustomerCredential(customer.name(), key)), customer.priority());
     }
