--- a/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
@@ -31,8 +31,11 @@
 final class ConfirmationLoop {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** Short, because requests with keys are refused from a step of a clock to the next proof. */
+    static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+
     /** Two intervals and two round trips, the age at a follower, stay below {@link #MIN_OWN_QUESTION_AGE}. */
-    private static final Duration INTERVAL = Duration.ofMillis(500);
+    private static final Duration INTERVAL = Duration.ofMillis(600);
 
     /** Age of a proof at which a follower asks the store itself; random, so that followers do not ask together. */
     private static final Duration MIN_OWN_QUESTION_AGE = Duration.ofMillis(1_600);
@@ -97,7 +100,7 @@
         this.lastQuestion = ElapsedTimer.start(time);
     }
 
-    /** Asks again if it is time; to be called several times per second. */
+    /** Asks again if it is time; to be called each {@link #TICK_INTERVAL}. */
     void tick() {
         confirmation.detectClockStep();
         if (!hasCustomers()) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -188,6 +188,7 @@
         control.scheduleOnce(this::register, MAX_REGISTRATION_DELAY);
         control.scheduleWithFixedDelay(this::tick, TICK_INTERVAL);
         control.scheduleWithFixedDelay(this::reportLoad, LOAD_REPORT_INTERVAL);
+        control.scheduleWithFixedDelay(confirmationLoop::tick, ConfirmationLoop.TICK_INTERVAL);
     }
 
     /** Waits for the first heartbeat if it arrives soon, so that the entry does not change right after its first write. */
@@ -351,7 +352,6 @@
         follower.update(fleet.members().values(), state::isAbsent, registrationLease.confirmationAge());
         follower.report(this::localReport);
         rangeAssigner.tick(tracker.member().service(), tracker.backend());
-        confirmationLoop.tick();
         boolean initialized = operatorSynchronized
                 && fleetSynchronized
                 && fleet.config().isPresent()
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/KeyRevocationTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/KeyRevocationTest.java
@@ -305,6 +305,15 @@
             fleet.requireRefusedOnceRevoked();
         }
 
+        /** Guards against long refusals after a suspension or a step of a clock while the store answers. */
+        @Test
+        void resumedInContact_provesAtOnce() {
+            Fleet fleet = new Fleet(30);
+            fleet.instances.values().forEach(instance -> instance.process().freeze(Duration.ofSeconds(1), true));
+            fleet.simulation.runFor(Duration.ofMillis(1_100));
+            fleet.runChecked(Duration.ofSeconds(3), instance -> assertEquals(Verdict.VALID, instance.check("kept")));
+        }
+
         /** Guards against an instance that was suspended while a key was removed, and takes its proof for young. */
         @ParameterizedTest
         @ValueSource(ints = {1_000, 4_000, 5_000, 8_000})
