A heartbeat of a service that no configuration has does not replace the backend server

A heartbeat of another writer that named an unknown service and a later start time took the place of the backend server for good: every later heartbeat of the real one counted as stale. The service of the daemon's own settings always counts as configured.

Both cases of FleetControlTest.HeartbeatOfUnknownService failed before (the stranger had replaced the backend server) and pass now.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -236,6 +236,12 @@
     public CompletableFuture<Optional<KeyLeases.Reply>> onHeartbeat(BackendHeartbeat heartbeat) {
         CompletableFuture<Optional<KeyLeases.Reply>> acknowledgement = new CompletableFuture<>();
         control.execute(() -> {
+            if (!isConfigured(heartbeat.service())) {
+                // Another writer's heartbeat must not take the place of the backend server that is there.
+                acknowledgement.completeExceptionally(
+                        new IllegalArgumentException("service is not configured: " + heartbeat.service()));
+                return;
+            }
             try {
                 CompletableFuture<Optional<KeyLeases.Reply>> reply = new CompletableFuture<>();
                 handleHeartbeat(heartbeat, reply);
@@ -282,6 +288,14 @@
         publishLocal();
     }
 
+    /** Every service counts as configured until a configuration is known. */
+    private boolean isConfigured(ServiceName service) {
+        return service.equals(settings.service())
+                || fleet.config()
+                        .map(config -> config.service(service).isPresent())
+                        .orElse(true);
+    }
+
     /** Returns whether this process cannot yet determine which keys its backend server has to hold. */
     private boolean isStarting(ServiceName service) {
         if (fleet.config().isEmpty() || !fleetSynchronized) {
@@ -341,6 +355,10 @@
 
     private void publishFleet(FleetSnapshot snapshot) {
         fleet = snapshot;
+        if (tracker.forgetUnless(backend -> isConfigured(backend.heartbeat().service()))) {
+            publishLocal();
+            registration.update(tracker.member());
+        }
         heartbeatResponder.onChange();
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/LocalBackendTracker.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/LocalBackendTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
@@ -60,6 +61,22 @@
         return true;
     }
 
+    /**
+     * Forgets the backend server if it does not satisfy the condition, so that the next heartbeat of any process is used.
+     *
+     * @return whether a backend server was forgotten
+     */
+    boolean forgetUnless(Predicate<LocalBackend> condition) {
+        Optional<LocalBackend> forgotten = backend.filter(condition.negate());
+        forgotten.ifPresent(known -> {
+            LOGGER.atWarning().log(
+                    "event=backend_forgotten backend=%s service=%s reason=service_not_configured",
+                    known.process(), known.heartbeat().service());
+            backend = Optional.empty();
+        });
+        return forgotten.isPresent();
+    }
+
     private void logChange(Optional<LocalBackend> previous, LocalBackend current, LocalBackend.Change change) {
         boolean changed = change == LocalBackend.Change.NEW_PROCESS
                 || previous.filter(known ->
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -131,6 +132,44 @@
         assertFalse(control.localBackend().mayGrant());
     }
 
+    /** Another writer may send a heartbeat of a service that no configuration has. */
+    @Nested
+    class HeartbeatOfUnknownService {
+        private static final BackendProcessId STRANGER = new BackendProcessId("stranger", 200);
+
+        private final ServiceName unknown = new ServiceName("unknown");
+
+        private CompletableFuture<?> heartbeatOfUnknownService() {
+            CompletableFuture<?> reply = control.onHeartbeat(
+                    new BackendHeartbeat(STRANGER, 1, ADDRESS, unknown, 6, false, Duration.ZERO, List.of(), List.of()));
+            simulation.runFor(Duration.ofSeconds(1));
+            return reply;
+        }
+
+        private BackendProcessId localProcess() {
+            return control.localBackend().backend().orElseThrow().process();
+        }
+
+        /** Guards against a backend server that stays out of use for good, because the stranger started later. */
+        @Test
+        void onHeartbeat_serviceNotConfigured_keepsBackend() {
+            store.put("operators/config", "1".getBytes(StandardCharsets.UTF_8));
+            heartbeat(PROCESS, 1, false);
+            assertTrue(heartbeatOfUnknownService().isCompletedExceptionally());
+            assertEquals(PROCESS, localProcess());
+        }
+
+        /** Guards against the same while the daemon does not know a configuration yet. */
+        @Test
+        void onHeartbeat_configurationReadLater_usesBackendAgain() {
+            heartbeatOfUnknownService();
+            store.put("operators/config", "1".getBytes(StandardCharsets.UTF_8));
+            simulation.runFor(Duration.ofSeconds(1));
+            heartbeat(PROCESS, 1, false);
+            assertEquals(PROCESS, localProcess());
+        }
+    }
+
     /** A heartbeat that was sent before the shutdown notice may arrive after a restart of the daemon. */
     @Nested
     class LateHeartbeatAfterRestart {
