--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -260,6 +260,12 @@
     public CompletableFuture<Optional<KeyLeases.Reply>> onHeartbeat(BackendHeartbeat heartbeat) {
         CompletableFuture<Optional<KeyLeases.Reply>> acknowledgement = new CompletableFuture<>();
         control.execute(() -> {
+            if (!isConfigured(heartbeat.service())) {
+                // Another writer's heartbeat must not take the place of the backend server that is there.
+                acknowledgement.completeExceptionally(
+                        new IllegalArgumentException("service is not configured: " + heartbeat.service()));
+                return;
+            }
             try {
                 CompletableFuture<Optional<KeyLeases.Reply>> reply = new CompletableFuture<>();
                 handleHeartbeat(heartbeat, reply);
@@ -306,6 +312,14 @@
         publishLocal();
     }
 
+    /** Every service counts as configured until a configuration is known. */
+    private boolean isConfigured(ServiceName service) {
+        return service.equals(settings.service())
+                || fleet.config()
+                        .map(config -> config.service(service).isPresent())
+                        .orElse(true);
+    }
+
     /** Returns whether this process cannot yet determine which keys its backend server has to hold. */
     private boolean isStarting(ServiceName service) {
         if (fleet.config().isEmpty() || !fleetSynchronized) {
@@ -369,6 +383,10 @@
         fleet = snapshot;
         // Customers that the snapshot brings need a proof at once; the changes of its batch are applied by then.
         control.execute(confirmationLoop::tick);
+        if (tracker.forgetUnless(backend -> isConfigured(backend.heartbeat().service()))) {
+            publishLocal();
+            registration.update(tracker.member());
+        }
         heartbeatResponder.onChange();
     }
 
