Give a restarted daemon its share of the retry slack in the course of a window

Cause: FleetRetryBudget was created with its whole share of the slack, so each restart within a window took it again. Change: the share of the slack grows from zero during the first window. The tests of the budget advance the clock by one window first, since they check what a daemon may do that has run for a while; the new tests check the start.

--- a/core/src/main/java/io/daisyhoist/core/retry/FleetRetryBudget.java
+++ b/core/src/main/java/io/daisyhoist/core/retry/FleetRetryBudget.java
@@ -36,6 +36,7 @@
     private final double ratio;
     private final double slack;
     private final Duration window;
+    private final long createdNanos;
     private final Map<ServiceName, Usage> usageByService = new HashMap<>();
 
     private static final class Usage {
@@ -57,7 +58,8 @@
     }
 
     /**
-     * Creates an unused budget.
+     * Creates an empty budget, which gets its share of the slack in the course of one window, because an earlier process of
+     * this daemon may have used it.
      *
      * @param ratio retries per request in the whole fleet
      * @param slack retries per window that are allowed in addition, in the whole fleet
@@ -68,6 +70,7 @@
         this.ratio = ratio;
         this.slack = slack;
         this.window = window;
+        this.createdNanos = time.monotonicNanos();
     }
 
     /** Records a request to a service. */
@@ -84,7 +87,7 @@
     public boolean tryRetry(ServiceName service, int daemons, boolean repeatsRun) {
         Usage serviceUsage = usageOf(service);
         double limit = RATIO_UTILIZATION * ratio * serviceUsage.requests.count()
-                + SLACK_UTILIZATION * slack / Math.max(1, daemons);
+                + SLACK_UTILIZATION * slack * availableSlackShare() / Math.max(1, daemons);
         if (serviceUsage.retries.count() + 1 > limit) {
             return false;
         }
@@ -103,6 +106,10 @@
         return true;
     }
 
+    private double availableSlackShare() {
+        return Math.min(1, (double) (time.monotonicNanos() - createdNanos) / window.toNanos());
+    }
+
     private Usage usageOf(ServiceName service) {
         return usageByService.computeIfAbsent(service, any -> new Usage(time, window));
     }
--- a/core/src/test/java/io/daisyhoist/core/retry/FleetRetryBudgetTest.java
+++ b/core/src/test/java/io/daisyhoist/core/retry/FleetRetryBudgetTest.java
@@ -4,6 +4,7 @@
 
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.time.ManualTimeSource;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,12 +13,19 @@
 class FleetRetryBudgetTest {
     private static final ServiceName SERVICE = new ServiceName("s");
     private static final int DAEMONS = 10;
+    private static final Duration WINDOW = Duration.ofSeconds(10);
 
     private final ManualTimeSource time = new ManualTimeSource();
-    private final FleetRetryBudget budget = new FleetRetryBudget(time, 0.2, 56, Duration.ofSeconds(10));
+    private final FleetRetryBudget budget = new FleetRetryBudget(time, 0.2, 56, WINDOW);
 
     private static final ServiceName CALLED = new ServiceName("called");
 
+    /** The slack is available once a daemon has run for one window. */
+    @BeforeEach
+    void waitForSlack() {
+        time.advance(WINDOW);
+    }
+
     private int exhaustBudget(ServiceName service, boolean repeatsRun) {
         int allowed = 0;
         while (budget.tryRetry(service, DAEMONS, repeatsRun)) {
@@ -76,4 +84,27 @@
         exhaustBudget(SERVICE, false);
         assertTrue(budget.tryRetry(new ServiceName("other"), DAEMONS, false));
     }
+
+    /** Guards against a daemon that restarts in a loop and takes its share of the slack each time. */
+    @Test
+    void tryRetry_restartedRepeatedly_staysWithinShareOfSlack() {
+        int retries = 0;
+        for (int restart = 0; restart < 10; restart++) {
+            FleetRetryBudget restarted = new FleetRetryBudget(time, 0.2, 56, WINDOW);
+            assertFalse(restarted.tryRetry(SERVICE, DAEMONS, false));
+            time.advance(WINDOW.dividedBy(10));
+            while (restarted.tryRetry(SERVICE, DAEMONS, false)) {
+                retries++;
+            }
+        }
+        assertTrue(retries <= 56 / DAEMONS, "retries " + retries);
+    }
+
+    /** Guards against a share of the slack that a daemon never gets. */
+    @Test
+    void tryRetry_oneWindowAfterStart_usesShareOfSlack() {
+        FleetRetryBudget started = new FleetRetryBudget(time, 0.2, 56, WINDOW);
+        time.advance(WINDOW);
+        assertTrue(started.tryRetry(SERVICE, DAEMONS, false));
+    }
 }
