Select backend servers by what they complete, reject and have free

Cause: the score counted equal slots, a report of up to a second ago like a new one, and a server without a report as idle; a server that rejects or fails at once looked idle. Requests left their zone as soon as the own one had work. Change: two candidates are drawn by the requests per second that they can serve (limit, completions per second and slot in use, slowdown, share of rejections and failures); the one with the lower expected utilization is selected. Other zones are considered from half utilization; any server with room before a refusal. BackendLoad.completed_per_1000_s is per slot in use, so that it does not depend on the load.

--- a/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
@@ -6,61 +6,47 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.time.TimeSource;
 
 /**
- * Tracks the load of backend servers and selects the least loaded one for a request.
+ * Tracks the load of backend servers and selects one for a request.
  *
- * <p>The score of a backend server combines the requests in flight from this daemon, the load reports attached to
- * responses, the relative latency of responses and recent failures. Confined to one thread.
+ * <p>Two candidates are drawn with probabilities proportional to the requests per second that they can serve, and the one
+ * with the lower expected utilization is selected: the draw divides the requests by speed even if most reports are old,
+ * and keeps daemons with the same reports from selecting the same server; the comparison evens out chance. Servers without
+ * room are passed over while any other has room. Confined to one thread.
  */
 public final class LoadBalancer {
-    /** Load reports older than this are ignored. */
-    private static final Duration REPORT_VALIDITY = Duration.ofSeconds(1);
+    /** Utilization of the selected server from which servers of other zones are considered; their traffic is charged. */
+    private static final double SPILL_UTILIZATION = 0.5;
 
-    private static final double EWMA_GAIN = 0.1;
-    private static final double FAILURE_RATE_WEIGHT = 6;
-
-    /** Requests to another availability zone have a higher latency and their traffic is charged. */
+    /** Ratio of costs from which a server of another zone is selected. */
     private static final double CROSS_ZONE_FACTOR = 1.25;
 
-    /** A daemon with requests in flight that has sent nothing for this long may be unreachable. */
-    private static final Duration CONTACT_TIMEOUT = Duration.ofMillis(600);
+    /** Relative jitter of the expected finish time when no server has room. */
+    private static final double FINISH_JITTER = 0.2;
+
+    /** A report of this age still tells whether a slot is free. */
+    private static final Duration FRESH_REPORT = Duration.ofMillis(500);
 
-    /** Added to the score of a backend server that is selected only if there is no other. */
-    private static final double LAST_RESORT_PENALTY = 1_000;
+    /** Servers that reject more than this share are not tried with a request that another one has rejected. */
+    private static final double MAX_REJECTED_SHARE = 0.6;
 
-    private static final Duration INITIAL_BACKOFF = Duration.ofMillis(400);
-    private static final int MAX_BACKOFF_DOUBLINGS = 4;
-    private static final double SCORE_JITTER = 0.05;
-    private static final double MIN_LATENCY_RATIO = 0.3;
-    private static final double MAX_LATENCY_RATIO = 8;
+    private static final double MEAN_LATENCY_GAIN = 0.05;
 
     private final TimeSource time;
     private final RandomGenerator random;
-    private final AvailabilityZone ownZone;
-    private final Map<DaemonId, State> stateByDaemon = new HashMap<>();
+    private final CandidateScan scan;
+    private final Map<DaemonId, ServerState> stateByDaemon = new HashMap<>();
     private final Map<String, Double> meanLatencyNanosByRoute = new HashMap<>();
-
-    private static final class State {
-        private int inFlight;
-        private int sentSinceReport;
-        private int reportedLoad;
-        private int reportedLimit;
-        private double reportedSlowdown = 1;
-        private long lastReportNanos;
-        private boolean hasReport;
-        private double failureRate;
-        private double latencyRatio = 1;
-        private long backoffUntilNanos;
-        private boolean inBackoff;
-        private long lastContactNanos;
-        private int connectFailures;
-    }
+    private final Map<ServiceName, EarlyRefusal> refusalByService = new HashMap<>();
+    private final Function<DaemonId, ServerState> stateOf = this::state;
 
     /**
      * Backend server that may be selected. Immutable.
@@ -77,113 +63,161 @@
      * @param busy requests in flight or queued
      * @param limit concurrency limit
      * @param slowdown ratio of the current service time to the usual one
+     * @param completedPerSlotSecond requests completed per second and slot in use; zero if unknown
+     * @param rejectedShare share of recent requests that the backend server rejected by itself, from 0 to 1
      */
-    public record Report(int busy, int limit, double slowdown) {}
+    public record Report(int busy, int limit, double slowdown, double completedPerSlotSecond, double rejectedShare) {
+        /** Creates a report of a daemon that does not know the speed of its backend server. */
+        public Report(int busy, int limit, double slowdown) {
+            this(busy, limit, slowdown, 0, 0);
+        }
+    }
 
+    /** Creates a load balancer whose ejections nobody is told about. */
     public LoadBalancer(TimeSource time, RandomGenerator random, AvailabilityZone ownZone) {
+        this(time, random, ownZone, (daemon, duration) -> {});
+    }
+
+    public LoadBalancer(
+            TimeSource time, RandomGenerator random, AvailabilityZone ownZone, EjectionListener ejectionListener) {
         this.time = time;
         this.random = random;
-        this.ownZone = ownZone;
+        this.scan = new CandidateScan(random, ownZone, ejectionListener);
     }
 
-    /** Selects the candidate with the lowest expected wait; empty if all are excluded. */
+    /** Selects a candidate; empty if all are excluded. */
     public Optional<Candidate> select(Collection<Candidate> candidates, Set<DaemonId> excluded) {
-        Candidate best = null;
-        double bestScore = Double.MAX_VALUE;
-        for (Candidate candidate : candidates) {
-            if (excluded.contains(candidate.daemon())) {
-                continue;
+        read(candidates, excluded);
+        int selected = preferred();
+        if (selected == CandidateScan.NONE) {
+            return soonest(excluded, false);
+        }
+        if (!scan.hasRoom(selected)) {
+            int withRoom = scan.anyWithRoom();
+            if (withRoom == CandidateScan.NONE) {
+                return soonest(excluded, true);
             }
-            double score = score(candidate);
-            if (score < bestScore) {
-                best = candidate;
-                bestScore = score;
+            selected = withRoom;
+        }
+        return Optional.of(scan.candidate(selected));
+    }
+
+    private int preferred() {
+        int local = scan.betterOfTwo(true);
+        if (local != CandidateScan.NONE && scan.cost(local) <= SPILL_UTILIZATION) {
+            return local;
+        }
+        int remote = scan.betterOfTwo(false);
+        if (local == CandidateScan.NONE || remote == CandidateScan.NONE) {
+            return local == CandidateScan.NONE ? remote : local;
+        }
+        return scan.cost(remote) * CROSS_ZONE_FACTOR < scan.cost(local) ? remote : local;
+    }
+
+    private Optional<Candidate> soonest(Set<DaemonId> excluded, boolean onlyUsable) {
+        Candidate best = null;
+        double bestSeconds = Double.MAX_VALUE;
+        for (int i = 0; i < scan.size(); i++) {
+            boolean allowed = onlyUsable
+                    ? scan.isUsable(i)
+                    : !excluded.contains(scan.candidate(i).daemon());
+            if (allowed) {
+                double seconds = scan.finishSeconds(i) * (1 + FINISH_JITTER * random.nextDouble());
+                if (seconds < bestSeconds) {
+                    best = scan.candidate(i);
+                    bestSeconds = seconds;
+                }
             }
         }
         return Optional.ofNullable(best);
     }
 
-    /** Returns whether any candidate is expected to have a free slot. */
-    public boolean hasFreeSlot(Collection<Candidate> candidates, Set<DaemonId> excluded) {
-        return candidates.stream()
-                .filter(candidate -> !excluded.contains(candidate.daemon()))
-                .anyMatch(candidate -> utilization(candidate) <= 1 && !isLastResort(state(candidate.daemon())));
+    /**
+     * Selects a candidate for a request that a backend server has rejected: one that is known from a recent report to have
+     * room and to serve most of its requests.
+     */
+    public Optional<Candidate> selectAfterRejection(Collection<Candidate> candidates, Set<DaemonId> excluded) {
+        read(candidates, excluded);
+        long now = time.monotonicNanos();
+        int best = CandidateScan.NONE;
+        for (int i = 0; i < scan.size(); i++) {
+            ServerState state = scan.state(i);
+            boolean suitable = scan.isUsable(i)
+                    && state.isReportYounger(now, FRESH_REPORT)
+                    && scan.hasRoom(i)
+                    && state.rejectedShare(now) <= MAX_REJECTED_SHARE;
+            if (suitable && (best == CandidateScan.NONE || scan.cost(i) < scan.cost(best))) {
+                best = i;
+            }
+        }
+        return best == CandidateScan.NONE ? Optional.empty() : Optional.of(scan.candidate(best));
     }
 
-    /** Returns the utilization that would result from sending one more request. */
-    private double utilization(Candidate candidate) {
-        State state = state(candidate.daemon());
-        boolean hasFreshReport = hasFreshReport(state);
-        double busy =
-                hasFreshReport ? Math.max(state.inFlight, state.reportedLoad + state.sentSinceReport) : state.inFlight;
-        double slots = hasFreshReport && state.reportedLimit > 0 ? state.reportedLimit : candidate.slots();
-        return (busy + 1) / Math.max(1, slots);
+    /** Returns whether any candidate is expected to have a free slot. */
+    public boolean hasFreeSlot(Collection<Candidate> candidates, Set<DaemonId> excluded) {
+        read(candidates, excluded);
+        for (int i = 0; i < scan.size(); i++) {
+            if (scan.isUsable(i) && scan.hasRoom(i)) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    private boolean hasFreshReport(State state) {
-        return state.hasReport && time.monotonicNanos() - state.lastReportNanos < REPORT_VALIDITY.toNanos();
+    /** Returns the shortest expected run time of a request among the candidates; zero if unknown. */
+    public Duration shortestRun(String route, Collection<Candidate> candidates, Set<DaemonId> excluded) {
+        read(candidates, excluded);
+        double ratio = Double.MAX_VALUE;
+        for (int i = 0; i < scan.size(); i++) {
+            if (scan.isUsable(i)) {
+                ratio = Math.min(ratio, scan.relativeRunTime(i));
+            }
+        }
+        return ratio == Double.MAX_VALUE
+                ? Duration.ZERO
+                : Duration.ofNanos((long) (ratio * meanLatency(route).toNanos()));
     }
 
-    private boolean isLastResort(State state) {
+    /**
+     * Decides whether a new request to a service is refused before it is sent, because its backend servers reject most
+     * requests; returns after which time the client may try again, or empty if the request is to be sent.
+     */
+    public Optional<Duration> refuseEarly(ServiceName service, Collection<Candidate> candidates) {
+        EarlyRefusal refusal =
+                refusalByService.computeIfAbsent(service, any -> new EarlyRefusal(time.monotonicNanos()));
         long now = time.monotonicNanos();
-        boolean unresponsive = state.inFlight > 0 && now - state.lastContactNanos > CONTACT_TIMEOUT.toNanos();
-        return unresponsive || state.inBackoff && state.backoffUntilNanos - now > 0;
-    }
-
-    private double score(Candidate candidate) {
-        State state = state(candidate.daemon());
-        boolean hasFreshReport = hasFreshReport(state);
-        double score = utilization(candidate);
-        score *= state.latencyRatio
-                * (hasFreshReport ? Math.sqrt(state.reportedSlowdown) : 1)
-                * (1 + FAILURE_RATE_WEIGHT * state.failureRate);
-        if (!candidate.zone().equals(ownZone)) {
-            score *= CROSS_ZONE_FACTOR;
+        if (refusal.isReviewDue(now)) {
+            read(candidates, Set.of());
+            refusal.review(now, scan.rejectedShare());
         }
-        if (isLastResort(state)) {
-            score += LAST_RESORT_PENALTY;
-        }
-        return score * (1 + SCORE_JITTER * random.nextDouble());
+        return refusal.decide(random);
+    }
+
+    private void read(Collection<Candidate> candidates, Set<DaemonId> excluded) {
+        scan.read(candidates, excluded, stateOf, time.monotonicNanos());
     }
 
     /** Records that a request is sent. */
     public void onSend(DaemonId daemon) {
-        State state = state(daemon);
-        if (state.inFlight == 0) {
-            state.lastContactNanos = time.monotonicNanos();
-        }
-        state.inFlight++;
-        state.sentSinceReport++;
+        state(daemon).onSend(time.monotonicNanos());
     }
 
     /** Records that a request has ended, with any outcome. */
     public void onCompletion(DaemonId daemon) {
-        State state = state(daemon);
-        state.inFlight = Math.max(0, state.inFlight - 1);
+        state(daemon).onCompletion();
     }
 
-    /** Records a load report. */
+    /** Records a load report; to be called before {@link #onCompletion} for the request that it came with. */
     public void onReport(DaemonId daemon, Report report) {
-        State state = state(daemon);
-        state.hasReport = true;
-        state.lastReportNanos = time.monotonicNanos();
-        state.lastContactNanos = state.lastReportNanos;
-        state.reportedLoad = report.busy();
-        state.reportedLimit = report.limit();
-        state.reportedSlowdown = Math.max(0.1, report.slowdown());
-        state.sentSinceReport = 0;
+        state(daemon).onReport(time.monotonicNanos(), report);
     }
 
     /** Records the latency of a response. */
     public void onResponse(DaemonId daemon, String route, Duration latency) {
-        State state = state(daemon);
-        state.failureRate -= EWMA_GAIN * state.failureRate;
-        state.inBackoff = false;
         double nanos = Math.max(1, latency.toNanos());
         double mean = meanLatencyNanosByRoute.getOrDefault(route, nanos);
-        meanLatencyNanosByRoute.put(route, mean + EWMA_GAIN / 2 * (nanos - mean));
-        double ratio = Math.min(MAX_LATENCY_RATIO, Math.max(MIN_LATENCY_RATIO, nanos / mean));
-        state.latencyRatio += EWMA_GAIN * (ratio - state.latencyRatio);
+        meanLatencyNanosByRoute.put(route, mean + MEAN_LATENCY_GAIN * (nanos - mean));
+        state(daemon).onResponse(nanos / mean);
     }
 
     /** Returns the mean latency of the requests of a route; zero if none is known. */
@@ -193,30 +227,30 @@
 
     /** Records that a request failed at the backend server. */
     public void onFailure(DaemonId daemon) {
-        State state = state(daemon);
-        state.failureRate += EWMA_GAIN * (1 - state.failureRate);
+        state(daemon).onFailure(time.monotonicNanos());
+    }
+
+    /** Records that the backend server rejected a request without running it. */
+    public void onRejection(DaemonId daemon) {
+        state(daemon).onRejection(time.monotonicNanos());
     }
 
     /** Avoids a daemon for some time, unless there is no other candidate. */
     public void avoid(DaemonId daemon, Duration duration) {
-        State state = state(daemon);
-        state.inBackoff = true;
-        state.backoffUntilNanos = time.monotonicNanos() + duration.toNanos();
+        state(daemon).avoid(time.monotonicNanos(), duration);
     }
 
     /** Records a failed connection to a daemon and avoids it, with exponential backoff. */
     public void onUnreachable(DaemonId daemon) {
-        State state = state(daemon);
-        state.connectFailures = Math.min(state.connectFailures + 1, MAX_BACKOFF_DOUBLINGS);
-        avoid(daemon, INITIAL_BACKOFF.multipliedBy(1L << (state.connectFailures - 1)));
+        state(daemon).onUnreachable(time.monotonicNanos());
     }
 
     /** Records a response of a daemon, which resets the next backoff to its initial length. */
     public void onReachable(DaemonId daemon) {
-        state(daemon).connectFailures = 0;
+        state(daemon).onReachable();
     }
 
-    private State state(DaemonId daemon) {
-        return stateByDaemon.computeIfAbsent(daemon, any -> new State());
+    private ServerState state(DaemonId daemon) {
+        return stateByDaemon.computeIfAbsent(daemon, any -> new ServerState());
     }
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/BackendLoad.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/BackendLoad.java
@@ -104,7 +104,7 @@
   private int completedPer1000S_ = 0;
   /**
    * <pre>
-   * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+   * Recent number of requests that the backend server has completed per second and slot in use, in thousandths; 0 if unknown.
    * </pre>
    *
    * <code>uint32 completed_per_1000_s = 5;</code>
@@ -685,7 +685,7 @@
     private int completedPer1000S_ ;
     /**
      * <pre>
-     * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+     * Recent number of requests that the backend server has completed per second and slot in use, in thousandths; 0 if unknown.
      * </pre>
      *
      * <code>uint32 completed_per_1000_s = 5;</code>
@@ -697,7 +697,7 @@
     }
     /**
      * <pre>
-     * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+     * Recent number of requests that the backend server has completed per second and slot in use, in thousandths; 0 if unknown.
      * </pre>
      *
      * <code>uint32 completed_per_1000_s = 5;</code>
@@ -713,7 +713,7 @@
     }
     /**
      * <pre>
-     * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+     * Recent number of requests that the backend server has completed per second and slot in use, in thousandths; 0 if unknown.
      * </pre>
      *
      * <code>uint32 completed_per_1000_s = 5;</code>
--- a/wire/src/main/java/io/daisyhoist/wire/proto/BackendLoadOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/BackendLoadOrBuilder.java
@@ -40,7 +40,7 @@
 
   /**
    * <pre>
-   * Recent rate of requests that the backend server has completed, in thousandths per second; 0 if unknown.
+   * Recent number of requests that the backend server has completed per second and slot in use, in thousandths; 0 if unknown.
    * </pre>
    *
    * <code>uint32 completed_per_1000_s = 5;</code>
