Limit attempts after rejections, and report the speed of the backend server

Cause: a request that a backend server had rejected went to any other one, full or not, and requests were tried again without the time for a run. No attempt when the remaining time is below the shortest expected run. New requests to a service whose servers reject nearly everything are refused by the daemon that received them. The load report carries completions and rejections. The choice of the server moved from RequestDispatch to BackendChoice.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -42,6 +42,7 @@
     private static final String REJECTED_BY_BACKEND_PREFIX = "arrived:";
 
     private static final double PERCENT = 100;
+    private static final double THOUSAND = 1_000;
 
     private ForwardCodec() {}
 
@@ -133,7 +134,9 @@
                 .setLoad(BackendLoad.newBuilder()
                         .setInFlight(load.busy())
                         .setLimit(load.limit())
-                        .setSlowdownPercent((int) Math.round(load.slowdown() * PERCENT)));
+                        .setSlowdownPercent((int) Math.round(load.slowdown() * PERCENT))
+                        .setCompletedPer1000S((int) Math.round(load.completedPerSlotSecond() * THOUSAND))
+                        .setRejectedPercent((int) Math.round(load.rejectedShare() * PERCENT)));
         if (outcome instanceof Answered answered) {
             message.setAnsweredByBackend(true)
                     .setStatus(answered.status())
@@ -179,8 +182,12 @@
             return Optional.empty();
         }
         BackendLoad load = message.getLoad();
-        return Optional.of(
-                new LoadBalancer.Report(load.getInFlight(), load.getLimit(), load.getSlowdownPercent() / PERCENT));
+        return Optional.of(new LoadBalancer.Report(
+                load.getInFlight(),
+                load.getLimit(),
+                load.getSlowdownPercent() / PERCENT,
+                load.getCompletedPer1000S() / THOUSAND,
+                load.getRejectedPercent() / PERCENT));
     }
 
     private static NotRunReason notRunReason(String name) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -11,6 +11,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.customer.ApiKeyCheck;
 import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.retry.FleetRetryBudget;
@@ -145,7 +146,8 @@
                 PEER_LIMITS,
                 new ForwardReceiver(
                         context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent));
-        LoadBalancer loadBalancer = new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone());
+        LoadBalancer loadBalancer =
+                new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone(), this::onEjected);
         RequestContext requestContext = new RequestContext(
                 vertx,
                 time,
@@ -172,6 +174,11 @@
                 .toList();
     }
 
+    private void onEjected(DaemonId daemon, Duration duration) {
+        metrics.onEjection();
+        LOGGER.atWarning().log("event=backend_ejected member=%s duration_ms=%d", daemon, duration.toMillis());
+    }
+
     private boolean isIdempotent(BackendRequestData request) {
         return fleetControl
                 .fleet()
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -76,6 +76,7 @@
     private final ServiceTimeEstimator serviceTimeEstimator = new ServiceTimeEstimator();
     private final Map<Long, PendingRequest> queuedRequests = new HashMap<>();
     private final SlowdownTracker slowdownTracker;
+    private final BackendSpeed backendSpeed;
     private int configuredSlots = 1;
     private Predicate<BackendRequestData> mayBeInterrupted = request -> false;
     private boolean closed;
@@ -134,6 +135,7 @@
         this.admissionController = new AdmissionController(time, slots, MAX_QUEUED_PER_SLOT);
         this.coldStartLimiter = new ColdStartLimiter(time);
         this.slowdownTracker = new SlowdownTracker(time);
+        this.backendSpeed = new BackendSpeed(time);
     }
 
     /** Returns the load that is reported to other daemons. */
@@ -144,8 +146,7 @@
                 .filter(coldStartLimiter::isCold)
                 .map(backend -> 1)
                 .orElse(admissionController.limit());
-        return new LoadBalancer.Report(
-                admissionController.inFlight() + admissionController.queued(), limit, slowdownTracker.factor());
+        return backendSpeed.report(busy(), limit, slowdownTracker.factor());
     }
 
     /** Returns the number of requests that are running or queued. */
@@ -333,6 +334,7 @@
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     logRun(pendingRequest, outcome, sentNanos, latency);
                     serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
+                    backendSpeed.onOutcome(outcome, latency);
                     crashGuard.onOutcome(request, outcome);
                     detectConnectionFailure(outcome);
                     pendingRequest.outcome().complete(outcome);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -10,11 +9,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.fleet.FleetMember;
-import io.daisyhoist.core.keyrange.RangeAssignment;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.route.ServicePolicy;
-import io.daisyhoist.core.routing.LoadBalancer.Candidate;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
@@ -39,6 +36,9 @@
     /** Refusals by admission control after which no other backend server is selected; each refusal costs only a round trip. */
     private static final int MAX_ADMISSION_REFUSALS = 4;
 
+    /** Rejections by backend servers after which the request may still be sent to another one. */
+    private static final int MAX_REJECTIONS = 1;
+
     /** Share of the remaining time that a request may be queued although its response will miss the latency target. */
     private static final double LATE_QUEUE_SHARE = 0.2;
 
@@ -53,17 +53,12 @@
     /** Limits the wait for a key move to less than 1 s. */
     private static final int MAX_MOVE_WAITS = 24;
 
-    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(200);
-    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(30);
-
-    /** Clients retry within a third of their remaining time or not at all. */
-    private static final int RETRY_AFTER_DIVISOR = 3;
-
     private static final int SERVER_ERROR = 500;
 
     private final RequestContext context;
     private final ClientRequest request;
     private final ServiceName service;
+    private final BackendChoice choice;
     private final Promise<ClientResponse> response = Promise.promise();
     private final Set<DaemonId> triedDaemons = new HashSet<>();
     private final StringBuilder hops = new StringBuilder();
@@ -73,6 +68,7 @@
     private boolean refusedAsSlow;
     private int attempts;
     private int admissionRefusals;
+    private int rejections;
     private int moveWaits;
     private boolean attemptInProgress;
     private boolean mayHaveRun;
@@ -81,20 +77,38 @@
         this.context = context;
         this.request = request;
         this.service = service;
+        this.choice = new BackendChoice(context.loadBalancer(), service);
     }
 
     Future<ClientResponse> start() {
-        context.budget().onRequest(service);
         long remainingMillis = Math.max(1, remaining().toMillis());
         long timer = context.vertx().setTimer(remainingMillis, fired -> onDeadline());
         response.future().onComplete(done -> {
             context.vertx().cancelTimer(timer);
             logResponse();
         });
-        tryNextBackend();
+        if (!refuseEarly()) {
+            context.budget().onRequest(service);
+            tryNextBackend();
+        }
         return response.future();
     }
 
+    /** Refuses the request if the backend servers of its service reject most requests. */
+    private boolean refuseEarly() {
+        FleetSnapshot fleet = context.fleet().get();
+        Optional<Duration> refused = key(fleet).isPresent()
+                ? Optional.empty()
+                : context.loadBalancer().refuseEarly(service, fleet.candidates(service));
+        refused.ifPresent(delay -> {
+            retryAfter = refused;
+            hops.append(" early");
+            context.metrics().onEarlyRefusal(service);
+            finish(notRunResponse());
+        });
+        return refused.isPresent();
+    }
+
     private Duration remaining() {
         return request.deadline().remaining(context.time());
     }
@@ -125,16 +139,10 @@
     }
 
     private Optional<FleetMember> selectMember(FleetSnapshot fleet) {
-        if (admissionRefusals >= MAX_ADMISSION_REFUSALS) {
+        if (admissionRefusals >= MAX_ADMISSION_REFUSALS || rejections > MAX_REJECTIONS) {
             return Optional.empty();
         }
-        if (key(fleet).isPresent()) {
-            return owner(fleet);
-        }
-        List<Candidate> candidates = fleet.candidates(service);
-        return context.loadBalancer()
-                .select(candidates, triedDaemons)
-                .map(candidate -> fleet.members().get(candidate.daemon()));
+        return choice.select(fleet, key(fleet), triedDaemons, rejections > 0);
     }
 
     /** Falls back to the backend server that refused the request as slow, which is better than no backend server. */
@@ -155,21 +163,6 @@
         return keyed ? request.key() : OptionalInt.empty();
     }
 
-    private Optional<FleetMember> owner(FleetSnapshot fleet) {
-        return fleet.table(service)
-                .flatMap(table -> table.find(request.key().getAsInt()))
-                .filter(assignment -> !triedDaemons.contains(assignment.daemon()))
-                .flatMap(assignment -> owner(fleet, assignment));
-    }
-
-    private static Optional<FleetMember> owner(FleetSnapshot fleet, RangeAssignment assignment) {
-        return Optional.ofNullable(fleet.members().get(assignment.daemon()))
-                .filter(member -> !fleet.isEvacuated(member.availabilityZone()))
-                .filter(member -> member.backend()
-                        .filter(backend -> backend.process().equals(assignment.process()))
-                        .isPresent());
-    }
-
     private void send(FleetMember member) {
         triedDaemons.add(member.daemon());
         attemptInProgress = true;
@@ -270,7 +263,8 @@
                     .or(() -> Optional.of(notRun.retryAfter()));
         }
         if (notRun.reachedBackend()) {
-            context.loadBalancer().onFailure(daemon);
+            context.loadBalancer().onRejection(daemon);
+            rejections++;
             attempts++;
             retryOrFinish();
             return;
@@ -288,7 +282,7 @@
             slowDaemon = Optional.of(daemon);
         }
         admissionRefusals++;
-        if (remaining().compareTo(MIN_ATTEMPT_TIME) < 0) {
+        if (!hasTimeForAttempt()) {
             finish(failureResponse());
             return;
         }
@@ -331,7 +325,7 @@
         boolean allowed = retryable
                 && !response.future().isComplete()
                 && attempts < request.route().maxAttempts()
-                && remaining().compareTo(MIN_ATTEMPT_TIME) > 0
+                && hasTimeForAttempt()
                 && !request.cancelled().isComplete()
                 && selectMember(context.fleet().get()).isPresent()
                 && context.budget()
@@ -344,6 +338,12 @@
         }
     }
 
+    /** Returns whether a request that is sent now can be expected to end before the deadline. */
+    private boolean hasTimeForAttempt() {
+        Duration run = choice.shortestRun(context.fleet().get(), request.route(), triedDaemons);
+        return remaining().compareTo(longer(MIN_ATTEMPT_TIME, run)) > 0;
+    }
+
     private ClientResponse failureResponse() {
         if (lastErrorResponse.isPresent()) {
             return toResponse(lastErrorResponse.get());
@@ -352,10 +352,7 @@
     }
 
     private ClientResponse notRunResponse() {
-        Duration suggested = retryAfter.orElse(DEFAULT_RETRY_AFTER);
-        Duration max = remaining().dividedBy(RETRY_AFTER_DIVISOR);
-        Duration bounded = suggested.compareTo(max) > 0 ? max : suggested;
-        return ClientResponse.notRun(bounded.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : bounded);
+        return ClientResponse.notRun(RetryDelay.bounded(retryAfter, remaining()));
     }
 
     private ClientResponse toResponse(Answered answered) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -84,6 +84,17 @@
         registry.counter("daisyhoist.fleet.retries", "service", service.name()).increment();
     }
 
+    /** Counts a request that was refused because the backend servers of its service reject most requests. */
+    public void onEarlyRefusal(ServiceName service) {
+        registry.counter("daisyhoist.fleet.early.refusals", "service", service.name())
+                .increment();
+    }
+
+    /** Counts a backend server that was taken out of selection for some time. */
+    public void onEjection() {
+        registry.counter("daisyhoist.fleet.ejections").increment();
+    }
+
     /** Counts a call of the store. */
     public void onStoreCall(String kind) {
         registry.counter(STORE_CALLS, "kind", kind).increment();
