Give keys to servers that registered after the initial table, and divide keys by slots

Cause: the coordinator writes the initial table 2.5 s after its own start, with the servers that are registered then. Those that register later get no keys until another one is half busy, so the first ones hold everything when requests begin. Change: in the first 15 s of a daemon, keys without requests move to servers with less than half of their share; all daemons that know the same table plan moves that fit together. The initial division and the moves by load are in proportion to slots. RangePlannerTest passes a map of equal slots in place of one number. RangeAssigner is split: TableChange and KeyMovePlanner.

--- a/core/src/main/java/io/daisyhoist/core/keyrange/KeyLoad.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/KeyLoad.java
@@ -14,6 +14,9 @@
     /** Long enough for a stable estimate, short enough to detect a key that becomes hot. */
     private static final double DECAY_TIME_CONSTANT_S = 2.0;
 
+    /** Weight below which a key counts as unused: a request of 0.1 s after about nine seconds. */
+    private static final float IDLE_WEIGHT = 0.001f;
+
     private static final double MIN_OBSERVATION_S = 0.7;
 
     private static final double NANOS_PER_SECOND = 1e9;
@@ -98,4 +101,24 @@
         }
         return best;
     }
+
+    /** Finds the widest range of keys without recent requests within another range, from its end, of limited size. */
+    public Optional<KeyRange> widestIdleRange(KeyRange within, int maxKeys) {
+        Optional<KeyRange> widest = Optional.empty();
+        int end = within.to();
+        for (int key = within.to(); key >= within.from(); key--) {
+            if (weights[key] >= IDLE_WEIGHT) {
+                end = key - 1;
+                continue;
+            }
+            int size = end - key + 1;
+            if (widest.isEmpty() || size > widest.get().size()) {
+                widest = Optional.of(new KeyRange(key, end));
+            }
+            if (size >= maxKeys) {
+                return widest;
+            }
+        }
+        return widest;
+    }
 }
--- a/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
@@ -13,7 +13,7 @@
 
 /** Plans the assignment of keys to backend servers. Stateless and deterministic. */
 public final class RangePlanner {
-    /** Minimum surplus as a fraction of the mean load, since each move interrupts service briefly. */
+    /** Minimum surplus as a fraction of the share of the load, since each move interrupts service briefly. */
     private static final double MIN_RELATIVE_SURPLUS = 0.3;
 
     /** Minimum absolute surplus; less does not justify the interruption by a move. */
@@ -28,17 +28,37 @@
 
     /** Creates the first table of a service, with all keys divided evenly. */
     public static RangeTable initial(ServiceName service, List<RangeOwner> owners) {
+        return initial(service, owners, Map.of());
+    }
+
+    /**
+     * Creates the first table of a service, with all keys divided in proportion to the slots of the backend servers.
+     *
+     * @param slots number of requests that each owner runs concurrently; 1 if missing
+     */
+    public static RangeTable initial(ServiceName service, List<RangeOwner> owners, Map<DaemonId, Integer> slots) {
         List<RangeAssignment> newAssignments = new ArrayList<>();
-        int keys = KeyRange.MAX_KEY + 1;
-        for (int i = 0; i < owners.size(); i++) {
-            KeyRange range = new KeyRange(
-                    (int) ((long) keys * i / owners.size()), (int) ((long) keys * (i + 1) / owners.size()) - 1);
-            newAssignments.add(RangeAssignment.of(
-                    range, owners.get(i).daemon(), owners.get(i).process(), 1, ""));
+        long keys = KeyRange.MAX_KEY + 1;
+        long totalSlots = totalSlots(owners, slots);
+        long slotsBefore = 0;
+        for (RangeOwner owner : owners) {
+            long slotsAfter = slotsBefore + slotsOf(owner, slots);
+            KeyRange range =
+                    new KeyRange((int) (keys * slotsBefore / totalSlots), (int) (keys * slotsAfter / totalSlots) - 1);
+            newAssignments.add(RangeAssignment.of(range, owner.daemon(), owner.process(), 1, ""));
+            slotsBefore = slotsAfter;
         }
         return new RangeTable(service, 1, newAssignments);
     }
 
+    private static int slotsOf(RangeOwner owner, Map<DaemonId, Integer> slots) {
+        return slots.getOrDefault(owner.daemon(), 1);
+    }
+
+    private static int totalSlots(List<RangeOwner> owners, Map<DaemonId, Integer> slots) {
+        return owners.stream().mapToInt(owner -> slotsOf(owner, slots)).sum();
+    }
+
     /**
      * Reassigns the ranges of lost backend servers, each to the remaining backend server with the fewest keys so far.
      *
@@ -170,38 +190,39 @@
     /**
      * Plans moves of keys from an overloaded backend server to less loaded ones.
      *
-     * <p>Each backend server above the mean load moves part of its surplus away. The deficit of a backend server below
-     * the mean is divided among those above it in proportion to their surplus, so that their moves together do not
+     * <p>Each backend server above its share of the load, which is in proportion to its slots, moves part of its surplus
+     * away. The deficit of a backend server below its share is divided among those above it in proportion to their surplus, so that their moves together do not
      * overload it.
      *
      * @param self daemon that plans; moves are planned only for its own keys
-     * @param slots number of requests that its backend server runs concurrently
+     * @param slots number of requests that each owner runs concurrently; 1 if missing
      * @param loads busy slots of each owner; owners without a value are ignored
      * @param keyLoad load of the keys of this daemon
      */
     public static List<RangeMove> rebalance(
             RangeTable table,
             DaemonId self,
-            int slots,
+            Map<DaemonId, Integer> slots,
             List<RangeOwner> owners,
             Map<DaemonId, Double> loads,
             KeyLoad keyLoad) {
-        if (loads.getOrDefault(self, 0.0) < MIN_UTILIZATION * slots) {
+        if (loads.getOrDefault(self, 0.0) < MIN_UTILIZATION * slots.getOrDefault(self, 1)) {
             return List.of();
         }
         List<RangeOwner> ownersWithLoad = owners.stream()
                 .filter(owner -> loads.containsKey(owner.daemon()))
                 .toList();
-        double meanLoad = ownersWithLoad.stream()
-                .mapToDouble(owner -> loads.get(owner.daemon()))
-                .average()
-                .orElse(0);
-        double surplus = loads.getOrDefault(self, 0.0) - meanLoad;
-        if (ownersWithLoad.size() < 2 || surplus < Math.max(MIN_SURPLUS_SLOTS, meanLoad * MIN_RELATIVE_SURPLUS)) {
+        double loadPerSlot = ownersWithLoad.stream()
+                        .mapToDouble(owner -> loads.get(owner.daemon()))
+                        .sum()
+                / Math.max(1, totalSlots(ownersWithLoad, slots));
+        double share = loadPerSlot * slots.getOrDefault(self, 1);
+        double surplus = loads.getOrDefault(self, 0.0) - share;
+        if (ownersWithLoad.size() < 2 || surplus < Math.max(MIN_SURPLUS_SLOTS, share * MIN_RELATIVE_SURPLUS)) {
             return List.of();
         }
         double totalSurplus = ownersWithLoad.stream()
-                .mapToDouble(owner -> Math.max(0, loads.get(owner.daemon()) - meanLoad))
+                .mapToDouble(owner -> Math.max(0, loads.get(owner.daemon()) - loadPerSlot * slotsOf(owner, slots)))
                 .sum();
         List<KeyRange> ownRanges = new ArrayList<>(
                 table.assignmentsOf(self).stream().map(RangeAssignment::range).toList());
@@ -211,7 +232,8 @@
                 .sorted(Comparator.comparingDouble((RangeOwner owner) -> loads.get(owner.daemon()))
                         .thenComparing(RangeOwner::daemon))
                 .forEach(owner -> {
-                    double targetLoad = (meanLoad - loads.get(owner.daemon())) * surplus / totalSurplus;
+                    double deficit = loadPerSlot * slotsOf(owner, slots) - loads.get(owner.daemon());
+                    double targetLoad = deficit * surplus / totalSurplus;
                     if (targetLoad >= MIN_MOVED_SLOTS) {
                         removeNarrowestRange(ownRanges, targetLoad, keyLoad)
                                 .ifPresent(range -> moves.add(new RangeMove(range, owner.daemon(), owner.process())));
--- a/core/src/test/java/io/daisyhoist/core/keyrange/RangePlannerTest.java
+++ b/core/src/test/java/io/daisyhoist/core/keyrange/RangePlannerTest.java
@@ -21,6 +21,8 @@
     private static final RangeOwner B = owner("b");
     private static final Duration SERVICE_TIME = Duration.ofMillis(100);
     private static final RangeOwner C = owner("c");
+    private static final Map<DaemonId, Integer> EQUAL_SLOTS =
+            Map.of(A.daemon(), SLOTS, B.daemon(), SLOTS, C.daemon(), SLOTS);
 
     private static RangeOwner owner(String name) {
         return new RangeOwner(new DaemonId(name), new BackendProcessId(name, 1));
@@ -63,6 +65,35 @@
         }
     }
 
+    @Nested
+    class UnequalSlots {
+        private static final Map<DaemonId, Integer> SLOTS_BY_DAEMON = Map.of(A.daemon(), 4, B.daemon(), 12);
+
+        /** Guards against equal numbers of keys for backend servers of unequal size. */
+        @Test
+        void initial_unequalSlots_dividesKeysInProportion() {
+            RangeTable table = RangePlanner.initial(SERVICE, List.of(A, B), SLOTS_BY_DAEMON);
+            assertEquals(
+                    (KeyRange.MAX_KEY + 1) / 4,
+                    table.assignmentsOf(A.daemon()).get(0).range().size());
+            assertEquals(
+                    KeyRange.MAX_KEY, table.assignmentsOf(B.daemon()).get(0).to());
+        }
+
+        /** Guards against moves away from a large backend server that has no more than its share of the load. */
+        @Test
+        void rebalance_loadInProportionToSlots_movesNothing() {
+            RangeTable table = RangePlanner.initial(SERVICE, List.of(A, B), SLOTS_BY_DAEMON);
+            KeyLoad load = new KeyLoad(new ManualTimeSource());
+            for (int key = 20_000; key < 20_100; key++) {
+                load.onRequest(key, SERVICE_TIME);
+            }
+            Map<DaemonId, Double> loads = Map.of(A.daemon(), 2.4, B.daemon(), 7.2);
+            assertEquals(
+                    List.of(), RangePlanner.rebalance(table, B.daemon(), SLOTS_BY_DAEMON, List.of(A, B), loads, load));
+        }
+    }
+
     @Nested
     class Rebalance {
         private final ManualTimeSource time = new ManualTimeSource();
@@ -71,7 +102,7 @@
 
         private List<RangeMove> rebalance(double own, double other) {
             return RangePlanner.rebalance(
-                    table, A.daemon(), SLOTS, List.of(A, B), Map.of(A.daemon(), own, B.daemon(), other), load);
+                    table, A.daemon(), EQUAL_SLOTS, List.of(A, B), Map.of(A.daemon(), own, B.daemon(), other), load);
         }
 
         private void requests(int key, int count) {
@@ -103,7 +134,8 @@
                 requests(key, 1);
             }
             Map<DaemonId, Double> loads = Map.of(A.daemon(), 9.0, B.daemon(), 0.0, C.daemon(), 0.0);
-            List<RangeMove> moves = RangePlanner.rebalance(three, A.daemon(), SLOTS, List.of(A, B, C), loads, load);
+            List<RangeMove> moves =
+                    RangePlanner.rebalance(three, A.daemon(), EQUAL_SLOTS, List.of(A, B, C), loads, load);
             assertEquals(
                     List.of(B.daemon(), C.daemon()),
                     moves.stream().map(RangeMove::daemon).toList());
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
@@ -64,6 +64,7 @@
     private final FleetState state;
     private final KeyLeases keyLeases;
     private final KeyLoad keyLoad;
+    private final KeyMovePlanner movePlanner;
     private final MetadataStore store;
     private final ControlExecutor control;
     private final TimeSource time;
@@ -121,6 +122,7 @@
         this.peerLoadExchange = peerLoadExchange;
         this.firstRegistrationRevision = dependencies.firstRegistrationRevision();
         this.registrationLease = dependencies.registrationLease();
+        this.movePlanner = new KeyMovePlanner(self, time, keyLoad);
         this.absences = new AbsenceClock(time);
         this.startedNanos = time.monotonicNanos();
         this.lastRebalanceNanos = startedNanos;
@@ -184,6 +186,15 @@
         return owners;
     }
 
+    private Map<DaemonId, Integer> slots(List<RangeOwner> owners) {
+        Map<DaemonId, FleetMember> members = state.snapshot().members();
+        Map<DaemonId, Integer> slots = new HashMap<>();
+        owners.forEach(owner -> members.get(owner.daemon())
+                .acceptingBackend()
+                .ifPresent(backend -> slots.put(owner.daemon(), backend.slots())));
+        return slots;
+    }
+
     private boolean isCoordinator(List<RangeOwner> owners) {
         return !owners.isEmpty() && owners.get(0).daemon().equals(self);
     }
@@ -195,7 +206,7 @@
         }
         commit(
                 "first_table",
-                RangePlanner.initial(service, owners),
+                RangePlanner.initial(service, owners, slots(owners)),
                 stored.map(StoredTable::revision).orElse(Transaction.ABSENT));
     }
 
@@ -319,14 +330,8 @@
             lastRebalanceNanos = time.monotonicNanos();
             Map<DaemonId, Double> busySlotsByDaemon = new HashMap<>(peerLoadExchange.busySlots());
             busySlotsByDaemon.put(self, localLoad(table));
-            int slots = backend.get().heartbeat().slots();
-            List<RangeMove> moves = RangePlanner.rebalance(table, self, slots, owners, busySlotsByDaemon, keyLoad);
-            moves.forEach(move -> {
-                LOGGER.atInfo().log(
-                        "event=range_move_planned service=%s range=%s to=%s loads=%s",
-                        table.service(), move.range(), move.daemon(), busySlotsByDaemon);
-                keyLeases.startMove(move);
-            });
+            List<RangeMove> moves = movePlanner.plan(table, owners, slots(owners), busySlotsByDaemon);
+            moves.forEach(keyLeases::startMove);
             peerLoadExchange.announceMoves(moves);
         }
     }
@@ -338,38 +343,6 @@
                 .sum();
     }
 
-    /**
-     * Change of the table. Immutable.
-     *
-     * @param cause cause, for the log
-     * @param table new table
-     * @param expectedRevision revision of the table that it replaces
-     * @param expired daemons that must have stayed unregistered, with the revisions of their creation records
-     * @param moves moves that it completes
-     */
-    private record TableChange(
-            String cause, RangeTable table, long expectedRevision, Map<DaemonId, Long> expired, List<RangeMove> moves) {
-        private String key() {
-            return FleetState.rangeKey(table.service());
-        }
-
-        private Transaction transaction() {
-            List<Transaction.Condition> conditions = new ArrayList<>();
-            conditions.add(new Transaction.Condition(key(), expectedRevision));
-            List<String> deletes = new ArrayList<>();
-            expired.forEach((daemon, creationRevision) -> {
-                String creationKey = FleetState.creationKey(daemon);
-                conditions.add(new Transaction.Condition(FleetState.memberKey(daemon), Transaction.ABSENT));
-                conditions.add(new Transaction.Condition(creationKey, creationRevision));
-                deletes.add(creationKey);
-            });
-            return new Transaction(
-                    conditions,
-                    List.of(new Transaction.Write(key(), FleetJson.write(table), Transaction.NO_LEASE)),
-                    deletes);
-        }
-    }
-
     private void commit(String cause, RangeTable newTable, long expectedRevision) {
         commit(new TableChange(cause, newTable, expectedRevision, Map.of(), List.of()));
     }
