--- a/core/src/main/java/io/daisyhoist/core/routing/CandidateScan.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/CandidateScan.java
@@ -26,7 +26,7 @@
 
     private final RandomGenerator random;
     private final AvailabilityZone ownZone;
-    private final EjectionListener ejectionListener;
+    private final BalancerListener listener;
     private Candidate[] candidates = new Candidate[16];
     private ServerState[] states = new ServerState[16];
     private double[] weights = new double[16];
@@ -39,10 +39,10 @@
     private double ownWeight;
     private double otherWeight;
 
-    CandidateScan(RandomGenerator random, AvailabilityZone ownZone, EjectionListener ejectionListener) {
+    CandidateScan(RandomGenerator random, AvailabilityZone ownZone, BalancerListener listener) {
         this.random = random;
         this.ownZone = ownZone;
-        this.ejectionListener = ejectionListener;
+        this.listener = listener;
     }
 
     /**
@@ -78,8 +78,7 @@
         for (int i = 0; i < size; i++) {
             if (states[i].ejection().isDue() && ejectable > 0) {
                 ejectable--;
-                ejectionListener.onEjected(
-                        candidates[i].daemon(), states[i].ejection().eject(now));
+                listener.onEjected(candidates[i].daemon(), states[i].ejection().eject(now));
             }
             weights[i] = isUsable(i, excluded) ? capacity(i) : 0;
             if (own[i]) {
--- a/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
@@ -43,6 +43,7 @@
     private final TimeSource time;
     private final RandomGenerator random;
     private final CandidateScan scan;
+    private final BalancerListener listener;
     private final Map<DaemonId, ServerState> stateByDaemon = new HashMap<>();
     private final Map<String, Double> meanLatencyNanosByRoute = new HashMap<>();
     private final Map<ServiceName, EarlyRefusal> refusalByService = new HashMap<>();
@@ -73,16 +74,16 @@
         }
     }
 
-    /** Creates a load balancer whose ejections nobody is told about. */
+    /** Creates a load balancer whose decisions nobody is told about. */
     public LoadBalancer(TimeSource time, RandomGenerator random, AvailabilityZone ownZone) {
-        this(time, random, ownZone, (daemon, duration) -> {});
+        this(time, random, ownZone, BalancerListener.NONE);
     }
 
-    public LoadBalancer(
-            TimeSource time, RandomGenerator random, AvailabilityZone ownZone, EjectionListener ejectionListener) {
+    public LoadBalancer(TimeSource time, RandomGenerator random, AvailabilityZone ownZone, BalancerListener listener) {
         this.time = time;
         this.random = random;
-        this.scan = new CandidateScan(random, ownZone, ejectionListener);
+        this.scan = new CandidateScan(random, ownZone, listener);
+        this.listener = listener;
     }
 
     /** Selects a candidate; empty if all are excluded. */
@@ -188,7 +189,11 @@
         long now = time.monotonicNanos();
         if (refusal.isReviewDue(now)) {
             read(candidates, Set.of());
+            double before = refusal.admittedShare();
             refusal.review(now, scan.rejectedShare());
+            if (refusal.admittedShare() != before) {
+                listener.onAdmittedShare(service, refusal.admittedShare(), scan.rejectedShare());
+            }
         }
         return refusal.decide(random);
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -11,7 +11,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.customer.ApiKeyCheck;
 import io.daisyhoist.core.fleet.FleetMember;
-import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.retry.FleetRetryBudget;
@@ -40,6 +39,7 @@
 import io.daisyhoist.mesh.store.CountedStore;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.telemetry.BalancerTelemetry;
 import io.daisyhoist.mesh.telemetry.EventLoopDelay;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.wire.proto.Envelope;
@@ -146,8 +146,8 @@
                 PEER_LIMITS,
                 new ForwardReceiver(
                         context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent));
-        LoadBalancer loadBalancer =
-                new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone(), this::onEjected);
+        LoadBalancer loadBalancer = new LoadBalancer(
+                time, new SplittableRandom(incarnation), settings.zone(), new BalancerTelemetry(metrics));
         RequestContext requestContext = new RequestContext(
                 vertx,
                 time,
@@ -174,11 +174,6 @@
                 .toList();
     }
 
-    private void onEjected(DaemonId daemon, Duration duration) {
-        metrics.onEjection();
-        LOGGER.atWarning().log("event=backend_ejected member=%s duration_ms=%d", daemon, duration.toMillis());
-    }
-
     private boolean isIdempotent(BackendRequestData request) {
         return fleetControl
                 .fleet()
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -277,6 +277,10 @@
             finish(failureResponse());
             return;
         }
+        if (notRun.reason() == NotRunReason.UNREACHABLE) {
+            // It looks idle, because it refuses everything at once.
+            context.loadBalancer().onFailure(daemon);
+        }
         if (notRun.reason() == NotRunReason.SLOW) {
             refusedAsSlow = true;
             slowDaemon = Optional.of(daemon);
--- a/testkit/src/main/java/io/daisyhoist/testkit/bench/DecisionBenchmark.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/bench/DecisionBenchmark.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -24,6 +25,7 @@
 import io.daisyhoist.core.model.PartitionId;
 import io.daisyhoist.core.routing.BackendCandidate;
 import io.daisyhoist.core.routing.BackendSelector;
+import io.daisyhoist.core.routing.LoadBalancer;
 import io.daisyhoist.core.routing.PowerOfTwoChoices;
 import io.daisyhoist.core.routing.RoutingSnapshot;
 import io.daisyhoist.core.time.SystemTimeSource;
@@ -65,6 +67,8 @@
     private AdmissionController admissionController;
     private BackendSelector selector;
     private List<BackendCandidate> candidates;
+    private LoadBalancer loadBalancer;
+    private List<LoadBalancer.Candidate> fleetCandidates;
     private AttemptLedger ledger;
     private SplittableRandom random;
 
@@ -82,6 +86,12 @@
                 .map(member ->
                         new BackendCandidate(member.session().daemon(), member.zone(), 1, 2, 6, Duration.ofMillis(300)))
                 .toList();
+        fleetCandidates = candidates.stream()
+                .map(candidate -> new LoadBalancer.Candidate(candidate.daemon(), candidate.zone(), candidate.limit()))
+                .toList();
+        loadBalancer = new LoadBalancer(time, random.split(), new AvailabilityZone("z0"));
+        fleetCandidates.forEach(candidate ->
+                loadBalancer.onReport(candidate.daemon(), new LoadBalancer.Report(2, candidate.slots(), 1, 10, 0)));
         ledger = new AttemptLedger(new PartitionId(BenchmarkGroup.SERVICE, 0), 1, LedgerLimits.DEFAULT, time);
     }
 
@@ -107,6 +117,12 @@
         return selector.select(candidates);
     }
 
+    /** Selection of a backend server in fleet mode. */
+    @Benchmark
+    public Optional<LoadBalancer.Candidate> fleetSelection() {
+        return loadBalancer.select(fleetCandidates, Set.of());
+    }
+
     /** One attempt, from issuing the token to recording the response. */
     @Benchmark
     public int attempt() {
