Count reports of the last 2 s as recent when a rejected request looks for room

Cause: with 500 ms, a daemon with few requests knows no other server's room, and gives up requests that would be served. Change: the validity of the load reports is used, 2 s, with the number of requests faded as everywhere.

--- a/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
@@ -32,9 +32,6 @@
     /** Relative jitter of the expected finish time when no server has room. */
     private static final double FINISH_JITTER = 0.2;
 
-    /** A report of this age still tells whether a slot is free. */
-    private static final Duration FRESH_REPORT = Duration.ofMillis(500);
-
     /** Servers that reject more than this share are not tried with a request that another one has rejected. */
     private static final double MAX_REJECTED_SHARE = 0.6;
 
@@ -144,7 +141,7 @@
         for (int i = 0; i < scan.size(); i++) {
             ServerState state = scan.state(i);
             boolean suitable = scan.isUsable(i)
-                    && state.isReportYounger(now, FRESH_REPORT)
+                    && state.hasLoad(now)
                     && scan.hasRoom(i)
                     && state.rejectedShare(now) <= MAX_REJECTED_SHARE;
             if (suitable && (best == CandidateScan.NONE || scan.cost(i) < scan.cost(best))) {
