--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -39,6 +39,7 @@
 import io.daisyhoist.mesh.store.CountedStore;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.telemetry.BalancerTelemetry;
 import io.daisyhoist.mesh.telemetry.EventLoopDelay;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.wire.proto.Envelope;
@@ -145,7 +146,8 @@
                 PEER_LIMITS,
                 new ForwardReceiver(
                         context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent));
-        LoadBalancer loadBalancer = new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone());
+        LoadBalancer loadBalancer = new LoadBalancer(
+                time, new SplittableRandom(incarnation), settings.zone(), new BalancerTelemetry(metrics));
         RequestContext requestContext = new RequestContext(
                 vertx,
                 time,
