Bound what clients make a daemon hold, and enforce the limits of the configuration

Cause: the HTTP decoder kept whatever clients sent: heads of up to 64 KiB, parsed into many times their size, several of them for each connection, empty lines without end, bodies without any time limit, and any number of connections. header-timeout-ms, idle-timeout-ms and max-header-bytes were parsed and not used.

Change: a handler in front of the decoder counts heads, empty lines and the lines of bodies in chunks, charges a memory budget before it passes bytes on, passes on one request at a time, and pauses reading when memory does not suffice. Then the connections that hold most and move least are refused, never one whose request may have been sent to a backend server.

--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/client/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about connections of clients that the operators do not control. */
+package io.daisyhoist.core.client;
--- /dev/null
+++ b/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionHandler.java
@@ -0,0 +1,399 @@
+package io.daisyhoist.mesh.limits;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.daisyhoist.core.client.CloseReason;
+import io.daisyhoist.core.client.ConnectionState;
+import io.daisyhoist.core.client.ConnectionState.Phase;
+import io.daisyhoist.core.memory.MemoryBudget;
+import io.daisyhoist.core.memory.MemoryUse;
+import io.daisyhoist.core.route.ClientLimits;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+
+/**
+ * Reads the bytes of a client's connection before the HTTP decoder, and passes on only what the limits and the memory allow.
+ *
+ * <p>Invariants: the decoder gets no byte of a head before memory is reserved for its parsed form, and no byte of the next
+ * request before the response is written; while bytes wait here, the connection is not read. Precedes the HTTP decoder.
+ * Confined to the connection's event loop.
+ */
+final class ClientConnectionHandler extends ChannelDuplexHandler {
+    /** Memory of a parsed field and its copies on the way to a backend server, without its characters. */
+    private static final int FIELD_BYTES = 512;
+
+    /** Memory for each byte of a head: its characters and one copy. */
+    private static final int BYTES_PER_HEAD_BYTE = 2;
+
+    /** Longer lines between chunks are of no use to anyone. */
+    private static final int MAX_CHUNK_LINE_BYTES = 4_096;
+
+    private static final long UNKNOWN_LENGTH = -1;
+
+    private final ClientGuard guard;
+    private final Channel channel;
+    private final ConnectionState state;
+    private final HeadScanner head = new HeadScanner();
+    private final ChunkScanner chunks = new ChunkScanner();
+    private final Deque<ByteBuf> waitingBytes = new ArrayDeque<>();
+    private final MemoryBudget.Reservation headMemory;
+    private final MemoryBudget.Reservation waitingMemory;
+    private final MemoryBudget.Reservation responseMemory;
+    private Optional<BodyReader> body = Optional.empty();
+    private ChannelHandlerContext context;
+    private long remainingBodyBytes;
+    private long headEstimate;
+    private long trailerEstimate;
+    private boolean paused;
+
+    /** Whether the other handlers wanted the connection to be read when it was paused. */
+    private boolean readWanted;
+
+    /** Whether the response was written before the request was complete. */
+    private boolean responded;
+
+    private boolean processing;
+    private boolean processed;
+
+    ClientConnectionHandler(ClientGuard guard, Channel channel, ConnectionState state, MemoryBudget budget) {
+        this.guard = guard;
+        this.channel = channel;
+        this.state = state;
+        this.headMemory = budget.open(MemoryUse.REQUEST_HEAD);
+        this.waitingMemory = budget.open(MemoryUse.REQUEST_HEAD);
+        this.responseMemory = budget.open(MemoryUse.RESPONSE);
+    }
+
+    /** Returns whether bytes wait here for memory. */
+    boolean isWaitingForMemory() {
+        return paused && state.phase() != Phase.RUNNING && channel.isOpen();
+    }
+
+    ConnectionState state() {
+        return state;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext unused, Object message) throws Exception {
+        if (!(message instanceof ByteBuf bytes)) {
+            context.fireChannelRead(message);
+            return;
+        }
+        state.onBytes(bytes.readableBytes(), guard.nowNanos());
+        if (state.phase() == Phase.REFUSED || !bytes.isReadable()) {
+            bytes.release();
+            return;
+        }
+        waitingBytes.add(bytes);
+        waitingMemory.growAlways(bytes.readableBytes());
+        process();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext unused) throws Exception {
+        fireReadComplete();
+    }
+
+    /** Passes on bytes that have waited, outside of a read; without the end of a read, the next handlers would not flush. */
+    void resume() {
+        process();
+        fireReadComplete();
+    }
+
+    private void fireReadComplete() {
+        if (!paused) {
+            context.fireChannelReadComplete();
+            return;
+        }
+        channel.config().setAutoRead(readWanted);
+        context.fireChannelReadComplete();
+        readWanted = channel.config().isAutoRead();
+        channel.config().setAutoRead(!paused && readWanted);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext unused) throws Exception {
+        release();
+        context.fireChannelInactive();
+    }
+
+    private void release() {
+        waitingBytes.forEach(ByteBuf::release);
+        waitingBytes.clear();
+        headMemory.release();
+        waitingMemory.release();
+        responseMemory.release();
+        guard.onClosed(this);
+    }
+
+    /** Passes on as much as is allowed. */
+    private void process() {
+        if (processing) {
+            processed = false;
+            return;
+        }
+        processing = true;
+        try {
+            do {
+                processed = true;
+                while (!waitingBytes.isEmpty() && passOn(waitingBytes.peek())) {
+                    if (!waitingBytes.isEmpty() && !waitingBytes.peek().isReadable()) {
+                        waitingBytes.poll().release();
+                    }
+                }
+            } while (!processed);
+        } finally {
+            processing = false;
+        }
+        setPaused(mustPause());
+    }
+
+    private boolean mustPause() {
+        if (waitingBytes.isEmpty() || state.phase() == Phase.REFUSED) {
+            return false;
+        }
+        // While a request runs, the connection is read as long as possible, to see that the client disconnects.
+        return state.phase() != Phase.RUNNING
+                || waitingMemory.bytes() >= guard.bounds().maxPipelinedBytes();
+    }
+
+    private void setPaused(boolean pause) {
+        if (pause == paused) {
+            return;
+        }
+        paused = pause;
+        state.onPause(pause && state.phase() != Phase.RUNNING, guard.nowNanos());
+        if (pause) {
+            readWanted = channel.config().isAutoRead();
+            channel.config().setAutoRead(false);
+            if (state.phase() != Phase.RUNNING) {
+                guard.awaitMemory(this);
+            }
+        } else if (readWanted) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    /** Returns whether it is worth to continue with what is left. */
+    private boolean passOn(ByteBuf bytes) {
+        return switch (state.phase()) {
+            case IDLE, HEAD -> passOnHead(bytes);
+            case BODY -> passOnBody(bytes);
+            case RUNNING -> false;
+            case REFUSED -> discard();
+        };
+    }
+
+    private boolean discard() {
+        waitingBytes.forEach(ByteBuf::release);
+        waitingBytes.clear();
+        waitingMemory.shrink(waitingMemory.bytes());
+        return false;
+    }
+
+    private boolean passOnHead(ByteBuf bytes) {
+        if (state.phase() == Phase.IDLE) {
+            state.enter(Phase.HEAD, guard.nowNanos());
+            head.reset();
+        }
+        ClientLimits limits = guard.limits();
+        HeadScanner.Mark before = head.mark();
+        int length = head.scan(bytes);
+        if (head.bytes() > limits.maxHeaderBytes()
+                || head.skippedBytes() > limits.maxHeaderBytes()
+                || head.fields() > guard.bounds().maxHeaderFields()) {
+            refuse(CloseReason.HEAD_TOO_LARGE);
+            return false;
+        }
+        long estimate = (long) head.fields() * FIELD_BYTES + (long) head.bytes() * BYTES_PER_HEAD_BYTE;
+        if (!headMemory.tryGrow(estimate - headEstimate)) {
+            head.restore(before);
+            return false;
+        }
+        state.addHeldBytes(estimate - headEstimate);
+        headEstimate = estimate;
+        pass(bytes, length);
+        return true;
+    }
+
+    private boolean passOnBody(ByteBuf bytes) {
+        if (body.isPresent() && !body.get().hasRoomFor(bytes.readableBytes())) {
+            return false;
+        }
+        if (remainingBodyBytes != UNKNOWN_LENGTH) {
+            int length = (int) Math.min(remainingBodyBytes, bytes.readableBytes());
+            remainingBodyBytes -= length;
+            passBody(bytes, length);
+            return true;
+        }
+        int length = chunks.scan(bytes);
+        if (chunks.lineBytes() > MAX_CHUNK_LINE_BYTES
+                || chunks.trailerBytes() > guard.limits().maxHeaderBytes()
+                || chunks.trailerFields() > guard.bounds().maxHeaderFields()) {
+            abort(CloseReason.HEAD_TOO_LARGE);
+            return false;
+        }
+        // Fields after a body are rare and at most as large as a head, so that they may go beyond the budget.
+        long estimate =
+                (long) chunks.trailerFields() * FIELD_BYTES + (long) chunks.trailerBytes() * BYTES_PER_HEAD_BYTE;
+        headMemory.growAlways(estimate - trailerEstimate);
+        headEstimate += estimate - trailerEstimate;
+        state.addHeldBytes(estimate - trailerEstimate);
+        trailerEstimate = estimate;
+        passBody(bytes, length);
+        return true;
+    }
+
+    /** What follows the expected end of a body is left to the decoder if the decoder has not reached the end. */
+    private void passBody(ByteBuf bytes, int length) {
+        pass(bytes, length > 0 ? length : bytes.readableBytes());
+    }
+
+    private void pass(ByteBuf bytes, int length) {
+        waitingMemory.shrink(length);
+        context.fireChannelRead(bytes.readRetainedSlice(length));
+    }
+
+    void onHead(HttpRequest request) {
+        long length = HttpUtil.isTransferEncodingChunked(request) ? UNKNOWN_LENGTH : contentLength(request);
+        remainingBodyBytes = length;
+        trailerEstimate = 0;
+        chunks.reset();
+        body = Optional.empty();
+        responded = false;
+        state.enter(Phase.BODY, guard.nowNanos());
+    }
+
+    private static long contentLength(HttpRequest request) {
+        return HttpUtil.getContentLength(request, 0L);
+    }
+
+    void onRequestEnd() {
+        if (state.phase() == Phase.BODY) {
+            state.enter(Phase.RUNNING, guard.nowNanos());
+            if (responded) {
+                onExchangeEnd();
+            }
+        }
+    }
+
+    /** The decoder also reports the incomplete head of a connection that was closed. */
+    void onInvalidHead() {
+        if (channel.isActive() && state.phase() == Phase.HEAD) {
+            refuse(CloseReason.HEAD_INVALID);
+        }
+    }
+
+    /** Sets the reader of the current request's body, which learns when the request is refused. */
+    void setBody(BodyReader reader) {
+        body = Optional.of(reader);
+    }
+
+    void onResponseBytes(int bytes) {
+        responseMemory.growAlways(bytes);
+    }
+
+    void onResponseWritten(int bytes, boolean end) {
+        responseMemory.shrink(bytes);
+        responded |= end;
+        if (end && state.phase() == Phase.RUNNING) {
+            onExchangeEnd();
+        }
+    }
+
+    private void onExchangeEnd() {
+        state.addHeldBytes(-headEstimate);
+        headMemory.shrink(headEstimate);
+        headEstimate = 0;
+        body = Optional.empty();
+        state.enter(Phase.IDLE, guard.nowNanos());
+        if (!waitingBytes.isEmpty()) {
+            context.executor().execute(this::resume);
+        }
+    }
+
+    /** Returns the bytes of responses that the client has not taken. */
+    long unwrittenBytes() {
+        ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
+        return outbound == null ? 0 : outbound.totalPendingWriteBytes() - outbound.currentProgress();
+    }
+
+    /** Ends the connection for a reason: with a refusal if that is true and possible. */
+    void abort(CloseReason reason) {
+        if (state.phase() == Phase.HEAD && reason.status() != 0) {
+            refuse(reason);
+        } else if (state.phase() == Phase.BODY
+                && reason.status() != 0
+                && !state.mayHaveBeenSent()
+                && body.isPresent()) {
+            body.get().refuse(reason);
+            enterRefused();
+        } else {
+            if (reason != CloseReason.REFUSED) {
+                guard.record(reason, this);
+            }
+            context.close();
+        }
+    }
+
+    private void enterRefused() {
+        state.enter(Phase.REFUSED, guard.nowNanos());
+        discard();
+        setPaused(false);
+        channel.config().setAutoRead(true);
+    }
+
+    /** Refuses a request that the HTTP decoder has not passed on. */
+    private void refuse(CloseReason reason) {
+        guard.record(reason, this);
+        enterRefused();
+        String response = "HTTP/1.1 " + reason.status() + " Refused\r\nConnection: close\r\nContent-Length: 0\r\n"
+                + (reason == CloseReason.MEMORY ? "Retry-After: 1\r\n" : "") + "\r\n";
+        context.writeAndFlush(Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII))
+                .addListener(written -> shutdownOutput());
+    }
+
+    /**
+     * Discards the rest of a refused body for a moment, because closing a connection with unread bytes would discard the
+     * refusal at the client.
+     */
+    @Override
+    public void close(ChannelHandlerContext unused, ChannelPromise promise) throws Exception {
+        if (state.phase() == Phase.BODY) {
+            enterRefused();
+        }
+        if (state.phase() != Phase.REFUSED || !channel.isActive()) {
+            context.close(promise);
+            return;
+        }
+        context.executor()
+                .schedule(() -> context.close(promise), ConnectionState.REFUSAL_TIME.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void shutdownOutput() {
+        if (channel instanceof SocketChannel socket && socket.isActive()) {
+            socket.shutdownOutput();
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientGuard.java
@@ -0,0 +1,224 @@
+package io.daisyhoist.mesh.limits;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.daisyhoist.core.client.CloseReason;
+import io.daisyhoist.core.client.ConnectionBounds;
+import io.daisyhoist.core.client.ConnectionState;
+import io.daisyhoist.core.client.ConnectionTable;
+import io.daisyhoist.core.memory.MemoryBudget;
+import io.daisyhoist.core.route.ClientLimits;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.telemetry.FleetMetrics;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.util.AttributeKey;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.impl.HttpServerConnection;
+
+/**
+ * Enforces the limits of all connections of clients.
+ *
+ * <p>Invariants: a connection whose request may have reached a backend server is never closed for the memory or the connections
+ * that others need; when memory does not suffice, reading pauses first. Confined to the traffic event loop.
+ */
+public final class ClientGuard {
+    private static final AttributeKey<ClientConnectionHandler> HANDLER =
+            AttributeKey.valueOf(ClientGuard.class, "connection");
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
+    /** Requests that end in the meantime return their memory, so that nobody need be refused. */
+    private static final Duration MEMORY_PATIENCE = Duration.ofMillis(300);
+
+    private static final Duration LOG_INTERVAL = Duration.ofSeconds(1);
+
+    /** Bounds what one read adds, also to a connection that must wait afterwards. */
+    private static final int MAX_READ_BYTES = 16_384;
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int INITIAL_READ_BYTES = 2_048;
+
+    private final Vertx vertx;
+    private final TimeSource time;
+    private final Supplier<ClientLimits> limits;
+    private final ConnectionBounds bounds;
+    private final MemoryBudget budget;
+    private final FleetMetrics metrics;
+    private final ConnectionTable table;
+    private final Map<ConnectionState, ClientConnectionHandler> handlers = new HashMap<>();
+    private final Set<ClientConnectionHandler> waiting = new LinkedHashSet<>();
+    private final RefusalLog refusals = new RefusalLog();
+    private Optional<Long> timer = Optional.empty();
+    private long waitingSinceNanos;
+    private long loggedNanos;
+
+    /**
+     * Creates a guard without connections.
+     *
+     * @param limits limits of the newest configuration
+     */
+    public ClientGuard(
+            Vertx vertx,
+            TimeSource time,
+            Supplier<ClientLimits> limits,
+            ConnectionBounds bounds,
+            MemoryBudget budget,
+            FleetMetrics metrics) {
+        this.vertx = vertx;
+        this.time = time;
+        this.limits = limits;
+        this.bounds = bounds;
+        this.budget = budget;
+        this.metrics = metrics;
+        this.table = new ConnectionTable(bounds);
+    }
+
+    /** Starts the checks of times and memory. */
+    public void start() {
+        timer = Optional.of(vertx.setPeriodic(CHECK_INTERVAL.toMillis(), fired -> check()));
+    }
+
+    /** Ends the checks. */
+    public void stop() {
+        timer.ifPresent(vertx::cancelTimer);
+    }
+
+    /** Takes over a connection before its first byte is read. */
+    public void onConnection(HttpConnection connection) {
+        ChannelHandlerContext http = ((HttpServerConnection) connection).channelHandlerContext();
+        Channel channel = http.channel();
+        ConnectionState state = new ConnectionState(address(channel), nowNanos());
+        ClientConnectionHandler handler = new ClientConnectionHandler(this, channel, state, budget);
+        channel.attr(HANDLER).set(handler);
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1));
+        http.pipeline().addFirst(handler);
+        http.pipeline().addBefore(http.name(), null, new MessageBoundaryHandler(handler));
+        table.add(state);
+        handlers.put(state, handler);
+        table.excess(state, nowNanos()).map(handlers::get).ifPresent(excess -> excess.abort(CloseReason.CONNECTIONS));
+    }
+
+    private static String address(Channel channel) {
+        return channel.remoteAddress() instanceof InetSocketAddress remote
+                ? remote.getAddress().getHostAddress()
+                : "unknown";
+    }
+
+    /** Starts reading the body of a request. */
+    public BodyReader readBody(HttpServerRequest http, long maxBytes) {
+        Optional<ClientConnectionHandler> handler = handler(http);
+        BodyReader reader = new BodyReader(
+                budget,
+                maxBytes,
+                bytes -> handler.ifPresent(known -> known.state().addHeldBytes(bytes)),
+                reason -> handler.ifPresent(known -> record(reason, known)));
+        handler.ifPresent(known -> known.setBody(reader));
+        reader.start(http);
+        return reader;
+    }
+
+    /** Records that a request may reach a backend server although its body may be incomplete: it is not refused any more. */
+    public void onSent(HttpServerRequest http) {
+        handler(http).ifPresent(handler -> handler.state().onSent());
+    }
+
+    private static Optional<ClientConnectionHandler> handler(HttpServerRequest http) {
+        Channel channel = ((HttpServerConnection) http.connection())
+                .channelHandlerContext()
+                .channel();
+        return Optional.ofNullable(channel.attr(HANDLER).get());
+    }
+
+    ClientLimits limits() {
+        return limits.get();
+    }
+
+    ConnectionBounds bounds() {
+        return bounds;
+    }
+
+    long nowNanos() {
+        return time.monotonicNanos();
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return handlers.size();
+    }
+
+    void onClosed(ClientConnectionHandler handler) {
+        table.remove(handler.state());
+        handlers.remove(handler.state());
+        waiting.remove(handler);
+    }
+
+    void record(CloseReason reason, ClientConnectionHandler handler) {
+        metrics.onClientRefused(reason.label());
+        if (reason != CloseReason.IDLE) {
+            refusals.record(reason, handler.state());
+        }
+    }
+
+    void awaitMemory(ClientConnectionHandler handler) {
+        if (waiting.isEmpty()) {
+            waitingSinceNanos = nowNanos();
+        }
+        waiting.add(handler);
+    }
+
+    private void check() {
+        long now = nowNanos();
+        for (ClientConnectionHandler handler : new ArrayList<>(handlers.values())) {
+            handler.state().onUnwrittenBytes(handler.unwrittenBytes(), now);
+            handler.state().exceeded(limits(), bounds, now).ifPresent(handler::abort);
+        }
+        resumeWaiting(now);
+        if (now - loggedNanos > LOG_INTERVAL.toNanos()) {
+            loggedNanos = now;
+            refusals.write();
+        }
+    }
+
+    private void resumeWaiting(long now) {
+        for (ClientConnectionHandler handler : new ArrayList<>(waiting)) {
+            handler.resume();
+            if (!handler.isWaitingForMemory()) {
+                waiting.remove(handler);
+                waitingSinceNanos = now;
+            }
+        }
+        if (!waiting.isEmpty() && now - waitingSinceNanos > MEMORY_PATIENCE.toNanos()) {
+            waitingSinceNanos = now;
+            giveUpHeaviest(now);
+        }
+    }
+
+    /** Ends connections until an eighth of the budget is free, because one after the other would take too long. */
+    private void giveUpHeaviest(long now) {
+        long wantedFreeBytes = budget.maxBytes() / 8;
+        long freedBytes = 0;
+        while (freedBytes < wantedFreeBytes) {
+            Optional<ClientConnectionHandler> heaviest = table.heaviest(now).map(handlers::get);
+            if (heaviest.isEmpty()) {
+                return;
+            }
+            freedBytes += heaviest.get().state().heldBytes();
+            heaviest.get().abort(CloseReason.MEMORY);
+        }
+    }
+}
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -3,6 +3,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -11,6 +12,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.customer.ApiKeyCheck;
 import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.memory.MemoryBudget;
+import io.daisyhoist.core.memory.MemoryUse;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.retry.FleetRetryBudget;
@@ -93,6 +96,7 @@
     private final CrashGuard crashGuard;
     private final BackendAdmission admission;
     private final ClientServer clientServer;
+    private final MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private boolean stopping;
 
@@ -160,8 +164,10 @@
                         settings.bounds().retrySlack(),
                         settings.bounds().retryWindow()),
                 metrics);
-        this.clientServer = new ClientServer(vertx, requestContext, headerNames, keyCheck);
+        this.clientServer =
+                new ClientServer(vertx, requestContext, headerNames, keyCheck, settings.connections(), memory);
         addGauges(backendClient);
+        addClientGauges();
     }
 
     /** Returns the other daemons whose backend servers run the same service. */
@@ -215,6 +221,13 @@
                         .orElse(-1L));
     }
 
+    private void addClientGauges() {
+        metrics.gauge("daisyhoist.fleet.client.connections", "Open connections of clients", clientServer::connections);
+        for (MemoryUse use : MemoryUse.values()) {
+            metrics.memoryGauge(use.name().toLowerCase(Locale.ROOT), () -> memory.heldBytes(use));
+        }
+    }
+
     /** Returns all metrics as text. */
     public String metrics() {
         return metrics.scrape();
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetSettings.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetSettings.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.mesh.process;
 
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
@@ -17,6 +18,7 @@
  * @param heartbeatAddress listen address for heartbeats of the local backend server
  * @param peerAddress listen address for other daemons
  * @param bounds limits of the deployment
+ * @param connections limits on connections of clients
  */
 public record FleetSettings(
         DaemonId daemon,
@@ -27,4 +29,5 @@
         Endpoint readinessAddress,
         Endpoint heartbeatAddress,
         Endpoint peerAddress,
-        FleetBounds bounds) {}
+        FleetBounds bounds,
+        ConnectionBounds connections) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -8,18 +8,23 @@
 import java.util.OptionalInt;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.client.CloseReason;
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.customer.ApiKeyCheck;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.Route;
 import io.daisyhoist.core.route.WeightedServiceSelector;
 import io.daisyhoist.core.time.Deadline;
-import io.daisyhoist.daemon.connection.BoundedBody;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
 import io.daisyhoist.mesh.connection.CustomerHeaders;
 import io.daisyhoist.mesh.connection.HeaderNames;
+import io.daisyhoist.mesh.limits.BodyReader;
+import io.daisyhoist.mesh.limits.ClientGuard;
+import io.daisyhoist.mesh.limits.RequestRefusedException;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -38,7 +43,9 @@
  */
 public final class ClientServer {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int MAX_HEADER_BYTES = 65_536;
+
+    /** Limit of the HTTP decoder; the configured one is lower and enforced by {@link ClientGuard}. */
+    private static final int MAX_DECODED_HEADER_BYTES = 1 << 20;
 
     /** Allowance for the transit of a response to the client. */
     private static final Duration RESPONSE_TRANSIT_TIME = Duration.ofMillis(20);
@@ -49,6 +56,7 @@
     private final RequestContext context;
     private final HeaderNames headerNames;
     private final CustomerAuthenticator authenticator;
+    private final ClientGuard guard;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final HttpServer server;
     private final PollBarrier pollBarrier;
@@ -63,36 +71,59 @@
                 context,
                 headerNames,
                 ApiKeyCheck.withoutRevocationLimit(
-                        context.time(), () -> context.fleet().get().config().map(FleetConfig::customers)));
+                        context.time(), () -> context.fleet().get().config().map(FleetConfig::customers)),
+                ConnectionBounds.DEFAULT,
+                MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()));
     }
 
     /** Creates a server that is not listening. */
-    public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames, ApiKeyCheck keyCheck) {
+    public ClientServer(
+            Vertx vertx,
+            RequestContext context,
+            HeaderNames headerNames,
+            ApiKeyCheck keyCheck,
+            ConnectionBounds bounds,
+            MemoryBudget budget) {
         this.context = context;
         this.headerNames = headerNames;
         this.authenticator = new CustomerAuthenticator(keyCheck, headerNames);
+        this.guard = new ClientGuard(vertx, context.time(), this::limits, bounds, budget, context.metrics());
         this.pollBarrier = new PollBarrier(vertx);
         this.server = vertx.createHttpServer(new HttpServerOptions()
-                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setMaxInitialLineLength(MAX_HEADER_BYTES)
+                        .setMaxHeaderSize(MAX_DECODED_HEADER_BYTES)
+                        .setMaxInitialLineLength(MAX_DECODED_HEADER_BYTES)
+                        // Clients use HTTP/1.1; the limits of heads and bodies are enforced on its messages only.
+                        .setHttp2ClearTextEnabled(false)
                         .setHandle100ContinueAutomatically(true)
                         .setAcceptBacklog(1024))
+                .connectionHandler(guard::onConnection)
                 .requestHandler(this::handleRequest);
     }
 
+    private ClientLimits limits() {
+        return context.fleet().get().config().map(FleetConfig::limits).orElse(ClientLimits.DEFAULT);
+    }
+
+    /** Returns the number of open connections of clients. */
+    public int connections() {
+        return guard.connections();
+    }
+
     /** Starts listening. */
     public Future<HttpServer> listen(Endpoint address) {
+        guard.start();
         return server.listen(address.port(), address.host());
     }
 
     /** Starts listening on any free port. */
     public Future<HttpServer> listenOnFreePort(String host) {
+        guard.start();
         return server.listen(0, host);
     }
 
     /** Stops listening and closes all connections. */
     public Future<Void> close() {
-        return server.close();
+        return server.close().onComplete(closed -> guard.stop());
     }
 
     /**
@@ -120,41 +151,42 @@
         inFlight++;
         Promise<Void> clientClosed = Promise.promise();
         http.response().closeHandler(closed -> clientClosed.tryComplete());
-        handle(http, arrivedNanos, clientClosed.future())
+        BodyReader reader = guard.readBody(http, limits().maxBodyBytes());
+        handle(http, reader, arrivedNanos, clientClosed.future())
                 .recover(failure -> {
                     LOGGER.atSevere().withCause(failure).log("event=request_failed uri=%s", http.uri());
                     return Future.succeededFuture(ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN));
                 })
                 // A response that is not written completely would be lost if the process exited.
                 .compose(clientResponse -> write(http, clientResponse))
-                .onComplete(done -> inFlight--);
+                .onComplete(done -> {
+                    inFlight--;
+                    reader.release();
+                });
     }
 
-    private Future<ClientResponse> handle(HttpServerRequest http, long arrivedNanos, Future<Void> clientClosed) {
-        ClientLimits limits =
-                context.fleet().get().config().map(FleetConfig::limits).orElse(ClientLimits.DEFAULT);
-        Future<Optional<Buffer>> read = readBody(http, limits.maxBodyBytes())
-                .compose(body -> pollBarrier.afterNextPoll().map(polled -> body));
-        return read.compose(body -> {
-            if (clientClosed.isComplete()) {
-                return refuse(http, "client_disconnected", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
-            }
-            if (body.isEmpty()) {
-                return Future.succeededFuture(ClientResponse.tooLarge());
-            }
-            if (refusing) {
-                return refuse(http, "stopping", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
-            }
-            return route(http, body.get(), arrivedNanos, clientClosed);
-        });
+    private Future<ClientResponse> handle(
+            HttpServerRequest http, BodyReader reader, long arrivedNanos, Future<Void> clientClosed) {
+        return reader.body()
+                .compose(body -> pollBarrier.afterNextPoll().map(polled -> body))
+                .compose(body -> {
+                    if (clientClosed.isComplete()) {
+                        return refuse(http, "client_disconnected", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
+                    }
+                    if (refusing) {
+                        return refuse(http, "stopping", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
+                    }
+                    return route(http, body, arrivedNanos, clientClosed);
+                })
+                .recover(failure -> failure instanceof RequestRefusedException refused
+                        ? refuse(http, refused.reason().label(), refusal(refused.reason()))
+                        : Future.failedFuture(failure));
     }
 
-    private static Future<Optional<Buffer>> readBody(HttpServerRequest http, long maxBytes) {
-        return BoundedBody.read(http, maxBytes)
-                .map(Optional::of)
-                .recover(failure -> failure instanceof BoundedBody.TooLargeException
-                        ? Future.succeededFuture(Optional.empty())
-                        : Future.failedFuture(failure));
+    private static ClientResponse refusal(CloseReason reason) {
+        return reason == CloseReason.MEMORY
+                ? ClientResponse.notRun(NOT_READY_RETRY_AFTER)
+                : ClientResponse.status(reason.status());
     }
 
     private Future<ClientResponse> route(
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -79,6 +79,19 @@
         registry.counter("daisyhoist.fleet.refusals", "reason", reason).increment();
     }
 
+    /** Counts a request of a client that was refused, or a connection that was closed, for a limit. */
+    public void onClientRefused(String reason) {
+        registry.counter("daisyhoist.fleet.client.refusals", "reason", reason).increment();
+    }
+
+    /** Registers a gauge of the memory that is held for one use. */
+    public void memoryGauge(String use, Supplier<Number> bytes) {
+        Gauge.builder("daisyhoist.fleet.memory.held", bytes)
+                .description("Bytes that are held for requests and responses, by use")
+                .tag("use", use)
+                .register(registry);
+    }
+
     /** Counts a retry on another backend server. */
     public void onRetry(ServiceName service) {
         registry.counter("daisyhoist.fleet.retries", "service", service.name()).increment();
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.customer.CustomerBounds;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
@@ -66,7 +67,8 @@
                 ADDRESS,
                 ADDRESS,
                 ADDRESS,
-                bounds);
+                bounds,
+                ConnectionBounds.DEFAULT);
         control = new FleetControl(
                 settings,
                 simulation.nowNanos(),
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.UnaryOperator;
 
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.customer.ApiKeyCheck;
 import io.daisyhoist.core.customer.ApiKeyHash;
 import io.daisyhoist.core.customer.CustomerBounds;
@@ -109,7 +110,8 @@
                         Duration.ofSeconds(10),
                         1.5,
                         5,
-                        BOUNDS));
+                        BOUNDS),
+                ConnectionBounds.DEFAULT);
         startDaemon();
         startBackend();
     }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/CustomerRequestTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/CustomerRequestTest.java
@@ -19,11 +19,13 @@
 import java.util.logging.Logger;
 
 import com.google.protobuf.ByteString;
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.customer.ApiKeyHash;
 import io.daisyhoist.core.customer.Customer;
 import io.daisyhoist.core.customer.CustomerName;
 import io.daisyhoist.core.customer.CustomerTable;
 import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.retry.FleetRetryBudget;
@@ -96,7 +98,13 @@
     @BeforeEach
     void start() {
         logger.addHandler(capture);
-        ClientServer server = new ClientServer(fixture.vertx, context(), TestHeaderNames.NAMES, fixture.keyCheck);
+        ClientServer server = new ClientServer(
+                fixture.vertx,
+                context(),
+                TestHeaderNames.NAMES,
+                fixture.keyCheck,
+                ConnectionBounds.DEFAULT,
+                new MemoryBudget(1 << 20));
         port = AdmissionFixture.result(server.listenOnFreePort("127.0.0.1")).actualPort();
         configure(CUSTOMERS);
         fixture.confirmation.onConfirmed(fixture.confirmation.ask(), Duration.ZERO);
