--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionHandler.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionHandler.java
@@ -55,6 +55,10 @@
     private ChannelHandlerContext context;
     private long remainingBodyBytes;
     private long headEstimate;
+
+    /** Time of the latest read. */
+    private long readNanos;
+
     private long trailerEstimate;
     private boolean paused;
 
@@ -100,7 +104,8 @@
             context.fireChannelRead(message);
             return;
         }
-        state.onBytes(bytes.readableBytes(), guard.nowNanos());
+        readNanos = guard.nowNanos();
+        state.onBytes(bytes.readableBytes(), readNanos);
         if (state.phase() == Phase.REFUSED || !bytes.isReadable()) {
             bytes.release();
             return;
@@ -117,6 +122,7 @@
 
     /** Passes on bytes that have waited, outside of a read; without the end of a read, the next handlers would not flush. */
     void resume() {
+        readNanos = guard.nowNanos();
         process();
         fireReadComplete();
     }
@@ -157,10 +163,9 @@
         try {
             do {
                 processed = true;
-                while (!waitingBytes.isEmpty() && passOn(waitingBytes.peek())) {
-                    if (!waitingBytes.isEmpty() && !waitingBytes.peek().isReadable()) {
-                        waitingBytes.poll().release();
-                    }
+                boolean goesOn = true;
+                while (goesOn && !waitingBytes.isEmpty()) {
+                    goesOn = passOn(waitingBytes.peek());
                 }
             } while (!processed);
         } finally {
@@ -214,7 +219,7 @@
 
     private boolean passOnHead(ByteBuf bytes) {
         if (state.phase() == Phase.IDLE) {
-            state.enter(Phase.HEAD, guard.nowNanos());
+            state.enter(Phase.HEAD, readNanos);
             head.reset();
         }
         ClientLimits limits = guard.limits();
@@ -272,7 +277,12 @@
 
     private void pass(ByteBuf bytes, int length) {
         waitingMemory.shrink(length);
-        context.fireChannelRead(bytes.readRetainedSlice(length));
+        if (length == bytes.readableBytes()) {
+            waitingBytes.poll();
+            context.fireChannelRead(bytes);
+        } else {
+            context.fireChannelRead(bytes.readRetainedSlice(length));
+        }
     }
 
     void onHead(HttpRequest request) {
@@ -282,7 +292,7 @@
         chunks.reset();
         body = Optional.empty();
         responded = false;
-        state.enter(Phase.BODY, guard.nowNanos());
+        state.enter(Phase.BODY, readNanos);
     }
 
     private static long contentLength(HttpRequest request) {
@@ -291,7 +301,7 @@
 
     void onRequestEnd() {
         if (state.phase() == Phase.BODY) {
-            state.enter(Phase.RUNNING, guard.nowNanos());
+            state.enter(Phase.RUNNING, readNanos);
             if (responded) {
                 onExchangeEnd();
             }
