Let a peer grant credit for the body of a request

A body of more than one frame (16 MiB) could not pass between daemons, and a body below that delayed all requests behind it on the same connection.

A call may now be an upload: the peer sends BodyCredit messages with the number of the request before its reply, and the caller writes BodyChunk messages with that number until the call ends. Uploads have a connection of their own (PeerChannel.UPLOAD), so that their bytes never stand before other requests.

PeerClientTest: credit does not end the call; a chunk after the reply is not written.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerCall.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerCall.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.daemon.connection;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import io.daisyhoist.wire.proto.Envelope;
@@ -14,17 +15,24 @@
     private final Envelope message;
     private final Duration timeout;
     private final SilencePolicy silencePolicy;
+    private final Optional<BodyCreditListener> creditListener;
     private final CompletableFuture<Envelope> result = new CompletableFuture<>();
     private boolean sent;
 
-    PeerCall(long requestId, Envelope message, Duration timeout, SilencePolicy silencePolicy) {
+    PeerCall(
+            long requestId,
+            Envelope message,
+            Duration timeout,
+            SilencePolicy silencePolicy,
+            Optional<BodyCreditListener> creditListener) {
         this.message = message.toBuilder().setRequestId(requestId).build();
         this.timeout = timeout;
         this.silencePolicy = silencePolicy;
+        this.creditListener = creditListener;
     }
 
     static PeerCall oneWay(Envelope message, Duration timeout) {
-        return new PeerCall(0, message, timeout, SilencePolicy.FAIL);
+        return new PeerCall(0, message, timeout, SilencePolicy.FAIL, Optional.empty());
     }
 
     long requestId() {
@@ -43,6 +51,10 @@
         return silencePolicy;
     }
 
+    Optional<BodyCreditListener> creditListener() {
+        return creditListener;
+    }
+
     CompletableFuture<Envelope> result() {
         return result;
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -68,7 +69,35 @@
      */
     public CompletableFuture<Envelope> call(
             Endpoint endpoint, PeerChannel channel, Envelope message, Duration timeout, SilencePolicy silencePolicy) {
-        PeerCall call = new PeerCall(requestIds.incrementAndGet(), message, timeout, silencePolicy);
+        return call(
+                endpoint,
+                channel,
+                new PeerCall(requestIds.incrementAndGet(), message, timeout, silencePolicy, Optional.empty()));
+    }
+
+    /**
+     * Sends a request whose body follows on {@link PeerChannel#UPLOAD}, and waits for its reply.
+     *
+     * @param message the request; its request id is replaced
+     * @param timeout time after which the call fails, including the time to connect
+     * @param silencePolicy what happens to the call when the peer stops responding
+     * @param creditListener notified whenever the peer accepts further bytes of the body, until the call ends
+     * @see #call(Endpoint, PeerChannel, Envelope, Duration)
+     */
+    public CompletableFuture<Envelope> upload(
+            Endpoint endpoint,
+            Envelope message,
+            Duration timeout,
+            SilencePolicy silencePolicy,
+            BodyCreditListener creditListener) {
+        return call(
+                endpoint,
+                PeerChannel.UPLOAD,
+                new PeerCall(
+                        requestIds.incrementAndGet(), message, timeout, silencePolicy, Optional.of(creditListener)));
+    }
+
+    private CompletableFuture<Envelope> call(Endpoint endpoint, PeerChannel channel, PeerCall call) {
         submit(endpoint, channel, call);
         return call.result();
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClientHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClientHandler.java
@@ -4,11 +4,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.wire.proto.BodyChunk;
 import io.daisyhoist.wire.proto.CancelRequest;
 import io.daisyhoist.wire.proto.Envelope;
 import io.netty.channel.ChannelHandlerContext;
@@ -140,6 +143,10 @@
             handleHello(message);
             return;
         }
+        if (message.hasBodyCredit()) {
+            onBodyCredit(message);
+            return;
+        }
         PeerCall call = pending.remove(message.getRequestId());
         if (call == null) {
             LOGGER.atFine().log("event=peer_late_reply_dropped request_id=%d", message.getRequestId());
@@ -149,6 +156,39 @@
         closeIfSilentAndUnused();
     }
 
+    /** Credit refers to a call but does not end it. */
+    private void onBodyCredit(Envelope message) {
+        Optional.ofNullable(pending.get(message.getRequestId()))
+                .ifPresent(call -> call.creditListener()
+                        .ifPresent(receiver -> receiver.onCredit(
+                                Integer.toUnsignedLong(message.getBodyCredit().getBytes()),
+                                chunk -> writeChunk(call, chunk))));
+    }
+
+    private CompletionStage<Void> writeChunk(PeerCall call, BodyChunk chunk) {
+        CompletableFuture<Void> written = new CompletableFuture<>();
+        context.orElseThrow().executor().execute(() -> {
+            ChannelHandlerContext channelContext = context.orElseThrow();
+            if (pending.get(call.requestId()) != call) {
+                written.completeExceptionally(new PeerException(
+                        PeerException.Reason.CLOSED, DeliveryCertainty.NOT_SENT, "the call has ended"));
+                return;
+            }
+            Envelope message = Envelope.newBuilder()
+                    .setRequestId(call.requestId())
+                    .setBodyChunk(chunk)
+                    .build();
+            channelContext.writeAndFlush(message).addListener(done -> {
+                if (done.isSuccess()) {
+                    written.complete(null);
+                } else {
+                    written.completeExceptionally(done.cause());
+                }
+            });
+        });
+        return written;
+    }
+
     private void handleHello(Envelope message) {
         ProcessId sender = identity.requireCompatible(message);
         if (peer.isEmpty()) {
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServerConnection.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServerConnection.java
@@ -76,6 +76,13 @@
                 }
             }
 
+            @Override
+            public void sendBeforeReply(Envelope message) {
+                if (requestId != 0 && !replied.get()) {
+                    write(channel, message.toBuilder().setRequestId(requestId).build());
+                }
+            }
+
             @Override
             public boolean isDeliverable() {
                 return channel.isActive();
--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/PeerClientTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/PeerClientTest.java
@@ -18,6 +18,8 @@
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.wire.proto.BodyChunk;
+import io.daisyhoist.wire.proto.BodyCredit;
 import io.daisyhoist.wire.proto.Envelope;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -366,4 +368,65 @@
             }
         }
     }
+
+    @Nested
+    class Uploads {
+        private final List<Long> credits = new CopyOnWriteArrayList<>();
+        private final List<BodyChunkWriter> writers = new CopyOnWriteArrayList<>();
+
+        private CompletableFuture<Envelope> upload(PeerNode caller, PeerNode peer) {
+            return caller.client.upload(
+                    peer.endpoint, PeerNode.request("u"), LONG_TIMEOUT, SilencePolicy.FAIL, (bytes, writer) -> {
+                        credits.add(bytes);
+                        writers.add(writer);
+                    });
+        }
+
+        private PeerNode peerThatGrantsCredit() {
+            return node("peer", "test", (from, message, reply) -> {
+                received.add(new Received(message, reply));
+                if (message.hasForwardRequest()) {
+                    reply.sendBeforeReply(Envelope.newBuilder()
+                            .setBodyCredit(BodyCredit.newBuilder().setBytes(7))
+                            .build());
+                }
+            });
+        }
+
+        /** Guards against credit that is taken for the reply, and chunks that cannot be matched to their request. */
+        @Test
+        void upload_creditBeforeReply_doesNotEndTheCall() throws Exception {
+            PeerNode peer = peerThatGrantsCredit();
+            CompletableFuture<Envelope> call = upload(caller(), peer);
+            await().until(() -> credits.equals(List.of(7L)));
+            writers.get(0)
+                    .write(BodyChunk.newBuilder().setLast(true).build())
+                    .toCompletableFuture()
+                    .get(5, TimeUnit.SECONDS);
+            await().until(() -> received.size() == 2);
+            assertTrue(received.get(1).message().getBodyChunk().getLast());
+            assertEquals(
+                    received.get(0).message().getRequestId(),
+                    received.get(1).message().getRequestId());
+            received.get(0).reply().accept(PeerNode.response("u"));
+            assertEquals("u", call.get(5, TimeUnit.SECONDS).getForwardResponse().getBackend());
+        }
+
+        /** Guards against chunks that are sent, or writes that never end, when the request is over. */
+        @Test
+        void write_afterReply_failsAndSendsNothing() throws Exception {
+            PeerNode peer = peerThatGrantsCredit();
+            CompletableFuture<Envelope> call = upload(caller(), peer);
+            await().until(() -> !writers.isEmpty());
+            received.get(0).reply().accept(PeerNode.response("u"));
+            call.get(5, TimeUnit.SECONDS);
+            assertThrows(
+                    Exception.class,
+                    () -> writers.get(0)
+                            .write(BodyChunk.getDefaultInstance())
+                            .toCompletableFuture()
+                            .get(5, TimeUnit.SECONDS));
+            assertEquals(1, received.size());
+        }
+    }
 }
