Stream request bodies of more than 64 KiB

Of a larger body, the first 64 KiB are read and kept, so that a request that was refused before anything was written can go to another backend server. The rest stays in the network until the request was admitted and a connection to the backend server is open. Then each hop reads one part at a time, and the next when it has been written; between daemons, within a window of 128 KiB. A daemon writes the head only when the first chunk has arrived, so that a peer that is lost before has not run the request. Once the rest was read, the request is not sent again. A backend server that responds early gets no other bytes: its connection is closed. The connection of a client whose body was not read is closed after the response; what it still sends is discarded for up to 1 s, because a connection that is closed with unread bytes is reset, which can destroy the response.

Memory for bodies is reserved in one MemoryBudget (40 % of the heap); when it is used up, a request gets 503 before its body is read, and before 100 Continue is sent.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -13,6 +13,8 @@
 import io.daisyhoist.daemon.connection.HttpField;
 import io.daisyhoist.daemon.connection.ResponseHeads;
 import io.daisyhoist.daemon.connection.WatchedHttpClients;
+import io.daisyhoist.mesh.body.BodyAbortedException;
+import io.daisyhoist.mesh.body.BodyRest;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -68,6 +70,7 @@
     private final Promise<BackendOutcome> result = Promise.promise();
     private Phase phase = Phase.WAITING;
     private Optional<HttpClientRequest> httpRequest = Optional.empty();
+    private Optional<StreamedBodyWriter> bodyWriter = Optional.empty();
     private int usedConnections;
 
     /**
@@ -135,7 +138,7 @@
                 .setPort(backend.port())
                 .setMethod(HttpMethod.valueOf(request.method()))
                 .setURI(request.uri());
-        client.request(options).onSuccess(this::write).onFailure(this::onUnreachable);
+        client.request(options).onSuccess(this::onConnected).onFailure(this::onUnreachable);
     }
 
     private void connectAgain() {
@@ -155,6 +158,21 @@
         completeNotRun(NotRunReason.UNREACHABLE);
     }
 
+    /** The rest of a body is asked for when a connection is open, and nothing is written before it is known to come. */
+    private void onConnected(HttpClientRequest connectedRequest) {
+        Optional<BodyRest> rest = request.body().rest();
+        if (phase != Phase.WAITING || rest.isEmpty()) {
+            write(connectedRequest);
+            return;
+        }
+        rest.get().open().onComplete(opened -> {
+            if (opened.failed()) {
+                completeNotRun(NotRunReason.CANCELLED);
+            }
+            write(connectedRequest);
+        });
+    }
+
     private void write(HttpClientRequest connectedRequest) {
         httpRequest = Optional.of(connectedRequest);
         if (phase == Phase.WAITING && !observer.mayBeWritten()) {
@@ -183,9 +201,22 @@
         }
         phase = Phase.WRITTEN;
         observer.onWrite();
-        Future<HttpClientResponse> responseFuture =
-                hasBody() ? connectedRequest.send(request.body()) : connectedRequest.send();
-        responseFuture.compose(this::read).onFailure(failure -> completeUnknown(unknownReason(failure)));
+        send(connectedRequest).compose(this::read).onFailure(failure -> completeUnknown(unknownReason(failure)));
+    }
+
+    private Future<HttpClientResponse> send(HttpClientRequest connectedRequest) {
+        if (request.body().rest().isEmpty()) {
+            return hasBody() ? connectedRequest.send(request.body().first()) : connectedRequest.send();
+        }
+        StreamedBodyWriter writer = new StreamedBodyWriter(
+                connectedRequest, request.body(), request.body().rest().get());
+        bodyWriter = Optional.of(writer);
+        writer.start().onFailure(failure -> {
+            if (failure instanceof BodyAbortedException) {
+                completeUnknown(UnknownReason.CANCELLED);
+            }
+        });
+        return connectedRequest.response();
     }
 
     private static UnknownReason unknownReason(Throwable failure) {
@@ -195,7 +226,7 @@
     }
 
     private boolean hasBody() {
-        return request.body().length() > 0 || request.headers().stream().anyMatch(this::isContentType);
+        return request.body().first().length() > 0 || request.headers().stream().anyMatch(this::isContentType);
     }
 
     private boolean isContentType(HttpField field) {
@@ -314,6 +345,7 @@
     private void complete(BackendOutcome outcome) {
         if (phase == Phase.WRITTEN) {
             phase = Phase.ENDED;
+            bodyWriter.ifPresent(StreamedBodyWriter::stop);
             result.complete(outcome);
         }
     }
@@ -329,6 +361,7 @@
         if (phase == Phase.WRITTEN) {
             phase = Phase.ENDED;
             httpRequest.ifPresent(HttpClientRequest::reset);
+            bodyWriter.ifPresent(StreamedBodyWriter::stop);
             result.complete(new Unknown(reason));
         }
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
@@ -10,10 +10,10 @@
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.daemon.connection.HttpField;
-import io.vertx.core.buffer.Buffer;
+import io.daisyhoist.mesh.body.RequestBody;
 
 /**
- * Request to a backend server. Immutable.
+ * Request to a backend server. Immutable, except that the rest of a streamed body can be read once.
  *
  * @param id id that the client assigned to this attempt
  * @param service target service
@@ -21,7 +21,7 @@
  * @param method HTTP method
  * @param uri path and query
  * @param headers end-to-end headers as the client sent them
- * @param body complete body
+ * @param body body, whose rest may be streamed
  * @param priority priority; 0 is the most urgent
  * @param deadline time after which the response is no longer needed
  * @param callerService service of the instance at which it entered the fleet
@@ -38,7 +38,7 @@
         String method,
         String uri,
         List<HttpField> headers,
-        Buffer body,
+        RequestBody body,
         int priority,
         Deadline deadline,
         String callerService,
@@ -48,6 +48,26 @@
         Deadline target,
         Duration expectedWork) {
 
+    /** Returns the same request with another body. */
+    public BackendRequestData withBody(RequestBody otherBody) {
+        return new BackendRequestData(
+                id,
+                service,
+                key,
+                method,
+                uri,
+                headers,
+                otherBody,
+                priority,
+                deadline,
+                callerService,
+                expectedProcess,
+                hasAlternative,
+                customer,
+                target,
+                expectedWork);
+    }
+
     /** Returns the host that the client addressed; empty if the request has no host header. */
     public String host() {
         return headers.stream()
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
@@ -16,6 +17,7 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.HttpField;
 import io.daisyhoist.daemon.connection.ResponseHeads;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -35,6 +37,9 @@
     private static final String NOT_RUN = "not-run";
     private static final String UNKNOWN = "unknown";
 
+    /** Length of a body that follows; other lengths are not sent, since each hop sets them itself. */
+    private static final String CONTENT_LENGTH = "content-length";
+
     /** Prefix of the refusal code of a request that reached a backend server, which rejected it. */
     private static final String REJECTED_BY_BACKEND_PREFIX = "arrived:";
 
@@ -48,7 +53,7 @@
                 .setService(request.service().name())
                 .setMethod(request.method())
                 .setPath(request.uri())
-                .setBody(UnsafeByteOperations.unsafeWrap(request.body().getBytes()))
+                .setBody(UnsafeByteOperations.unsafeWrap(request.body().first().getBytes()))
                 .setRemainingDeadlineMs(
                         (int) Math.max(0, request.deadline().remaining(time).toMillis()))
                 .setRank(Integer.toString(request.priority()))
@@ -61,11 +66,18 @@
                 .setHasAlternative(request.hasAlternative());
         request.key().ifPresent(key -> message.setKey(Integer.toString(key)));
         request.headers().forEach(field -> message.addHeaders(header(field)));
+        if (request.body().rest().isPresent()) {
+            message.setBodyFollows(true);
+            request.body()
+                    .length()
+                    .ifPresent(
+                            length -> message.addHeaders(header(new HttpField(CONTENT_LENGTH, Long.toString(length)))));
+        }
         return Envelope.newBuilder().setForwardRequest(message).build();
     }
 
     /**
-     * Decodes a request.
+     * Decodes a request with the part of its body that it contains.
      *
      * @throws IllegalArgumentException if a field is missing or out of range
      */
@@ -80,8 +92,10 @@
                 key,
                 message.getMethod(),
                 message.getPath(),
-                fields(message.getHeadersList()),
-                buffer(message.getBody()),
+                fields(message.getHeadersList()).stream()
+                        .filter(field -> !field.name().equalsIgnoreCase(CONTENT_LENGTH))
+                        .toList(),
+                RequestBody.of(buffer(message.getBody())),
                 requireNonNegative("rank", Integer.parseInt(message.getRank())),
                 Deadline.after(
                         time, Duration.ofMillis(requireNonNegative("deadline", message.getRemainingDeadlineMs()))),
@@ -96,6 +110,22 @@
                 Duration.ZERO);
     }
 
+    /**
+     * Decodes the length of a body whose rest follows; empty if it is not known in advance.
+     *
+     * @throws IllegalArgumentException if the length is unreadable, or less than that of the part that the message contains
+     */
+    public static OptionalLong bodyLength(ForwardRequest message) {
+        OptionalLong length = message.getHeadersList().stream()
+                .filter(field -> field.getName().equalsIgnoreCase(CONTENT_LENGTH))
+                .mapToLong(field -> Long.parseLong(field.getValue()))
+                .findFirst();
+        if (length.isPresent() && length.getAsLong() < message.getBody().size()) {
+            throw new IllegalArgumentException("body is longer than announced: " + length.getAsLong());
+        }
+        return length;
+    }
+
     private static void requireText(String field, String value) {
         if (value.isEmpty()) {
             throw new IllegalArgumentException(field + " is missing");
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -3,6 +3,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -10,6 +11,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.memory.MemoryBudget;
+import io.daisyhoist.core.memory.MemoryUse;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.retry.FleetRetryBudget;
@@ -65,6 +68,9 @@
     /** Maximum connections to the local backend server; includes spare ones beyond those that its slots use. */
     private static final int MAX_BACKEND_CONNECTIONS = 48;
 
+    /** Part of the heap for requests and responses; the rest is for the state of the fleet and for garbage. */
+    private static final double MEMORY_SHARE = 0.4;
+
     /** Short timeouts: round trips between instances are short, and requests wait while a peer connection is lost. */
     private static final PeerLimits PEER_LIMITS = new PeerLimits(
             16 << 20,
@@ -82,6 +88,11 @@
     private final Context context;
     private final HeaderNames headerNames;
     private final TimeSource time = new SystemTimeSource();
+
+    /** Bounds the memory of requests and responses. Confined to the traffic event loop, except reads for metrics. */
+    private final MemoryBudget memory =
+            new MemoryBudget((long) (Runtime.getRuntime().maxMemory() * MEMORY_SHARE));
+
     private final ControlThread control = new ControlThread();
     private final FleetMetrics metrics = new FleetMetrics();
     private final EventLoopDelay eventLoopDelay;
@@ -139,7 +150,13 @@
                 identity,
                 PEER_LIMITS,
                 new ForwardReceiver(
-                        context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent));
+                        context,
+                        admission,
+                        crashGuard,
+                        time,
+                        fleetControl.peerMessageListener(),
+                        this::isIdempotent,
+                        memory));
         LoadBalancer loadBalancer = new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone());
         RequestContext requestContext = new RequestContext(
                 vertx,
@@ -154,7 +171,8 @@
                         settings.bounds().retryRatio(),
                         settings.bounds().retrySlack(),
                         settings.bounds().retryWindow()),
-                metrics);
+                metrics,
+                memory);
         this.clientServer = new ClientServer(vertx, requestContext, headerNames);
         addGauges(backendClient);
     }
@@ -192,6 +210,13 @@
                 "daisyhoist.fleet.event.loop.delay",
                 "Milliseconds by which the traffic event loop last ran late",
                 () -> eventLoopDelay.latest().toMillis());
+        for (MemoryUse use : MemoryUse.values()) {
+            metrics.gauge(
+                    "daisyhoist.fleet.memory."
+                            + use.name().toLowerCase(Locale.ROOT).replace('_', '.'),
+                    "Bytes that are reserved for this use",
+                    () -> memory.heldBytes(use));
+        }
         metrics.gauge(
                 "daisyhoist.fleet.members",
                 "Daemons that are known",
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
@@ -12,6 +12,7 @@
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.fleet.LocalBackend;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
@@ -30,6 +31,7 @@
 import io.daisyhoist.daemon.connection.PeerIdentity;
 import io.daisyhoist.daemon.connection.PeerLimits;
 import io.daisyhoist.daemon.connection.PeerServer;
+import io.daisyhoist.mesh.body.BodyLimits;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.daisyhoist.mesh.request.BackendAdmission;
@@ -76,15 +78,22 @@
     private static final DaemonId SELF = new DaemonId(NAME + "-local");
     private static final DaemonId PEER = new DaemonId(NAME + "-peer");
     private static final BackendProcessId BACKEND = new BackendProcessId(NAME, 1);
+    private static final long MAX_MEMORY_BYTES = 1 << 20;
     private static final int SLOTS = 2 * CONCURRENT_REQUESTS;
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final Buffer BODY = Buffer.buffer("x".repeat(512));
 
+    /** Large enough to be streamed. */
+    private static final Buffer LARGE_BODY = Buffer.buffer("x".repeat(2 * BodyLimits.FIRST_PART_BYTES));
+
+    private static final int REQUESTS_PER_LARGE_BODY = 8;
+
     private final Vertx vertx;
     private final Context context;
     private final TimeSource time;
     private final HeaderNames headerNames;
     private final FleetMetrics metrics = new FleetMetrics();
+    private final MemoryBudget memory = new MemoryBudget(MAX_MEMORY_BYTES);
     private final BackendHttpClient backendClient;
     private final PeerClient peerClient;
     private final PeerServer peerServer;
@@ -118,7 +127,8 @@
                 peerLoops,
                 identity,
                 PeerLimits.DEFAULT,
-                new ForwardReceiver(context, admission, crashGuard, time, new NoControlMessages(), request -> true));
+                new ForwardReceiver(
+                        context, admission, crashGuard, time, new NoControlMessages(), request -> true, memory));
         this.clientServer = new ClientServer(vertx, requestContext(admission), headerNames);
         this.backend = vertx.createHttpServer().requestHandler(this::respond);
         this.client = vertx.createHttpClient();
@@ -134,7 +144,8 @@
                 new Forwarder(context, SELF, admission, peerClient, loadBalancer, time, request -> true),
                 loadBalancer,
                 new FleetRetryBudget(time, 1, REQUESTS, TIMEOUT),
-                metrics);
+                metrics,
+                memory);
     }
 
     /** Control messages are not part of the request path. */
@@ -250,11 +261,15 @@
                 .compose(request -> request.putHeader("Host", NAME)
                         .putHeader(headerNames.requestId(), NAME + "-" + number)
                         .putHeader(headerNames.deadlineMs(), Long.toString(TIMEOUT.toMillis()))
-                        .send(method == HttpMethod.POST ? BODY : Buffer.buffer()))
+                        .send(method == HttpMethod.POST ? body(number) : Buffer.buffer()))
                 .expecting(HttpResponseExpectation.SC_OK)
                 .compose(response -> response.body());
     }
 
+    private static Buffer body(int number) {
+        return number % REQUESTS_PER_LARGE_BODY == 1 ? LARGE_BODY : BODY;
+    }
+
     private void close() {
         client.close();
         clientServer.close();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -28,6 +28,8 @@
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
+import io.daisyhoist.mesh.connection.BackendOutcome.Unknown;
+import io.daisyhoist.mesh.connection.BackendOutcome.UnknownReason;
 import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.ResponseFault;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
@@ -312,11 +314,13 @@
                 .onSuccess(outcome -> {
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     logRun(pendingRequest, outcome, sentNanos, latency);
-                    serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
+                    if (!isStreamed(request)) {
+                        serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
+                    }
                     crashGuard.onOutcome(request, outcome);
                     detectConnectionFailure(outcome);
                     pendingRequest.outcome().complete(outcome);
-                    apply(admissionController.complete(permit, admissionOutcome(outcome), latency));
+                    apply(admissionController.complete(permit, admissionOutcome(request, outcome), latency));
                 });
     }
 
@@ -335,21 +339,28 @@
 
     private void detectConnectionFailure(BackendOutcome outcome) {
         boolean unreachable = outcome instanceof NotRun notRun && notRun.reason() == NotRunReason.UNREACHABLE;
-        boolean lost = outcome instanceof BackendOutcome.Unknown unknown
-                && unknown.reason() == BackendOutcome.UnknownReason.CONNECTION_LOST;
-        if (unreachable || lost) {
+        if (unreachable || isConnectionLost(outcome)) {
             coldStartLimiter.onConnectionFailure();
         }
     }
 
-    private static Outcome admissionOutcome(BackendOutcome outcome) {
-        if (outcome instanceof BackendOutcome.Answered) {
-            return Outcome.OK;
-        }
+    private static boolean isConnectionLost(BackendOutcome outcome) {
+        return outcome instanceof Unknown unknown && unknown.reason() == UnknownReason.CONNECTION_LOST;
+    }
+
+    /** The time of a streamed body says more about its client than about the backend server. */
+    private static boolean isStreamed(BackendRequestData request) {
+        return request.body().rest().isPresent();
+    }
+
+    private static Outcome admissionOutcome(BackendRequestData request, BackendOutcome outcome) {
         if (outcome instanceof NotRun notRun) {
             return notRun.reason() == NotRunReason.REJECTED ? Outcome.SHED : Outcome.CANCELLED;
         }
-        return Outcome.LOST;
+        if (isStreamed(request) && !isConnectionLost(outcome)) {
+            return Outcome.CANCELLED;
+        }
+        return outcome instanceof BackendOutcome.Answered ? Outcome.OK : Outcome.LOST;
     }
 
     /** Rechecks admission immediately before the write, and records what the exchange reports. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientRequest.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientRequest.java
@@ -6,11 +6,11 @@
 import io.daisyhoist.core.route.Route;
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
 
 /**
- * Complete request of a client with its route. Immutable.
+ * Request of a client with its route. Immutable, except that the rest of a streamed body can be read once.
  *
  * @param id id that the client assigned to this attempt
  * @param route matching route
@@ -19,7 +19,7 @@
  * @param method HTTP method
  * @param uri path and query
  * @param headers end-to-end headers
- * @param body complete body
+ * @param body body, whose rest may be streamed
  * @param arrivedNanos monotonic time of arrival
  * @param deadline latest time of the response
  * @param cancelled completes when the client has disconnected
@@ -32,7 +32,7 @@
         String method,
         String uri,
         List<HttpField> headers,
-        Buffer body,
+        RequestBody body,
         long arrivedNanos,
         Deadline deadline,
         Future<Void> cancelled) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -14,14 +14,16 @@
 import io.daisyhoist.core.route.Route;
 import io.daisyhoist.core.route.WeightedServiceSelector;
 import io.daisyhoist.core.time.Deadline;
-import io.daisyhoist.daemon.connection.BoundedBody;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.mesh.body.BodyLimits;
+import io.daisyhoist.mesh.body.BodyRefusedException;
+import io.daisyhoist.mesh.body.ClientBody;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -31,8 +33,8 @@
  * HTTP server for requests of clients and of the local backend server.
  *
  * <p>Invariants: each request that was read gets one response unless its client has disconnected; a request whose client has
- * disconnected before it is routed is not sent; a request is routed by the newest configuration known when its body has been
- * read. Confined to the traffic event loop.
+ * disconnected before it is routed is not sent; a request is routed by the newest configuration known when its body, or the
+ * first part of a large one, has been read. Confined to the traffic event loop.
  */
 public final class ClientServer {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -61,7 +63,7 @@
         this.server = vertx.createHttpServer(new HttpServerOptions()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setMaxInitialLineLength(MAX_HEADER_BYTES)
-                        .setHandle100ContinueAutomatically(true)
+                        .setMaxChunkSize(BodyLimits.CHUNK_BYTES)
                         .setAcceptBacklog(1024))
                 .requestHandler(this::handleRequest);
     }
@@ -106,45 +108,61 @@
         inFlight++;
         Promise<Void> clientClosed = Promise.promise();
         http.response().closeHandler(closed -> clientClosed.tryComplete());
-        handle(http, arrivedNanos, clientClosed.future())
+        ClientLimits limits =
+                context.fleet().get().config().map(FleetConfig::limits).orElse(ClientLimits.DEFAULT);
+        ClientBody clientBody = new ClientBody(http, limits.maxBodyBytes(), context.memory());
+        handle(http, clientBody, arrivedNanos, clientClosed.future())
                 .recover(failure -> {
                     LOGGER.atSevere().withCause(failure).log("event=request_failed uri=%s", http.uri());
                     return Future.succeededFuture(ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN));
                 })
+                .onSuccess(clientResponse -> logUpload(http, clientBody, clientResponse))
+                .onComplete(done -> clientBody.close())
                 // A response that is not written completely would be lost if the process exited.
-                .compose(clientResponse -> write(http, clientResponse))
+                .compose(clientResponse -> write(http, clientBody, clientResponse))
                 .onComplete(done -> inFlight--);
     }
 
-    private Future<ClientResponse> handle(HttpServerRequest http, long arrivedNanos, Future<Void> clientClosed) {
-        ClientLimits limits =
-                context.fleet().get().config().map(FleetConfig::limits).orElse(ClientLimits.DEFAULT);
-        Future<Optional<Buffer>> read = readBody(http, limits.maxBodyBytes())
-                .compose(body -> pollBarrier.afterNextPoll().map(polled -> body));
-        return read.compose(body -> {
-            if (clientClosed.isComplete()) {
-                return refuse(http, "client_disconnected", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
-            }
-            if (body.isEmpty()) {
-                return Future.succeededFuture(ClientResponse.tooLarge());
-            }
-            if (refusing) {
-                return refuse(http, "stopping", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
-            }
-            return route(http, body.get(), arrivedNanos, clientClosed);
-        });
+    private Future<ClientResponse> handle(
+            HttpServerRequest http, ClientBody clientBody, long arrivedNanos, Future<Void> clientClosed) {
+        return clientBody
+                .read()
+                .compose(body -> pollBarrier.afterNextPoll().map(polled -> body))
+                .compose(body -> {
+                    if (clientClosed.isComplete()) {
+                        return refuse(http, "client_disconnected", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
+                    }
+                    if (refusing) {
+                        return refuse(http, "stopping", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
+                    }
+                    return route(http, body, arrivedNanos, clientClosed);
+                })
+                .recover(failure -> failure instanceof BodyRefusedException refused
+                        ? refuse(http, "body_" + refused.reason().name().toLowerCase(Locale.ROOT), response(refused))
+                        : Future.failedFuture(failure));
     }
 
-    private static Future<Optional<Buffer>> readBody(HttpServerRequest http, long maxBytes) {
-        return BoundedBody.read(http, maxBytes)
-                .map(Optional::of)
-                .recover(failure -> failure instanceof BoundedBody.TooLargeException
-                        ? Future.succeededFuture(Optional.empty())
-                        : Future.failedFuture(failure));
+    private void logUpload(HttpServerRequest http, ClientBody clientBody, ClientResponse clientResponse) {
+        if (clientBody.streamedBytes().isEmpty()) {
+            return;
+        }
+        context.metrics().onUpload(clientBody.isPassedOn());
+        LOGGER.atInfo().log(
+                "event=upload_done request=%s streamed_bytes=%d passed_on=%s status=%d",
+                http.getHeader(headerNames.requestId()),
+                clientBody.streamedBytes().getAsLong(),
+                clientBody.isPassedOn(),
+                clientResponse.status());
+    }
+
+    private static ClientResponse response(BodyRefusedException refused) {
+        return refused.reason() == BodyRefusedException.Reason.TOO_LARGE
+                ? ClientResponse.tooLarge()
+                : ClientResponse.notRun(NOT_READY_RETRY_AFTER);
     }
 
     private Future<ClientResponse> route(
-            HttpServerRequest http, Buffer body, long arrivedNanos, Future<Void> clientClosed) {
+            HttpServerRequest http, RequestBody body, long arrivedNanos, Future<Void> clientClosed) {
         Optional<FleetConfig> config = context.fleet().get().config();
         if (config.isEmpty()) {
             return refuse(http, "no_config", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
@@ -252,7 +270,7 @@
         return new Deadline(arrivedNanos + timeout.toNanos());
     }
 
-    private Future<Void> write(HttpServerRequest http, ClientResponse clientResponse) {
+    private Future<Void> write(HttpServerRequest http, ClientBody clientBody, ClientResponse clientResponse) {
         HttpServerResponse response = http.response();
         if (response.ended() || response.closed()) {
             return Future.succeededFuture();
@@ -266,7 +284,13 @@
             fillHead(http, ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN));
             return response.end();
         }
-        return response.end(clientResponse.body());
+        if (http.isEnded()) {
+            return response.end(clientResponse.body());
+        }
+        response.putHeader(
+                "Content-Length", Integer.toString(clientResponse.body().length()));
+        response.write(clientResponse.body());
+        return clientBody.discardRest(context.vertx()).compose(discarded -> response.end());
     }
 
     private void fillHead(HttpServerRequest http, ClientResponse clientResponse) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/CrashGuard.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/CrashGuard.java
@@ -149,9 +149,10 @@
         suspects.reports(MAX_REPEATED_REPORTS).forEach(report -> reporter.report(List.of(receiver), report));
     }
 
-    /** Identifies a request that a client sends again, which then has another id. */
+    /** Identifies a request that a client sends again, which then has another id; of a streamed body, the first part is known. */
     private static Fingerprint fingerprint(BackendRequestData request) {
         String target = request.service() + " " + request.callerService() + " " + request.uri();
-        return Fingerprint.ofRequest(request.method(), target, request.body().getBytes());
+        return Fingerprint.ofRequest(
+                request.method(), target, request.body().first().getBytes());
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/Forwarder.java
@@ -1,6 +1,7 @@
 package io.daisyhoist.mesh.request;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 
@@ -13,6 +14,7 @@
 import io.daisyhoist.daemon.connection.PeerClient;
 import io.daisyhoist.daemon.connection.PeerException;
 import io.daisyhoist.daemon.connection.SilencePolicy;
+import io.daisyhoist.mesh.body.PeerBodySender;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -29,7 +31,8 @@
 /**
  * Forwards a request to the daemon of a backend server, or to the local admission control.
  *
- * <p>Invariants: a request is sent at most once; a failure is reported as not run only if no byte of it was sent; a request
+ * <p>Invariants: a request is sent at most once; a failure is reported as not run only if no byte of it was sent, or nothing of
+ * the rest of its streamed body; a request
  * that may not be repeated is not given up because its daemon does not respond for a while. Confined to the traffic event
  * loop.
  */
@@ -86,19 +89,40 @@
 
     private Future<BackendOutcome> sendToPeer(
             FleetMember member, BackendRequestData request, Duration queueWait, Future<Void> cancelled) {
+        Optional<PeerBodySender> bodySender =
+                request.body().rest().map(rest -> new PeerBodySender(context, request.body(), rest));
         Promise<BackendOutcome> outcome = Promise.promise();
-        CompletableFuture<Envelope> call = peerClient.call(
-                member.peerAddress(),
-                PeerChannel.TRAFFIC,
-                ForwardCodec.encode(request, queueWait, time),
-                request.deadline().remaining(time).plus(REPLY_MARGIN),
-                idempotent.test(request) ? SilencePolicy.FAIL : SilencePolicy.WAIT);
+        CompletableFuture<Envelope> call = call(member, request, queueWait, bodySender);
         cancelled.onComplete(done -> call.cancel(false));
-        call.whenComplete(
-                (reply, failure) -> context.runOnContext(run -> outcome.complete(result(member, reply, failure))));
+        call.whenComplete((reply, failure) -> context.runOnContext(run -> {
+            bodySender.ifPresent(PeerBodySender::stop);
+            outcome.complete(
+                    bodySender.filter(sender -> !sender.isStarted()).isPresent()
+                            ? unlessRun(result(member, reply, failure))
+                            : result(member, reply, failure));
+        }));
         return outcome.future();
     }
 
+    private CompletableFuture<Envelope> call(
+            FleetMember member, BackendRequestData request, Duration queueWait, Optional<PeerBodySender> bodySender) {
+        Envelope message = ForwardCodec.encode(request, queueWait, time);
+        Duration timeout = request.deadline().remaining(time).plus(REPLY_MARGIN);
+        SilencePolicy silencePolicy = idempotent.test(request) ? SilencePolicy.FAIL : SilencePolicy.WAIT;
+        return bodySender
+                .map(sender ->
+                        peerClient.upload(member.peerAddress(), message, timeout, silencePolicy, sender::onCredit))
+                .orElseGet(() ->
+                        peerClient.call(member.peerAddress(), PeerChannel.TRAFFIC, message, timeout, silencePolicy));
+    }
+
+    /** The peer writes nothing to its backend server before it has received a chunk of a streamed body. */
+    private static BackendOutcome unlessRun(BackendOutcome outcome) {
+        return outcome instanceof Unknown unknown && unknown.reason() == UnknownReason.PEER_LOST
+                ? new NotRun(NotRunReason.PEER_UNREACHABLE, false, RETRY_AFTER_UNREACHABLE)
+                : outcome;
+    }
+
     private BackendOutcome result(FleetMember member, Envelope reply, Throwable failure) {
         if (failure == null) {
             ForwardResponse response = reply.getForwardResponse();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestContext.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestContext.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Supplier;
 
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.retry.FleetRetryBudget;
 import io.daisyhoist.core.routing.LoadBalancer;
@@ -21,6 +22,7 @@
  * @param loadBalancer tracks the load of backend servers and selects one
  * @param budget retry budget of this daemon
  * @param metrics counters and histograms
+ * @param memory memory for requests and responses
  */
 public record RequestContext(
         Vertx vertx,
@@ -30,4 +32,5 @@
         BackendSender backendSender,
         LoadBalancer loadBalancer,
         FleetRetryBudget budget,
-        FleetMetrics metrics) {}
+        FleetMetrics metrics,
+        MemoryBudget memory) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -30,7 +30,7 @@
  * Executes one request: selects a backend server, and retries on others while that is allowed.
  *
  * <p>Invariants: the client gets one response, by its deadline; a non-idempotent request is retried only after an outcome
- * that states that it did not run; a response states "not run" only if every attempt was refused as not run; nothing is sent
+ * that states that it did not run; a request is not sent again once a part of its body is no longer held; a response states "not run" only if every attempt was refused as not run; nothing is sent
  * after the client has disconnected. Confined to the traffic event loop.
  */
 final class RequestDispatch {
@@ -253,7 +253,7 @@
     private void onAnswered(DaemonId daemon, Answered answered, Duration latency) {
         mayHaveRun = true;
         if (answered.status() < SERVER_ERROR) {
-            context.loadBalancer().onResponse(daemon, request.route().name(), latency);
+            onLatency(daemon, latency);
             finish(toResponse(answered));
             return;
         }
@@ -263,6 +263,13 @@
         retryOrFinish();
     }
 
+    /** The time of a streamed body says more about its client than about the backend server. */
+    private void onLatency(DaemonId daemon, Duration latency) {
+        if (request.body().rest().isEmpty()) {
+            context.loadBalancer().onResponse(daemon, request.route().name(), latency);
+        }
+    }
+
     private void onNotRun(DaemonId daemon, NotRun notRun) {
         if (!notRun.retryAfter().isZero()) {
             retryAfter = retryAfter
@@ -288,7 +295,7 @@
             slowDaemon = Optional.of(daemon);
         }
         admissionRefusals++;
-        if (remaining().compareTo(MIN_ATTEMPT_TIME) < 0) {
+        if (request.body().isConsumed() || remaining().compareTo(MIN_ATTEMPT_TIME) < 0) {
             finish(failureResponse());
             return;
         }
@@ -329,6 +336,7 @@
     private void retryOrFinish() {
         boolean retryable = request.route().isIdempotent() || !mayHaveRun;
         boolean allowed = retryable
+                && !request.body().isConsumed()
                 && !response.future().isComplete()
                 && attempts < request.route().maxAttempts()
                 && remaining().compareTo(MIN_ATTEMPT_TIME) > 0
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -79,6 +79,16 @@
         registry.counter("daisyhoist.fleet.refusals", "reason", reason).increment();
     }
 
+    /**
+     * Counts a request with a streamed body.
+     *
+     * @param passedOn whether the body was passed on to its end
+     */
+    public void onUpload(boolean passedOn) {
+        registry.counter("daisyhoist.fleet.uploads", "passed_on", Boolean.toString(passedOn))
+                .increment();
+    }
+
     /** Counts a retry on another backend server. */
     public void onRetry(ServiceName service) {
         registry.counter("daisyhoist.fleet.retries", "service", service.name()).increment();
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
@@ -12,6 +12,7 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -64,6 +65,10 @@
     }
 
     Future<BackendOutcome> send(String method, String id, Endpoint backend, Duration deadline, Buffer body) {
+        return send(method, id, backend, deadline, RequestBody.of(body));
+    }
+
+    Future<BackendOutcome> send(String method, String id, Endpoint backend, Duration deadline, RequestBody body) {
         BackendRequestData request = new BackendRequestData(
                 id,
                 new ServiceName("s"),
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendHttpClientTest.java
@@ -16,6 +16,7 @@
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -89,7 +90,7 @@
                 "GET",
                 "/x",
                 headers,
-                Buffer.buffer(),
+                RequestBody.of(Buffer.buffer()),
                 1,
                 Deadline.after(time, deadline),
                 "caller",
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/EndlessAnswersProbe.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/EndlessAnswersProbe.java
@@ -13,6 +13,7 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.vertx.core.Context;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -48,7 +49,7 @@
                 "GET",
                 "/x",
                 List.of(),
-                Buffer.buffer(),
+                RequestBody.of(Buffer.buffer()),
                 1,
                 Deadline.after(time, Duration.ofSeconds(20)),
                 "caller",
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/AdmissionFixture.java
@@ -21,6 +21,7 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.TestHeaderNames;
@@ -97,7 +98,7 @@
                 "GET",
                 uri,
                 List.of(),
-                Buffer.buffer(),
+                RequestBody.of(Buffer.buffer()),
                 1,
                 Deadline.after(time, Duration.ofSeconds(20)),
                 "caller",
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
@@ -63,6 +64,7 @@
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final TimeSource time = new SystemTimeSource();
+    private final MemoryBudget memory = new MemoryBudget(1 << 20);
     private final AtomicInteger sends = new AtomicInteger();
     private List<HttpField> responseHeaders = List.of();
     private Buffer responseBody = Buffer.buffer("body");
@@ -91,7 +93,8 @@
                 },
                 new LoadBalancer(time, new SplittableRandom(1), new AvailabilityZone("z")),
                 new FleetRetryBudget(time, 0.2, 50, Duration.ofSeconds(10)),
-                new FleetMetrics());
+                new FleetMetrics(),
+                memory);
     }
 
     @AfterEach
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/CrashGuardTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/CrashGuardTest.java
@@ -18,6 +18,7 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.Unknown;
 import io.daisyhoist.mesh.connection.BackendOutcome.UnknownReason;
@@ -110,7 +111,7 @@
                 "GET",
                 uri,
                 List.of(),
-                Buffer.buffer("body"),
+                RequestBody.of(Buffer.buffer("body")),
                 1,
                 Deadline.after(time, Duration.ofSeconds(1)),
                 "caller",
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.daemon.connection.PeerReply;
@@ -28,6 +29,7 @@
 
     private final List<NetSocket> started = new CopyOnWriteArrayList<>();
     private final List<NetSocket> interrupted = new CopyOnWriteArrayList<>();
+    private final MemoryBudget memory = new MemoryBudget(1 << 20);
     private final Connection connection = new Connection();
     private final AdmissionFixture fixture = new AdmissionFixture(6, this::onBackendConnection);
     private boolean idempotent = true;
@@ -37,7 +39,8 @@
             fixture.crashGuard,
             fixture.time,
             new NoControlMessages(),
-            request -> idempotent);
+            request -> idempotent,
+            memory);
 
     /** Connection to the sender that can be closed. */
     private static final class Connection implements PeerReply {
@@ -55,7 +58,7 @@
         }
     }
 
-    private static final class NoControlMessages implements ForwardReceiver.PeerMessageListener {
+    static final class NoControlMessages implements ForwardReceiver.PeerMessageListener {
         @Override
         public void onLoad(FleetLoad load) {
             throw new AssertionError("not sent by this test");
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ServiceName;
@@ -28,6 +29,7 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.body.RequestBody;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
@@ -128,7 +130,8 @@
                 },
                 new LoadBalancer(time, new SplittableRandom(1), ZONE),
                 budget,
-                new FleetMetrics());
+                new FleetMetrics(),
+                new MemoryBudget(1 << 20));
         ClientRequest request = new ClientRequest(
                 "id",
                 route(kind),
@@ -137,7 +140,7 @@
                 "POST",
                 "/",
                 List.of(),
-                Buffer.buffer(),
+                RequestBody.of(Buffer.buffer()),
                 time.monotonicNanos(),
                 Deadline.after(time, deadline),
                 disconnected.future());
