Read no more than a window ahead of a streamed body, and read its end

The HTTP server reads up to 16 parts of a paused body. With parts of 32 KiB these were 512 KiB for each upload, four times the reserved window. Parts have 8 KiB again; those that have arrived are passed on together.

A body of known length was passed on without reading its end, so that the client's connection could be closed after the response. UploadPathTest checks that it stays open.

--- a/mesh/src/main/java/io/daisyhoist/mesh/body/BodyLimits.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/body/BodyLimits.java
@@ -8,7 +8,10 @@
     /** Part of a body in one message to another daemon; small, so that many uploads share a link evenly. */
     public static final int CHUNK_BYTES = 32 << 10;
 
-    /** Bytes of one body on the way between two daemons; fills a link of 100 Mbit/s at a round trip of 10 ms. */
+    /**
+     * Bytes of one body on the way between two daemons; fills a link of 100 Mbit/s at a round trip of 10 ms. The HTTP server reads as
+     * much from a client before it pauses: 16 parts of 8 KiB.
+     */
     public static final int WINDOW_BYTES = 128 << 10;
 
     /** A held part is copied once for each message or write that contains it. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/body/BodyPump.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/body/BodyPump.java
@@ -65,6 +65,8 @@
         // The end of a body of known length is written without waiting for the message that announces it.
         if (missingBytes.isPresent() && missingBytes.getAsLong() == 0) {
             end();
+            // Reads the end, without which the connection of the client would have to be closed.
+            rest.read();
             return;
         }
         rest.read().onSuccess(this::onPart).onFailure(result::tryFail);
--- a/mesh/src/main/java/io/daisyhoist/mesh/body/ClientBodyRest.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/body/ClientBodyRest.java
@@ -7,16 +7,21 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 
 /** Rest of the body of a client's request, which stays in the network until it is read. Confined to the traffic event loop. */
 final class ClientBodyRest implements BodyRest {
+    /** The HTTP decoder makes parts of 8 KiB at most; these together are one chunk for another daemon. */
+    private static final int MAX_PARTS = BodyLimits.CHUNK_BYTES / HttpServerOptions.DEFAULT_MAX_CHUNK_SIZE;
+
     private final HttpServerRequest http;
     private final Deque<Buffer> parts = new ArrayDeque<>();
     private Optional<Promise<Optional<Buffer>>> reader = Optional.empty();
     private Optional<BodyAbortedException> failure = Optional.empty();
     private final long maxBytes;
     private long receivedBytes;
+    private int demand;
     private boolean ended;
     private boolean started;
 
@@ -41,12 +46,15 @@
     @Override
     public Future<Optional<Buffer>> read() {
         started = true;
+        int missingDemand = MAX_PARTS - demand - parts.size();
+        if (missingDemand > 0 && failure.isEmpty() && !ended) {
+            demand += missingDemand;
+            // Parts that have arrived already are delivered before this returns, and then together.
+            http.fetch(missingDemand);
+        }
         Promise<Optional<Buffer>> promise = Promise.promise();
         reader = Optional.of(promise);
         deliver();
-        if (reader.isPresent()) {
-            http.fetch(1);
-        }
         return promise.future();
     }
 
@@ -69,6 +77,7 @@
     }
 
     private void onPart(Buffer part) {
+        demand--;
         receivedBytes += part.length();
         if (receivedBytes > maxBytes) {
             fail("body exceeds the size limit");
@@ -100,7 +109,17 @@
         if (failure.isPresent()) {
             promise.fail(failure.get());
         } else {
-            promise.complete(Optional.ofNullable(parts.pollFirst()));
+            promise.complete(takeParts());
+        }
+    }
+
+    private Optional<Buffer> takeParts() {
+        if (parts.size() <= 1) {
+            return Optional.ofNullable(parts.pollFirst());
         }
+        Buffer together = Buffer.buffer(BodyLimits.CHUNK_BYTES);
+        parts.forEach(together::appendBuffer);
+        parts.clear();
+        return Optional.of(together);
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/body/RequestBody.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/body/RequestBody.java
@@ -32,6 +32,11 @@
     /** Returns the part that follows the first one; empty if the body is held whole. */
     Optional<BodyRest> rest();
 
+    /** Returns whether only the first part is held. */
+    default boolean isStreamed() {
+        return rest().isPresent();
+    }
+
     /** Returns whether a part of the body is no longer held, so that the body cannot be sent again. */
     default boolean isConsumed() {
         return rest().filter(BodyRest::isStarted).isPresent();
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -66,7 +66,7 @@
                 .setHasAlternative(request.hasAlternative());
         request.key().ifPresent(key -> message.setKey(Integer.toString(key)));
         request.headers().forEach(field -> message.addHeaders(header(field)));
-        if (request.body().rest().isPresent()) {
+        if (request.body().isStreamed()) {
             message.setBodyFollows(true);
             request.body()
                     .length()
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -314,7 +314,7 @@
                 .onSuccess(outcome -> {
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     logRun(pendingRequest, outcome, sentNanos, latency);
-                    if (!isStreamed(request)) {
+                    if (!request.body().isStreamed()) {
                         serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
                     }
                     crashGuard.onOutcome(request, outcome);
@@ -348,16 +348,12 @@
         return outcome instanceof Unknown unknown && unknown.reason() == UnknownReason.CONNECTION_LOST;
     }
 
-    /** The time of a streamed body says more about its client than about the backend server. */
-    private static boolean isStreamed(BackendRequestData request) {
-        return request.body().rest().isPresent();
-    }
-
     private static Outcome admissionOutcome(BackendRequestData request, BackendOutcome outcome) {
         if (outcome instanceof NotRun notRun) {
             return notRun.reason() == NotRunReason.REJECTED ? Outcome.SHED : Outcome.CANCELLED;
         }
-        if (isStreamed(request) && !isConnectionLost(outcome)) {
+        // The time of a streamed body says more about its client than about the backend server.
+        if (request.body().isStreamed() && !isConnectionLost(outcome)) {
             return Outcome.CANCELLED;
         }
         return outcome instanceof BackendOutcome.Answered ? Outcome.OK : Outcome.LOST;
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -16,7 +16,6 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
-import io.daisyhoist.mesh.body.BodyLimits;
 import io.daisyhoist.mesh.body.BodyRefusedException;
 import io.daisyhoist.mesh.body.ClientBody;
 import io.daisyhoist.mesh.body.RequestBody;
@@ -63,7 +62,6 @@
         this.server = vertx.createHttpServer(new HttpServerOptions()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setMaxInitialLineLength(MAX_HEADER_BYTES)
-                        .setMaxChunkSize(BodyLimits.CHUNK_BYTES)
                         .setAcceptBacklog(1024))
                 .requestHandler(this::handleRequest);
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -265,7 +265,7 @@
 
     /** The time of a streamed body says more about its client than about the backend server. */
     private void onLatency(DaemonId daemon, Duration latency) {
-        if (request.body().rest().isEmpty()) {
+        if (!request.body().isStreamed()) {
             context.loadBalancer().onResponse(daemon, request.route().name(), latency);
         }
     }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/UploadClient.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/UploadClient.java
@@ -19,6 +19,7 @@
     private final int bodyBytes;
     private final boolean chunked;
     private final AtomicLong sentBytes = new AtomicLong();
+    private volatile boolean closing;
 
     UploadClient(int port, int bodyBytes, boolean chunked) throws IOException {
         this.socket = new Socket("127.0.0.1", port);
@@ -46,6 +47,11 @@
         return sentBytes.get();
     }
 
+    /** Returns whether the response announced the end of the connection. */
+    boolean isClosing() {
+        return closing;
+    }
+
     /** Sends a head that asks whether the body is accepted. */
     void expectContinue() throws IOException {
         socket.getOutputStream()
@@ -100,6 +106,7 @@
             }
             int length = 0;
             for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                closing |= line.toLowerCase(Locale.ROOT).startsWith("connection: close");
                 if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
                     length = Integer.parseInt(
                             line.substring(line.indexOf(':') + 1).trim());
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/UploadPathTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/UploadPathTest.java
@@ -26,6 +26,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests of large bodies from the client port to the backend server, beside the daemon or behind another one. */
@@ -151,7 +152,10 @@
             upload(true, false);
         }
 
-        /** Guards against errors at the sizes at which a body is held whole, or ends with its first part or a chunk. */
+        /**
+         * Guards against errors at the sizes at which a body is held whole, or ends with its first part or a chunk, and against
+         * connections of clients that are closed although their body has been read.
+         */
         @Test
         void upload_ofBoundarySizes_arrivesIdentical() throws Exception {
             UploadFixture.Daemon near = fixture.new Daemon("near", UploadPathTest.this::respondWithChecksum);
@@ -163,6 +167,7 @@
                     for (boolean chunked : List.of(false, true)) {
                         try (UploadClient client = new UploadClient(near.clientPort, bytes, chunked)) {
                             assertEquals(expected(bytes), get(client.upload()), () -> bytes + " bytes");
+                            assertFalse(client.isClosing(), () -> bytes + " bytes");
                         }
                     }
                 }
@@ -305,6 +310,7 @@
                 for (int i = 0; i < 2; i++) {
                     try (UploadClient client = new UploadClient(near.clientPort, LARGE, false)) {
                         assertEquals("409 early", get(client.upload()));
+                        assertTrue(client.isClosing());
                     }
                 }
             }
