Give up idempotent requests that a backend server has dropped

Some backend servers never respond to a request that they cannot queue. It kept its slot and its caller until the deadline.

The outcome is unknown and the connection is closed. Streamed and non-idempotent requests are never given up, and nothing is while the backend server responds to nobody.

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpClient.java
@@ -1,6 +1,10 @@
 package io.daisyhoist.mesh.connection;
 
+import java.util.Optional;
+import java.util.function.Function;
+
 import io.daisyhoist.core.model.Endpoint;
+import io.daisyhoist.core.route.Route;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.BodyBudget;
 import io.daisyhoist.daemon.connection.WatchedHttpClients;
@@ -28,6 +32,8 @@
     private static final int KEEP_ALIVE_SECONDS = 4;
 
     private final HttpClient client;
+    private final Function<BackendRequestData, Optional<Route>> routes;
+    private final UnansweredExchanges unanswered;
     private final BodyBudget responseBudget = new BodyBudget(MAX_RESPONSE_BYTES);
     private final BackendHttpExchange.Dependencies exchangeDependencies;
 
@@ -43,6 +49,24 @@
      */
     public BackendHttpClient(
             Vertx vertx, Context context, HeaderNames headerNames, int maxConnections, TimeSource time) {
+        this(vertx, context, headerNames, maxConnections, time, request -> Optional.empty());
+    }
+
+    /**
+     * Creates a client without open connections that gives up requests to which the backend server will not respond.
+     *
+     * @param maxConnections maximum number of open connections
+     * @param routes route of a request; a request without one is not given up
+     */
+    public BackendHttpClient(
+            Vertx vertx,
+            Context context,
+            HeaderNames headerNames,
+            int maxConnections,
+            TimeSource time,
+            Function<BackendRequestData, Optional<Route>> routes) {
+        this.routes = routes;
+        this.unanswered = new UnansweredExchanges(time);
         this.client = WatchedHttpClients.createClient(
                 vertx,
                 new HttpClientOptions()
@@ -84,6 +108,11 @@
         return retiredConnections;
     }
 
+    /** Returns how many requests were given up because the backend server would not respond to them. */
+    public long givenUpRequests() {
+        return unanswered.givenUp();
+    }
+
     /** Receives events of one exchange, on the traffic event loop. */
     public interface Observer {
         /** Returns whether the request may still be written; called immediately before the write. */
@@ -111,6 +140,10 @@
             Endpoint backend, BackendRequestData request, Future<Void> cancelled, Observer observer) {
         BackendHttpExchange exchange = new BackendHttpExchange(exchangeDependencies, backend, request, observer);
         cancelled.onComplete(done -> exchange.cancel());
+        // The time of a streamed body is that of its client.
+        if (!request.body().isStreamed()) {
+            routes.apply(request).ifPresent(route -> unanswered.watch(route, request, exchange));
+        }
         exchange.start();
         return exchange.result();
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -68,6 +68,7 @@
     private final ResponseInspector inspector;
     private final BackendHttpClient.Observer observer;
     private final Promise<BackendOutcome> result = Promise.promise();
+    private final Promise<Void> written = Promise.promise();
     private Phase phase = Phase.WAITING;
     private Optional<HttpClientRequest> httpRequest = Optional.empty();
     private Optional<StreamedBodyWriter> bodyWriter = Optional.empty();
@@ -112,6 +113,20 @@
         return result.future();
     }
 
+    /** Completes when the request is written. */
+    Future<Void> written() {
+        return written.future();
+    }
+
+    String requestId() {
+        return request.id();
+    }
+
+    /** Ends the exchange because no response is expected any more, and closes its connection. */
+    void giveUp() {
+        completeUnknown(UnknownReason.NO_RESPONSE);
+    }
+
     void cancel() {
         completeNotRun(NotRunReason.CANCELLED);
         completeUnknown(UnknownReason.CANCELLED);
@@ -201,11 +216,12 @@
         }
         phase = Phase.WRITTEN;
         observer.onWrite();
+        written.complete();
         send(connectedRequest).compose(this::read).onFailure(failure -> completeUnknown(unknownReason(failure)));
     }
 
     private Future<HttpClientResponse> send(HttpClientRequest connectedRequest) {
-        if (request.body().rest().isEmpty()) {
+        if (!request.body().isStreamed()) {
             return hasBody() ? connectedRequest.send(request.body().first()) : connectedRequest.send();
         }
         StreamedBodyWriter writer = new StreamedBodyWriter(
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendOutcome.java
@@ -75,6 +75,8 @@
         DEADLINE,
         CANCELLED,
         DAMAGED_ANSWER,
-        PEER_LOST
+        PEER_LOST,
+        /** The backend server responds to later requests, but not to this one. */
+        NO_RESPONSE
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -132,7 +133,7 @@
                         this::sendToPeers,
                         metrics));
         BackendHttpClient backendClient =
-                new BackendHttpClient(vertx, context, headerNames, MAX_BACKEND_CONNECTIONS, time);
+                new BackendHttpClient(vertx, context, headerNames, MAX_BACKEND_CONNECTIONS, time, this::route);
         this.crashGuard = new CrashGuard(
                 settings.daemon(),
                 time,
@@ -186,12 +187,11 @@
     }
 
     private boolean isIdempotent(BackendRequestData request) {
-        return fleetControl
-                .fleet()
-                .config()
-                .flatMap(config -> config.routes().find(request.host(), request.path()))
-                .filter(Route::isIdempotent)
-                .isPresent();
+        return route(request).filter(Route::isIdempotent).isPresent();
+    }
+
+    private Optional<Route> route(BackendRequestData request) {
+        return fleetControl.fleet().config().flatMap(config -> config.routes().find(request.host(), request.path()));
     }
 
     private void addGauges(BackendHttpClient backendClient) {
@@ -206,6 +206,10 @@
                 "daisyhoist.fleet.backend.retired.connections",
                 "Connections that were closed because the head of a response arrived in parts",
                 backendClient::retiredConnections);
+        metrics.gauge(
+                "daisyhoist.fleet.backend.given.up",
+                "Requests that were given up because the backend server responded to later ones only",
+                backendClient::givenUpRequests);
         metrics.gauge(
                 "daisyhoist.fleet.event.loop.delay",
                 "Milliseconds by which the traffic event loop last ran late",
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.route.Route;
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
@@ -52,7 +54,11 @@
     }
 
     BackendClientFixture(int maxConnections) {
-        this.client = new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, maxConnections, time);
+        this(maxConnections, request -> Optional.empty());
+    }
+
+    BackendClientFixture(int maxConnections, Function<BackendRequestData, Optional<Route>> routes) {
+        this.client = new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, maxConnections, time, routes);
     }
 
     Vertx vertx() {
