Grant the first window of a body once

A request whose id its connection had carried before takes another connection and asked for the rest of its body again, which granted a second window: the receiver could hold twice what it had reserved. Found by reading; PeerBodyTest guards it. A request that was refused because its key moves is not sent again once a part of its body was read.

--- a/mesh/src/main/java/io/daisyhoist/mesh/body/BodyRest.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/body/BodyRest.java
@@ -12,7 +12,7 @@
  */
 public interface BodyRest {
     /**
-     * Completes when the rest may be read; called once the request can be written. Fails with {@link BodyAbortedException} if the
+     * Completes when the rest may be read; called when the request can be written, and again for each further connection. Fails with {@link BodyAbortedException} if the
      * body will not be complete.
      */
     Future<Void> open();
--- a/mesh/src/main/java/io/daisyhoist/mesh/body/ReceivedBodyRest.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/body/ReceivedBodyRest.java
@@ -23,6 +23,7 @@
     private Optional<BodyAbortedException> failure = Optional.empty();
     private int creditBytes;
     private int ungrantedBytes;
+    private boolean granted;
     private boolean ended;
     private boolean started;
 
@@ -36,15 +37,18 @@
     }
 
     /**
-     * Grants the first credit, and waits for the first chunk. Until it has arrived, the sender knows that nothing was written to the
-     * backend server.
+     * Grants the first credit, once, and waits for the first chunk. Until it has arrived, the sender knows that nothing was written
+     * to the backend server.
      */
     @Override
     public Future<Void> open() {
         if (failure.isPresent()) {
             return Future.failedFuture(failure.get());
         }
-        grant(BodyLimits.WINDOW_BYTES);
+        if (!granted) {
+            granted = true;
+            grant(BodyLimits.WINDOW_BYTES);
+        }
         return opened.future();
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -282,7 +282,7 @@
             retryOrFinish();
             return;
         }
-        if (notRun.reason() == NotRunReason.KEY_MOVING && waitForMove(daemon)) {
+        if (notRun.reason() == NotRunReason.KEY_MOVING && !request.body().isConsumed() && waitForMove(daemon)) {
             return;
         }
         if (notRun.reason() == NotRunReason.CRASH_SUSPECT) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/body/PeerBodyTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/body/PeerBodyTest.java
@@ -63,6 +63,14 @@
             assertTrue(opened.succeeded());
         }
 
+        /** Guards against a second window when the request needs another connection to the backend server. */
+        @Test
+        void open_again_grantsNothingMore() {
+            rest.open();
+            rest.open();
+            assertEquals(List.of(BodyLimits.WINDOW_BYTES), credits);
+        }
+
         /** Guards against a sender that fills the memory of the receiver. */
         @Test
         void onChunk_beyondCredit_isRejected() {
