--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -17,19 +17,20 @@
 import io.daisyhoist.core.admission.QueueEntry;
 import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.admission.SlotLimit;
+import io.daisyhoist.core.customer.ApiKeyCheck;
 import io.daisyhoist.core.error.Refusal;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.ServicePolicy;
 import io.daisyhoist.core.routing.LoadBalancer;
 import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.BackendOutcome;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
-import io.daisyhoist.mesh.connection.BackendOutcome.Unknown;
-import io.daisyhoist.mesh.connection.BackendOutcome.UnknownReason;
 import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.ResponseFault;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
@@ -44,7 +45,7 @@
  *
  * <p>Invariants: a request is written only if, at that moment, the backend server is the expected process, is not leaving,
  * its availability zone is known not to be evacuated, the request has not crashed backend servers, the backend server holds
- * its key and has capacity for another request; otherwise the request is refused as not run. Confined to the traffic event
+ * its key, the newest configuration gives the API key to the customer, and there is capacity for another request; otherwise the request is refused as not run. Confined to the traffic event
  * loop.
  */
 public final class BackendAdmission {
@@ -64,6 +65,7 @@
     private final AvailabilityZone zone;
     private final Supplier<FleetSnapshot> fleet;
     private final Supplier<LocalBackendSnapshot> localBackend;
+    private final ApiKeyCheck keyCheck;
     private final BackendHttpClient client;
     private final AdmissionController admissionController;
     private final SlotLimit slots = new SlotLimit(1);
@@ -93,9 +95,24 @@
      * @param zone availability zone of the backend server
      * @param fleet present state of the fleet
      * @param localBackend present state of the backend server
+     * @param keyCheck checks the API keys of requests
      */
     public record KnownState(
-            AvailabilityZone zone, Supplier<FleetSnapshot> fleet, Supplier<LocalBackendSnapshot> localBackend) {}
+            AvailabilityZone zone,
+            Supplier<FleetSnapshot> fleet,
+            Supplier<LocalBackendSnapshot> localBackend,
+            ApiKeyCheck keyCheck) {
+        /** Creates the state of a daemon in a fleet without a revocation limit. */
+        public KnownState(
+                AvailabilityZone zone, Supplier<FleetSnapshot> fleet, Supplier<LocalBackendSnapshot> localBackend) {
+            this(
+                    zone,
+                    fleet,
+                    localBackend,
+                    ApiKeyCheck.withoutRevocationLimit(
+                            new SystemTimeSource(), () -> fleet.get().config().map(FleetConfig::customers)));
+        }
+    }
 
     /** Creates admission control that accepts requests. */
     public BackendAdmission(
@@ -109,6 +126,7 @@
         this.zone = state.zone();
         this.fleet = state.fleet();
         this.localBackend = state.localBackend();
+        this.keyCheck = state.keyCheck();
         this.client = client;
         this.keyRequestListener = keyRequestListener;
         this.crashGuard = crashGuard;
@@ -254,7 +272,7 @@
         }
         boolean held = request.key().isEmpty() || snapshot.holds(request.key().getAsInt(), time.monotonicNanos());
         if (held) {
-            return Optional.empty();
+            return CustomerAuthenticator.refusalReason(keyCheck, request);
         }
         return Optional.of(snapshot.mayGrant() ? NotRunReason.KEY_MOVING : NotRunReason.KEY_NOT_HELD);
     }
@@ -320,7 +338,7 @@
                     crashGuard.onOutcome(request, outcome);
                     detectConnectionFailure(outcome);
                     pendingRequest.outcome().complete(outcome);
-                    apply(admissionController.complete(permit, admissionOutcome(request, outcome), latency));
+                    apply(admissionController.complete(permit, OutcomeClassifier.classify(request, outcome), latency));
                 });
     }
 
@@ -338,27 +356,11 @@
     }
 
     private void detectConnectionFailure(BackendOutcome outcome) {
-        boolean unreachable = outcome instanceof NotRun notRun && notRun.reason() == NotRunReason.UNREACHABLE;
-        if (unreachable || isConnectionLost(outcome)) {
+        if (OutcomeClassifier.isConnectionFailure(outcome)) {
             coldStartLimiter.onConnectionFailure();
         }
     }
 
-    private static boolean isConnectionLost(BackendOutcome outcome) {
-        return outcome instanceof Unknown unknown && unknown.reason() == UnknownReason.CONNECTION_LOST;
-    }
-
-    private static Outcome admissionOutcome(BackendRequestData request, BackendOutcome outcome) {
-        if (outcome instanceof NotRun notRun) {
-            return notRun.reason() == NotRunReason.REJECTED ? Outcome.SHED : Outcome.CANCELLED;
-        }
-        // The time of a streamed body says more about its client than about the backend server.
-        if (request.body().isStreamed() && !isConnectionLost(outcome)) {
-            return Outcome.CANCELLED;
-        }
-        return outcome instanceof BackendOutcome.Answered ? Outcome.OK : Outcome.LOST;
-    }
-
     /** Rechecks admission immediately before the write, and records what the exchange reports. */
     private final class ExchangeObserver implements BackendHttpClient.Observer {
         private final BackendRequestData request;
@@ -374,6 +376,12 @@
             return refusalReason(request).isEmpty() && coldStartLimiter.allowsSend(backend, policy(request));
         }
 
+        @Override
+        public boolean removesCustomerHeaders() {
+            return fleet.get().config().stream()
+                    .anyMatch(config -> !config.customers().isEmpty());
+        }
+
         @Override
         public void onWrite() {
             coldStartLimiter.recordSend();
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
@@ -143,7 +143,8 @@
                 RequestBody.of(Buffer.buffer()),
                 time.monotonicNanos(),
                 Deadline.after(time, deadline),
-                disconnected.future());
+                disconnected.future(),
+                Optional.empty());
         try {
             Promise<ClientResponse> result = Promise.promise();
             vertx.getOrCreateContext()
