--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -18,7 +18,6 @@
 import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.admission.SlotLimit;
 import io.daisyhoist.core.customer.ApiKeyCheck;
-import io.daisyhoist.core.error.Refusal;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.route.FleetConfig;
@@ -301,10 +300,8 @@
     private void shed(AdmissionUpdate.Shed shed) {
         PendingRequest pendingRequest = queuedRequests.remove(shed.entry().number());
         if (pendingRequest != null) {
-            Refusal refusal = shed.refusal();
-            pendingRequest
-                    .outcome()
-                    .complete(refuse(pendingRequest.request(), NotRunReason.OVERLOADED, refusal.retryAfter()));
+            Duration retryAfter = shed.refusal().retryAfter();
+            pendingRequest.outcome().complete(refuse(pendingRequest.request(), NotRunReason.OVERLOADED, retryAfter));
         }
     }
 
@@ -336,7 +333,9 @@
                         serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
                     }
                     crashGuard.onOutcome(request, outcome);
-                    detectConnectionFailure(outcome);
+                    if (OutcomeClassifier.isConnectionFailure(outcome)) {
+                        coldStartLimiter.onConnectionFailure();
+                    }
                     pendingRequest.outcome().complete(outcome);
                     apply(admissionController.complete(permit, OutcomeClassifier.classify(request, outcome), latency));
                 });
@@ -355,12 +354,6 @@
                 admissionController.limit());
     }
 
-    private void detectConnectionFailure(BackendOutcome outcome) {
-        if (OutcomeClassifier.isConnectionFailure(outcome)) {
-            coldStartLimiter.onConnectionFailure();
-        }
-    }
-
     /** Rechecks admission immediately before the write, and records what the exchange reports. */
     private final class ExchangeObserver implements BackendHttpClient.Observer {
         private final BackendRequestData request;
