--- a/core/src/main/java/io/daisyhoist/core/client/CloseReason.java
+++ b/core/src/main/java/io/daisyhoist/core/client/CloseReason.java
@@ -24,6 +24,8 @@
     IDLE(0),
     /** The client takes no byte of its response. */
     RESPONSE_STALLED(0),
+    /** The client has disconnected before its request was complete. */
+    DISCONNECTED(0),
     /** A refused client has had time to read its refusal. */
     REFUSED(0);
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/RequestRefusedException.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/body/RequestRefusedException.java
@@ -1,4 +1,4 @@
-package io.daisyhoist.mesh.limits;
+package io.daisyhoist.mesh.body;
 
 import io.daisyhoist.core.client.CloseReason;
 
@@ -8,7 +8,8 @@
 
     private final CloseReason reason;
 
-    RequestRefusedException(CloseReason reason) {
+    /** Creates the failure of a body that is not accepted. */
+    public RequestRefusedException(CloseReason reason) {
         super("request refused: " + reason.label(), null, false, false);
         this.reason = reason;
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -13,6 +13,8 @@
 import io.daisyhoist.daemon.connection.HttpField;
 import io.daisyhoist.daemon.connection.ResponseHeads;
 import io.daisyhoist.daemon.connection.WatchedHttpClients;
+import io.daisyhoist.mesh.body.BodyAbortedException;
+import io.daisyhoist.mesh.body.BodyRest;
 import io.daisyhoist.mesh.connection.BackendOutcome.Answered;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRun;
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
@@ -66,8 +68,10 @@
     private final ResponseInspector inspector;
     private final BackendHttpClient.Observer observer;
     private final Promise<BackendOutcome> result = Promise.promise();
+    private final Promise<Void> written = Promise.promise();
     private Phase phase = Phase.WAITING;
     private Optional<HttpClientRequest> httpRequest = Optional.empty();
+    private Optional<StreamedBodyWriter> bodyWriter = Optional.empty();
     private int usedConnections;
 
     /**
@@ -109,6 +113,20 @@
         return result.future();
     }
 
+    /** Completes when the request is written. */
+    Future<Void> written() {
+        return written.future();
+    }
+
+    String requestId() {
+        return request.id();
+    }
+
+    /** Ends the exchange because no response is expected any more, and closes its connection. */
+    void giveUp() {
+        completeUnknown(UnknownReason.NO_RESPONSE);
+    }
+
     void cancel() {
         completeNotRun(NotRunReason.CANCELLED);
         completeUnknown(UnknownReason.CANCELLED);
@@ -135,7 +153,7 @@
                 .setPort(backend.port())
                 .setMethod(HttpMethod.valueOf(request.method()))
                 .setURI(request.uri());
-        client.request(options).onSuccess(this::write).onFailure(this::onUnreachable);
+        client.request(options).onSuccess(this::onConnected).onFailure(this::onUnreachable);
     }
 
     private void connectAgain() {
@@ -155,6 +173,21 @@
         completeNotRun(NotRunReason.UNREACHABLE);
     }
 
+    /** The rest of a body is asked for when a connection is open, and nothing is written before it is known to come. */
+    private void onConnected(HttpClientRequest connectedRequest) {
+        Optional<BodyRest> rest = request.body().rest();
+        if (phase != Phase.WAITING || rest.isEmpty()) {
+            write(connectedRequest);
+            return;
+        }
+        rest.get().open().onComplete(opened -> {
+            if (opened.failed()) {
+                completeNotRun(NotRunReason.CANCELLED);
+            }
+            write(connectedRequest);
+        });
+    }
+
     private void write(HttpClientRequest connectedRequest) {
         httpRequest = Optional.of(connectedRequest);
         if (phase == Phase.WAITING && !observer.mayBeWritten()) {
@@ -183,9 +216,23 @@
         }
         phase = Phase.WRITTEN;
         observer.onWrite();
-        Future<HttpClientResponse> responseFuture =
-                hasBody() ? connectedRequest.send(request.body()) : connectedRequest.send();
-        responseFuture.compose(this::read).onFailure(failure -> completeUnknown(unknownReason(failure)));
+        written.complete();
+        send(connectedRequest).compose(this::read).onFailure(failure -> completeUnknown(unknownReason(failure)));
+    }
+
+    private Future<HttpClientResponse> send(HttpClientRequest connectedRequest) {
+        if (!request.body().isStreamed()) {
+            return hasBody() ? connectedRequest.send(request.body().first()) : connectedRequest.send();
+        }
+        StreamedBodyWriter writer = new StreamedBodyWriter(
+                connectedRequest, request.body(), request.body().rest().get());
+        bodyWriter = Optional.of(writer);
+        writer.start().onFailure(failure -> {
+            if (failure instanceof BodyAbortedException) {
+                completeUnknown(UnknownReason.CANCELLED);
+            }
+        });
+        return connectedRequest.response();
     }
 
     private static UnknownReason unknownReason(Throwable failure) {
@@ -195,7 +242,7 @@
     }
 
     private boolean hasBody() {
-        return request.body().length() > 0 || request.headers().stream().anyMatch(this::isContentType);
+        return request.body().first().length() > 0 || request.headers().stream().anyMatch(this::isContentType);
     }
 
     private boolean isContentType(HttpField field) {
@@ -315,6 +362,7 @@
     private void complete(BackendOutcome outcome) {
         if (phase == Phase.WRITTEN) {
             phase = Phase.ENDED;
+            bodyWriter.ifPresent(StreamedBodyWriter::stop);
             result.complete(outcome);
         }
     }
@@ -330,6 +378,7 @@
         if (phase == Phase.WRITTEN) {
             phase = Phase.ENDED;
             httpRequest.ifPresent(HttpClientRequest::reset);
+            bodyWriter.ifPresent(StreamedBodyWriter::stop);
             result.complete(new Unknown(reason));
         }
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionHandler.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionHandler.java
@@ -12,6 +12,7 @@
 import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.memory.MemoryUse;
 import io.daisyhoist.core.route.ClientLimits;
+import io.daisyhoist.mesh.body.ClientBody;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -51,7 +52,7 @@
     private final MemoryBudget.Reservation headMemory;
     private final MemoryBudget.Reservation waitingMemory;
     private final MemoryBudget.Reservation responseMemory;
-    private Optional<BodyReader> body = Optional.empty();
+    private Optional<ClientBody> body = Optional.empty();
     private ChannelHandlerContext context;
     private long remainingBodyBytes;
     private long headEstimate;
@@ -315,9 +316,9 @@
         }
     }
 
-    /** Sets the reader of the current request's body, which learns when the request is refused. */
-    void setBody(BodyReader reader) {
-        body = Optional.of(reader);
+    /** Sets the body of the current request, which learns when the request is refused. */
+    void setBody(ClientBody current) {
+        body = Optional.of(current);
     }
 
     void onResponseBytes(int bytes) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientGuard.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientGuard.java
@@ -17,6 +17,7 @@
 import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.body.ClientBody;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -120,28 +121,43 @@
     }
 
     /** Starts reading the body of a request. */
-    public BodyReader readBody(HttpServerRequest http, long maxBytes) {
-        Optional<ClientConnectionHandler> handler = handler(http);
-        BodyReader reader = new BodyReader(
-                budget,
-                maxBytes,
-                bytes -> handler.ifPresent(known -> known.state().addHeldBytes(bytes)),
-                reason -> handler.ifPresent(known -> record(reason, known)));
-        handler.ifPresent(known -> known.setBody(reader));
-        reader.start(http);
-        return reader;
+    public ClientBody readBody(HttpServerRequest http, long maxBytes) {
+        ClientConnectionHandler handler = handler(http);
+        ClientBody body = new ClientBody(http, maxBytes, budget, new BodyListener(handler));
+        handler.setBody(body);
+        body.read();
+        return body;
     }
 
-    /** Records that a request may reach a backend server although its body may be incomplete: it is not refused any more. */
-    public void onSent(HttpServerRequest http) {
-        handler(http).ifPresent(handler -> handler.state().onSent());
+    /** Records the memory of a body with its connection. */
+    private final class BodyListener implements ClientBody.Listener {
+        private final ClientConnectionHandler handler;
+
+        private BodyListener(ClientConnectionHandler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public void onHeldBytes(long bytes) {
+            handler.state().addHeldBytes(bytes);
+        }
+
+        @Override
+        public void onRefused(CloseReason reason) {
+            record(reason, handler);
+        }
+
+        @Override
+        public void onStreaming() {
+            handler.state().onSent();
+        }
     }
 
-    private static Optional<ClientConnectionHandler> handler(HttpServerRequest http) {
+    private static ClientConnectionHandler handler(HttpServerRequest http) {
         Channel channel = ((HttpServerConnection) http.connection())
                 .channelHandlerContext()
                 .channel();
-        return Optional.ofNullable(channel.attr(HANDLER).get());
+        return channel.attr(HANDLER).get();
     }
 
     ClientLimits limits() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -87,6 +88,10 @@
     private final Context context;
     private final HeaderNames headerNames;
     private final TimeSource time = new SystemTimeSource();
+
+    /** Bounds the memory of requests and responses. Confined to the traffic event loop, except reads for metrics. */
+    private final MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
+
     private final ControlThread control = new ControlThread();
     private final FleetMetrics metrics = new FleetMetrics();
     private final EventLoopDelay eventLoopDelay;
@@ -97,7 +102,6 @@
     private final CrashGuard crashGuard;
     private final BackendAdmission admission;
     private final ClientServer clientServer;
-    private final MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private boolean stopping;
 
@@ -130,7 +134,7 @@
                 fleetControl.configConfirmation(),
                 () -> fleetControl.fleet().config().map(FleetConfig::customers));
         BackendHttpClient backendClient =
-                new BackendHttpClient(vertx, context, headerNames, MAX_BACKEND_CONNECTIONS, time);
+                new BackendHttpClient(vertx, context, headerNames, MAX_BACKEND_CONNECTIONS, time, this::route);
         this.crashGuard = new CrashGuard(
                 settings.daemon(),
                 time,
@@ -149,7 +153,13 @@
                 identity,
                 PEER_LIMITS,
                 new ForwardReceiver(
-                        context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent));
+                        context,
+                        admission,
+                        crashGuard,
+                        time,
+                        fleetControl.peerMessageListener(),
+                        this::isIdempotent,
+                        memory));
         LoadBalancer loadBalancer = new LoadBalancer(
                 time, new SplittableRandom(incarnation), settings.zone(), new BalancerTelemetry(metrics));
         RequestContext requestContext = new RequestContext(
@@ -165,9 +175,9 @@
                         settings.bounds().retryRatio(),
                         settings.bounds().retrySlack(),
                         settings.bounds().retryWindow()),
-                metrics);
-        this.clientServer =
-                new ClientServer(vertx, requestContext, headerNames, keyCheck, settings.connections(), memory);
+                metrics,
+                memory);
+        this.clientServer = new ClientServer(vertx, requestContext, headerNames, keyCheck, settings.connections());
         addGauges(backendClient);
         addClientGauges();
     }
@@ -181,12 +191,11 @@
     }
 
     private boolean isIdempotent(BackendRequestData request) {
-        return fleetControl
-                .fleet()
-                .config()
-                .flatMap(config -> config.routes().find(request.host(), request.path()))
-                .filter(Route::isIdempotent)
-                .isPresent();
+        return route(request).filter(Route::isIdempotent).isPresent();
+    }
+
+    private Optional<Route> route(BackendRequestData request) {
+        return fleetControl.fleet().config().flatMap(config -> config.routes().find(request.host(), request.path()));
     }
 
     private void addGauges(BackendHttpClient backendClient) {
@@ -201,6 +210,10 @@
                 "daisyhoist.fleet.backend.retired.connections",
                 "Connections that were closed because the head of a response arrived in parts",
                 backendClient::retiredConnections);
+        metrics.gauge(
+                "daisyhoist.fleet.backend.given.up",
+                "Requests that were given up because the backend server responded to later ones only",
+                backendClient::givenUpRequests);
         metrics.gauge(
                 "daisyhoist.fleet.event.loop.delay",
                 "Milliseconds by which the traffic event loop last ran late",
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -18,7 +18,6 @@
 import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.admission.SlotLimit;
 import io.daisyhoist.core.customer.ApiKeyCheck;
-import io.daisyhoist.core.error.Refusal;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.route.FleetConfig;
@@ -302,10 +301,8 @@
     private void shed(AdmissionUpdate.Shed shed) {
         PendingRequest pendingRequest = queuedRequests.remove(shed.entry().number());
         if (pendingRequest != null) {
-            Refusal refusal = shed.refusal();
-            pendingRequest
-                    .outcome()
-                    .complete(refuse(pendingRequest.request(), NotRunReason.OVERLOADED, refusal.retryAfter()));
+            Duration retryAfter = shed.refusal().retryAfter();
+            pendingRequest.outcome().complete(refuse(pendingRequest.request(), NotRunReason.OVERLOADED, retryAfter));
         }
     }
 
@@ -333,12 +330,16 @@
                 .onSuccess(outcome -> {
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     logRun(pendingRequest, outcome, sentNanos, latency);
-                    serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
-                    backendSpeed.onOutcome(outcome, latency);
+                    if (!request.body().isStreamed()) {
+                        serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
+                        backendSpeed.onOutcome(outcome, latency);
+                    }
                     crashGuard.onOutcome(request, outcome);
-                    detectConnectionFailure(outcome);
+                    if (OutcomeClassifier.isConnectionFailure(outcome)) {
+                        coldStartLimiter.onConnectionFailure();
+                    }
                     pendingRequest.outcome().complete(outcome);
-                    apply(admissionController.complete(permit, admissionOutcome(outcome), latency));
+                    apply(admissionController.complete(permit, OutcomeClassifier.classify(request, outcome), latency));
                 });
     }
 
@@ -355,25 +356,6 @@
                 admissionController.limit());
     }
 
-    private void detectConnectionFailure(BackendOutcome outcome) {
-        boolean unreachable = outcome instanceof NotRun notRun && notRun.reason() == NotRunReason.UNREACHABLE;
-        boolean lost = outcome instanceof BackendOutcome.Unknown unknown
-                && unknown.reason() == BackendOutcome.UnknownReason.CONNECTION_LOST;
-        if (unreachable || lost) {
-            coldStartLimiter.onConnectionFailure();
-        }
-    }
-
-    private static Outcome admissionOutcome(BackendOutcome outcome) {
-        if (outcome instanceof BackendOutcome.Answered) {
-            return Outcome.OK;
-        }
-        if (outcome instanceof NotRun notRun) {
-            return notRun.reason() == NotRunReason.REJECTED ? Outcome.SHED : Outcome.CANCELLED;
-        }
-        return Outcome.LOST;
-    }
-
     /** Rechecks admission immediately before the write, and records what the exchange reports. */
     private final class ExchangeObserver implements BackendHttpClient.Observer {
         private final BackendRequestData request;
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -11,7 +11,6 @@
 import io.daisyhoist.core.client.CloseReason;
 import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.customer.ApiKeyCheck;
-import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.route.FleetConfig;
@@ -20,15 +19,15 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.mesh.body.ClientBody;
+import io.daisyhoist.mesh.body.RequestBody;
+import io.daisyhoist.mesh.body.RequestRefusedException;
 import io.daisyhoist.mesh.connection.CustomerHeaders;
 import io.daisyhoist.mesh.connection.HeaderNames;
-import io.daisyhoist.mesh.limits.BodyReader;
 import io.daisyhoist.mesh.limits.ClientGuard;
-import io.daisyhoist.mesh.limits.RequestRefusedException;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -38,8 +37,8 @@
  * HTTP server for requests of clients and of the local backend server.
  *
  * <p>Invariants: each request that was read gets one response unless its client has disconnected; a request whose client has
- * disconnected before it is routed is not sent; a request is routed by the newest configuration known when its body has been
- * read. Confined to the traffic event loop.
+ * disconnected before it is routed is not sent; a request is routed by the newest configuration known when its body, or the
+ * first part of a large one, has been read. Confined to the traffic event loop.
  */
 public final class ClientServer {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -72,8 +71,7 @@
                 headerNames,
                 ApiKeyCheck.withoutRevocationLimit(
                         context.time(), () -> context.fleet().get().config().map(FleetConfig::customers)),
-                ConnectionBounds.DEFAULT,
-                MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+                ConnectionBounds.DEFAULT);
     }
 
     /** Creates a server that is not listening. */
@@ -82,19 +80,17 @@
             RequestContext context,
             HeaderNames headerNames,
             ApiKeyCheck keyCheck,
-            ConnectionBounds bounds,
-            MemoryBudget budget) {
+            ConnectionBounds bounds) {
         this.context = context;
         this.headerNames = headerNames;
         this.authenticator = new CustomerAuthenticator(keyCheck, headerNames);
-        this.guard = new ClientGuard(vertx, context.time(), this::limits, bounds, budget, context.metrics());
+        this.guard = new ClientGuard(vertx, context.time(), this::limits, bounds, context.memory(), context.metrics());
         this.pollBarrier = new PollBarrier(vertx);
         this.server = vertx.createHttpServer(new HttpServerOptions()
                         .setMaxHeaderSize(MAX_DECODED_HEADER_BYTES)
                         .setMaxInitialLineLength(MAX_DECODED_HEADER_BYTES)
                         // Clients use HTTP/1.1; the limits of heads and bodies are enforced on its messages only.
                         .setHttp2ClearTextEnabled(false)
-                        .setHandle100ContinueAutomatically(true)
                         .setAcceptBacklog(1024))
                 .connectionHandler(guard::onConnection)
                 .requestHandler(this::handleRequest);
@@ -151,23 +147,23 @@
         inFlight++;
         Promise<Void> clientClosed = Promise.promise();
         http.response().closeHandler(closed -> clientClosed.tryComplete());
-        BodyReader reader = guard.readBody(http, limits().maxBodyBytes());
-        handle(http, reader, arrivedNanos, clientClosed.future())
+        ClientBody clientBody = guard.readBody(http, limits().maxBodyBytes());
+        handle(http, clientBody, arrivedNanos, clientClosed.future())
                 .recover(failure -> {
                     LOGGER.atSevere().withCause(failure).log("event=request_failed uri=%s", http.uri());
                     return Future.succeededFuture(ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN));
                 })
+                .onSuccess(clientResponse -> logUpload(http, clientBody, clientResponse))
+                .onComplete(done -> clientBody.close())
                 // A response that is not written completely would be lost if the process exited.
-                .compose(clientResponse -> write(http, clientResponse))
-                .onComplete(done -> {
-                    inFlight--;
-                    reader.release();
-                });
+                .compose(clientResponse -> write(http, clientBody, clientResponse))
+                .onComplete(done -> inFlight--);
     }
 
     private Future<ClientResponse> handle(
-            HttpServerRequest http, BodyReader reader, long arrivedNanos, Future<Void> clientClosed) {
-        return reader.body()
+            HttpServerRequest http, ClientBody clientBody, long arrivedNanos, Future<Void> clientClosed) {
+        return clientBody
+                .body()
                 .compose(body -> pollBarrier.afterNextPoll().map(polled -> body))
                 .compose(body -> {
                     if (clientClosed.isComplete()) {
@@ -183,14 +179,27 @@
                         : Future.failedFuture(failure));
     }
 
+    private void logUpload(HttpServerRequest http, ClientBody clientBody, ClientResponse clientResponse) {
+        if (clientBody.streamedBytes().isEmpty()) {
+            return;
+        }
+        context.metrics().onUpload(clientBody.isPassedOn());
+        LOGGER.atInfo().log(
+                "event=upload_done request=%s streamed_bytes=%d passed_on=%s status=%d",
+                http.getHeader(headerNames.requestId()),
+                clientBody.streamedBytes().getAsLong(),
+                clientBody.isPassedOn(),
+                clientResponse.status());
+    }
+
     private static ClientResponse refusal(CloseReason reason) {
-        return reason == CloseReason.MEMORY
+        return reason == CloseReason.MEMORY || reason == CloseReason.DISCONNECTED
                 ? ClientResponse.notRun(NOT_READY_RETRY_AFTER)
                 : ClientResponse.status(reason.status());
     }
 
     private Future<ClientResponse> route(
-            HttpServerRequest http, Buffer body, long arrivedNanos, Future<Void> clientClosed) {
+            HttpServerRequest http, RequestBody body, long arrivedNanos, Future<Void> clientClosed) {
         Optional<FleetConfig> config = context.fleet().get().config();
         if (config.isEmpty()) {
             return refuse(http, "no_config", ClientResponse.notRun(NOT_READY_RETRY_AFTER));
@@ -309,7 +318,7 @@
         return new Deadline(arrivedNanos + timeout.toNanos());
     }
 
-    private Future<Void> write(HttpServerRequest http, ClientResponse clientResponse) {
+    private Future<Void> write(HttpServerRequest http, ClientBody clientBody, ClientResponse clientResponse) {
         HttpServerResponse response = http.response();
         if (response.ended() || response.closed()) {
             return Future.succeededFuture();
@@ -323,7 +332,13 @@
             fillHead(http, ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN));
             return response.end();
         }
-        return response.end(clientResponse.body());
+        if (http.isEnded()) {
+            return response.end(clientResponse.body());
+        }
+        response.putHeader(
+                "Content-Length", Integer.toString(clientResponse.body().length()));
+        response.write(clientResponse.body());
+        return clientBody.discardRest(context.vertx()).compose(discarded -> response.end());
     }
 
     private void fillHead(HttpServerRequest http, ClientResponse clientResponse) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -27,7 +27,7 @@
  * Executes one request: selects a backend server, and retries on others while that is allowed.
  *
  * <p>Invariants: the client gets one response, by its deadline; a non-idempotent request is retried only after an outcome
- * that states that it did not run; a response states "not run" only if every attempt was refused as not run; nothing is sent
+ * that states that it did not run; a request is not sent again once a part of its body is no longer held; a response states "not run" only if every attempt was refused as not run; nothing is sent
  * after the client has disconnected. Confined to the traffic event loop.
  */
 final class RequestDispatch {
@@ -246,7 +246,7 @@
     private void onAnswered(DaemonId daemon, Answered answered, Duration latency) {
         mayHaveRun = true;
         if (answered.status() < SERVER_ERROR) {
-            context.loadBalancer().onResponse(daemon, request.route().name(), latency);
+            onLatency(daemon, latency);
             finish(toResponse(answered));
             return;
         }
@@ -256,6 +256,13 @@
         retryOrFinish();
     }
 
+    /** The time of a streamed body says more about its client than about the backend server. */
+    private void onLatency(DaemonId daemon, Duration latency) {
+        if (!request.body().isStreamed()) {
+            context.loadBalancer().onResponse(daemon, request.route().name(), latency);
+        }
+    }
+
     private void onNotRun(DaemonId daemon, NotRun notRun) {
         if (!notRun.retryAfter().isZero()) {
             retryAfter = retryAfter
@@ -269,7 +276,7 @@
             retryOrFinish();
             return;
         }
-        if (notRun.reason() == NotRunReason.KEY_MOVING && waitForMove(daemon)) {
+        if (notRun.reason() == NotRunReason.KEY_MOVING && !request.body().isConsumed() && waitForMove(daemon)) {
             return;
         }
         if (notRun.reason() == NotRunReason.CRASH_SUSPECT) {
@@ -286,7 +293,7 @@
             slowDaemon = Optional.of(daemon);
         }
         admissionRefusals++;
-        if (!hasTimeForAttempt()) {
+        if (request.body().isConsumed() || !hasTimeForAttempt()) {
             finish(failureResponse());
             return;
         }
@@ -327,6 +334,7 @@
     private void retryOrFinish() {
         boolean retryable = request.route().isIdempotent() || !mayHaveRun;
         boolean allowed = retryable
+                && !request.body().isConsumed()
                 && !response.future().isComplete()
                 && attempts < request.route().maxAttempts()
                 && hasTimeForAttempt()
