Decide by value per work which request waits, runs or is refused

The queue in front of a backend server knew three ranks and the end of the wait that the sender had computed. Priorities from 2 on were equal, nested calls waited behind new requests of their rank, and requests that could only be late delayed those that could be in time.

CostAdmission now serves nested calls first, then the priority as configured, then the request with the highest value for each unit of work; a late response counts 0.3. Whatever its priority, a kind of request is served at least about a third as often as all. A request is refused as soon as the work ahead of it exceeds its time, with the expected time until there is room. ForwardRequest carries the target, the expected work and whether the request is nested. The daemon that receives a request refuses it before anything is sent if all backend servers are full beyond its deadline.

RequestDispatchTest.start_muchTimeLeft_limitsQueueWait required that the sender ends the wait of a request that would be late. That rule is gone; CostAdmissionTest.startNext_shortRequestAlreadyLate_goesAfterOneInTime and the two tests of hopeless requests guard against the same failure, delayed responses of others, where it is decided now.

--- a/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -110,6 +111,15 @@
                 .anyMatch(candidate -> utilization(candidate) <= 1 && !isLastResort(state(candidate.daemon())));
     }
 
+    /**
+     * Returns the utilization that the least busy candidate would have with one more request; empty if there is no candidate,
+     * or one without a recent load report.
+     */
+    public OptionalDouble leastUtilization(Collection<Candidate> candidates) {
+        boolean allKnown = candidates.stream().allMatch(candidate -> hasFreshReport(state(candidate.daemon())));
+        return allKnown ? candidates.stream().mapToDouble(this::utilization).min() : OptionalDouble.empty();
+    }
+
     /** Returns the utilization that would result from sending one more request. */
     private double utilization(Candidate candidate) {
         State state = state(candidate.daemon());
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendRequestData.java
@@ -30,6 +30,7 @@
  * @param customer customer whose key the request carried; empty if it needs no key
  * @param target time until which the response meets the latency target of its route
  * @param expectedWork expected run time at a backend server of usual speed; zero if unknown
+ * @param nested whether it is a call of the backend server of the instance at which it entered the fleet
  */
 public record BackendRequestData(
         String id,
@@ -46,7 +47,8 @@
         boolean hasAlternative,
         Optional<CustomerCredential> customer,
         Deadline target,
-        Duration expectedWork) {
+        Duration expectedWork,
+        boolean nested) {
 
     /** Returns the host that the client addressed; empty if the request has no host header. */
     public String host() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -49,16 +49,18 @@
                 .setMethod(request.method())
                 .setPath(request.uri())
                 .setBody(UnsafeByteOperations.unsafeWrap(request.body().getBytes()))
-                .setRemainingDeadlineMs(
-                        (int) Math.max(0, request.deadline().remaining(time).toMillis()))
+                .setRemainingDeadlineMs(millis(request.deadline().remaining(time)))
                 .setRank(Integer.toString(request.priority()))
                 .setRequestId(request.id())
                 .setCallerService(request.callerService())
                 .setExpectedBackend(BackendProcess.newBuilder()
                         .setId(request.expectedProcess().id())
                         .setStartedMs(request.expectedProcess().startedMillis()))
-                .setQueueWaitMs((int) queueWait.toMillis())
-                .setHasAlternative(request.hasAlternative());
+                .setQueueWaitMs(millis(queueWait))
+                .setHasAlternative(request.hasAlternative())
+                .setRemainingTargetMs(millis(request.target().remaining(time)))
+                .setExpectedWorkMs(millis(request.expectedWork()))
+                .setNested(request.nested());
         request.key().ifPresent(key -> message.setKey(Integer.toString(key)));
         request.headers().forEach(field -> message.addHeaders(header(field)));
         return Envelope.newBuilder().setForwardRequest(message).build();
@@ -91,9 +93,13 @@
                         message.getExpectedBackend().getStartedMs()),
                 message.getHasAlternative(),
                 Optional.empty(),
-                Deadline.after(
-                        time, Duration.ofMillis(requireNonNegative("deadline", message.getRemainingDeadlineMs()))),
-                Duration.ZERO);
+                Deadline.after(time, Duration.ofMillis(requireNonNegative("target", message.getRemainingTargetMs()))),
+                Duration.ofMillis(requireNonNegative("expected work", message.getExpectedWorkMs())),
+                message.getNested());
+    }
+
+    private static int millis(Duration duration) {
+        return (int) Math.min(Integer.MAX_VALUE, Math.max(0, duration.toMillis()));
     }
 
     private static void requireText(String field, String value) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -1,23 +1,17 @@
 package io.daisyhoist.mesh.request;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
-import io.daisyhoist.core.admission.AdmissionController;
-import io.daisyhoist.core.admission.AdmissionDecision;
-import io.daisyhoist.core.admission.AdmissionUpdate;
-import io.daisyhoist.core.admission.Outcome;
-import io.daisyhoist.core.admission.Permit;
-import io.daisyhoist.core.admission.QueueEntry;
-import io.daisyhoist.core.admission.Rank;
-import io.daisyhoist.core.admission.SlotLimit;
-import io.daisyhoist.core.error.Refusal;
+import io.daisyhoist.core.admission.CostDecision;
+import io.daisyhoist.core.admission.CostRequest;
+import io.daisyhoist.core.admission.RequestCost;
+import io.daisyhoist.core.admission.RetryAfterSpread;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.route.ServicePolicy;
@@ -30,12 +24,12 @@
 import io.daisyhoist.mesh.connection.BackendOutcome.NotRunReason;
 import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.ResponseFault;
+import io.daisyhoist.mesh.request.SlotQueue.PendingRequest;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalBackendSnapshot;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
 
 /**
  * Admission control of the local backend server; all requests to it pass through this class.
@@ -47,13 +41,8 @@
  */
 public final class BackendAdmission {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    private static final int MAX_QUEUED_PER_SLOT = 4;
-
-    /** Slots reserved for short, urgent requests while lower ranks send long ones. */
-    private static final int RESERVED_SLOTS = 1;
-
-    /** Backend servers with fewer slots have none to reserve. */
-    private static final int MIN_SLOTS_TO_RESERVE = 3;
+    /** Failures of a backend server may be quick and say nothing about run times. */
+    private static final int SERVER_ERROR = 500;
 
     /** Retry delay of refusals that have no more specific one. */
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(100);
@@ -63,22 +52,17 @@
     private final Supplier<FleetSnapshot> fleet;
     private final Supplier<LocalBackendSnapshot> localBackend;
     private final BackendHttpClient client;
-    private final AdmissionController admissionController;
-    private final SlotLimit slots = new SlotLimit(1);
+    private final SlotQueue slotQueue;
+    private final RequestCosts costs;
+    private final RetryAfterSpread retryAfterSpread = new RetryAfterSpread(new SplittableRandom());
     private final ColdStartLimiter coldStartLimiter;
     private final KeyRequestListener keyRequestListener;
     private final CrashGuard crashGuard;
     private final FleetMetrics metrics;
-    private final ServiceTimeEstimator serviceTimeEstimator = new ServiceTimeEstimator();
-    private final Map<Long, PendingRequest> queuedRequests = new HashMap<>();
     private final SlowdownTracker slowdownTracker;
-    private int configuredSlots = 1;
     private Predicate<BackendRequestData> mayBeInterrupted = request -> false;
     private boolean closed;
 
-    private record PendingRequest(
-            BackendRequestData request, Future<Void> cancelled, Promise<BackendOutcome> outcome, long arrivedNanos) {}
-
     /** Receives requests for keys. */
     public interface KeyRequestListener {
         /** Called when a request for a key arrives, with its expected duration. */
@@ -111,7 +95,8 @@
         this.keyRequestListener = keyRequestListener;
         this.crashGuard = crashGuard;
         this.metrics = metrics;
-        this.admissionController = new AdmissionController(time, slots, MAX_QUEUED_PER_SLOT);
+        this.slotQueue = new SlotQueue(time, this::send, this::refuseOverloaded);
+        this.costs = new RequestCosts(time, fleet);
         this.coldStartLimiter = new ColdStartLimiter(time);
         this.slowdownTracker = new SlowdownTracker(time);
     }
@@ -123,14 +108,13 @@
                 .backend()
                 .filter(coldStartLimiter::isCold)
                 .map(backend -> 1)
-                .orElse(admissionController.limit());
-        return new LoadBalancer.Report(
-                admissionController.inFlight() + admissionController.queued(), limit, slowdownTracker.factor());
+                .orElse(slotQueue.slots());
+        return new LoadBalancer.Report(busy(), limit, slowdownTracker.factor());
     }
 
     /** Returns the number of requests that are running or queued. */
     public int busy() {
-        return admissionController.inFlight() + admissionController.queued();
+        return slotQueue.busy();
     }
 
     /** Looks for a restart of the backend server; to be called about once per second, also while no requests arrive. */
@@ -166,62 +150,20 @@
             return Future.succeededFuture(refuse(request, refusedReason.get(), DEFAULT_RETRY_AFTER));
         }
         LocalBackend backend = localBackend.get().backend().orElseThrow();
-        updateSlots(backend);
+        slotQueue.setSlots(backend.heartbeat().slots());
         if (!coldStartLimiter.allowsSend(backend, policy(request))) {
             return Future.succeededFuture(refuse(request, NotRunReason.COLD, coldStartLimiter.retryAfter()));
         }
         if (request.hasAlternative() && slowdownTracker.isSlow()) {
             return Future.succeededFuture(refuse(request, NotRunReason.SLOW, Duration.ZERO));
         }
-        Rank rank = Rank.ofPriority(request.priority());
-        request.key().ifPresent(key -> keyRequestListener.onKeyRequest(key, serviceTimeEstimator.expected(rank)));
+        RequestCost cost = costs.cost(request);
+        request.key().ifPresent(key -> keyRequestListener.onKeyRequest(key, RequestCosts.expectedDuration(cost)));
         Promise<BackendOutcome> outcome = Promise.promise();
-        PendingRequest pendingRequest = new PendingRequest(request, cancelled, outcome, time.monotonicNanos());
-        reserveForShortRequests();
-        AdmissionDecision decision = admissionController.offerWithMaxWait(rank, queueWait);
-        if (decision instanceof AdmissionDecision.Admitted admitted) {
-            send(pendingRequest, admitted.permit());
-        } else if (decision instanceof AdmissionDecision.Queued queued) {
-            queued.shed().forEach(this::shed);
-            enqueue(queued.entry(), pendingRequest, queueWait);
-        } else if (decision instanceof AdmissionDecision.Refused refused) {
-            outcome.complete(
-                    refuse(request, NotRunReason.OVERLOADED, refused.refusal().retryAfter()));
-        }
+        slotQueue.offer(new PendingRequest(request, cancelled, outcome, time.monotonicNanos()), cost, queueWait);
         return outcome.future();
     }
 
-    private void reserveForShortRequests() {
-        Optional<Rank> shortRank =
-                configuredSlots >= MIN_SLOTS_TO_RESERVE ? serviceTimeEstimator.shortRequestRank() : Optional.empty();
-        admissionController.reserve(shortRank.orElse(Rank.INTERNAL), shortRank.isPresent() ? RESERVED_SLOTS : 0);
-    }
-
-    private void enqueue(QueueEntry queueEntry, PendingRequest pendingRequest, Duration queueWait) {
-        queuedRequests.put(queueEntry.number(), pendingRequest);
-        long timer = Vertx.currentContext()
-                .owner()
-                .setTimer(Math.max(1, queueWait.toMillis() + 1), fired -> apply(admissionController.processQueue()));
-        pendingRequest
-                .outcome()
-                .future()
-                .onComplete(done -> Vertx.currentContext().owner().cancelTimer(timer));
-        pendingRequest.cancelled().onComplete(done -> {
-            if (queuedRequests.remove(queueEntry.number()) != null) {
-                pendingRequest.outcome().complete(new NotRun(NotRunReason.CANCELLED, false, Duration.ZERO));
-                apply(admissionController.cancel(queueEntry));
-            }
-        });
-    }
-
-    private void updateSlots(LocalBackend backend) {
-        int current = backend.heartbeat().slots();
-        if (current != configuredSlots) {
-            configuredSlots = current;
-            apply(admissionController.onSettings(1, current, MAX_QUEUED_PER_SLOT * current));
-        }
-    }
-
     private Optional<ServicePolicy> policy(BackendRequestData request) {
         return fleet.get().config().flatMap(config -> config.service(request.service()));
     }
@@ -261,48 +203,43 @@
         metrics.onRefusal(reason.name().toLowerCase(Locale.ROOT));
         LOGGER.atInfo().log(
                 "event=gate_refused request=%s reason=%s busy=%d limit=%d retry_after_ms=%d",
-                request.id(), reason, busy(), admissionController.limit(), retryAfter.toMillis());
+                request.id(), reason, busy(), slotQueue.slots(), retryAfter.toMillis());
         return new NotRun(reason, false, retryAfter);
     }
 
-    private void apply(AdmissionUpdate update) {
-        update.shed().forEach(this::shed);
-        update.admitted().forEach(admission -> {
-            PendingRequest pendingRequest =
-                    queuedRequests.remove(admission.entry().number());
-            if (pendingRequest == null) {
-                apply(admissionController.complete(admission.permit(), Outcome.CANCELLED, Duration.ZERO));
-                return;
-            }
-            send(pendingRequest, admission.permit());
-        });
-    }
-
-    private void shed(AdmissionUpdate.Shed shed) {
-        PendingRequest pendingRequest = queuedRequests.remove(shed.entry().number());
-        if (pendingRequest != null) {
-            Refusal refusal = shed.refusal();
-            pendingRequest
-                    .outcome()
-                    .complete(refuse(pendingRequest.request(), NotRunReason.OVERLOADED, refusal.retryAfter()));
-        }
+    private void refuseOverloaded(PendingRequest pendingRequest, CostDecision.Refused refused) {
+        BackendRequestData request = pendingRequest.request();
+        String cause = refused.reason().name().toLowerCase(Locale.ROOT);
+        metrics.onOverload(cause, request.priority());
+        LOGGER.atInfo().log(
+                "event=admission_overloaded request=%s cause=%s priority=%d nested=%s waited_ms=%d expected_work_ms=%d",
+                request.id(),
+                cause,
+                request.priority(),
+                request.nested(),
+                Duration.ofNanos(time.monotonicNanos() - pendingRequest.arrivedNanos())
+                        .toMillis(),
+                Duration.ofNanos(refused.request().cost().work().plannedNanos()).toMillis());
+        Duration retryAfter = retryAfterSpread.spread(refused.retryAfter());
+        pendingRequest.outcome().complete(refuse(request, NotRunReason.OVERLOADED, retryAfter));
     }
 
-    private void send(PendingRequest pendingRequest, Permit permit) {
+    private void send(PendingRequest pendingRequest, CostRequest slot) {
         BackendRequestData request = pendingRequest.request();
         Optional<NotRunReason> refusedReason = refusalReason(request);
         if (refusedReason.isPresent()) {
             pendingRequest.outcome().complete(refuse(request, refusedReason.get(), DEFAULT_RETRY_AFTER));
-            apply(admissionController.complete(permit, Outcome.CANCELLED, Duration.ZERO));
+            slotQueue.release(slot);
             return;
         }
         LocalBackend backend = localBackend.get().backend().orElseThrow();
         if (!coldStartLimiter.allowsSend(backend, policy(request))) {
             pendingRequest.outcome().complete(refuse(request, NotRunReason.COLD, coldStartLimiter.retryAfter()));
-            apply(admissionController.complete(permit, Outcome.CANCELLED, Duration.ZERO));
+            slotQueue.release(slot);
             return;
         }
         long sentNanos = time.monotonicNanos();
+        metrics.onQueueWait(request.priority(), Duration.ofNanos(sentNanos - pendingRequest.arrivedNanos()));
         crashGuard.onSent(request);
         client.send(
                         backend.heartbeat().address(),
@@ -312,11 +249,13 @@
                 .onSuccess(outcome -> {
                     Duration latency = Duration.ofNanos(time.monotonicNanos() - sentNanos);
                     logRun(pendingRequest, outcome, sentNanos, latency);
-                    serviceTimeEstimator.record(Rank.ofPriority(request.priority()), latency);
+                    if (outcome instanceof BackendOutcome.Answered answered && answered.status() < SERVER_ERROR) {
+                        costs.record(request, latency);
+                    }
                     crashGuard.onOutcome(request, outcome);
                     detectConnectionFailure(outcome);
                     pendingRequest.outcome().complete(outcome);
-                    apply(admissionController.complete(permit, admissionOutcome(outcome), latency));
+                    slotQueue.release(slot);
                 });
     }
 
@@ -329,8 +268,8 @@
                 OutcomeLabel.of(outcome),
                 Duration.ofNanos(sentNanos - pendingRequest.arrivedNanos()).toMillis(),
                 latency.toMillis(),
-                admissionController.inFlight(),
-                admissionController.limit());
+                slotQueue.inFlight(),
+                slotQueue.slots());
     }
 
     private void detectConnectionFailure(BackendOutcome outcome) {
@@ -342,16 +281,6 @@
         }
     }
 
-    private static Outcome admissionOutcome(BackendOutcome outcome) {
-        if (outcome instanceof BackendOutcome.Answered) {
-            return Outcome.OK;
-        }
-        if (outcome instanceof NotRun notRun) {
-            return notRun.reason() == NotRunReason.REJECTED ? Outcome.SHED : Outcome.CANCELLED;
-        }
-        return Outcome.LOST;
-    }
-
     /** Rechecks admission immediately before the write, and records what the exchange reports. */
     private final class ExchangeObserver implements BackendHttpClient.Observer {
         private final BackendRequestData request;
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientRequest.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientRequest.java
@@ -23,6 +23,7 @@
  * @param arrivedNanos monotonic time of arrival
  * @param deadline latest time of the response
  * @param cancelled completes when the client has disconnected
+ * @param nested whether the local backend server sent it
  */
 public record ClientRequest(
         String id,
@@ -35,4 +36,5 @@
         Buffer body,
         long arrivedNanos,
         Deadline deadline,
-        Future<Void> cancelled) {}
+        Future<Void> cancelled,
+        boolean nested) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.SplittableRandom;
 
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.model.Endpoint;
@@ -47,6 +49,7 @@
     private final RequestContext context;
     private final HeaderNames headerNames;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
+    private final IngressAdmission ingress;
     private final HttpServer server;
     private final PollBarrier pollBarrier;
     private int inFlight;
@@ -57,6 +60,7 @@
     public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames) {
         this.context = context;
         this.headerNames = headerNames;
+        this.ingress = new IngressAdmission(context.time(), new SplittableRandom());
         this.pollBarrier = new PollBarrier(vertx);
         this.server = vertx.createHttpServer(new HttpServerOptions()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
@@ -176,13 +180,22 @@
                 body,
                 arrivedNanos,
                 deadline,
-                clientClosed);
+                clientClosed,
+                isFromOwnInstance(http));
         return new RequestDispatch(
-                        context, request, serviceSelector.next(config.get().version(), route.get()))
+                        context, request, serviceSelector.next(config.get().version(), route.get()), ingress)
                 .start()
                 .map(clientResponse -> requireOwn(id, clientResponse));
     }
 
+    /** Only the local backend server calls from the instance of the daemon. */
+    private static boolean isFromOwnInstance(HttpServerRequest http) {
+        return http.remoteAddress() != null
+                && http.localAddress() != null
+                && Objects.equals(
+                        http.remoteAddress().hostAddress(), http.localAddress().hostAddress());
+    }
+
     /** Replaces a response that contains the id of another request, wherever the two were confused. */
     private ClientResponse requireOwn(String id, ClientResponse clientResponse) {
         boolean foreign = clientResponse.headers().stream()
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
-import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.keyrange.RangeAssignment;
 import io.daisyhoist.core.model.DaemonId;
@@ -39,12 +38,6 @@
     /** Refusals by admission control after which no other backend server is selected; each refusal costs only a round trip. */
     private static final int MAX_ADMISSION_REFUSALS = 4;
 
-    /** Share of the remaining time that a request may be queued although its response will miss the latency target. */
-    private static final double LATE_QUEUE_SHARE = 0.2;
-
-    /** Time in which a slot of a busy backend server usually becomes free. */
-    private static final Duration SLOT_RELEASE_TIME = Duration.ofMillis(150);
-
     /** Minimum remaining time for another attempt. */
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(15);
 
@@ -64,6 +57,7 @@
     private final RequestContext context;
     private final ClientRequest request;
     private final ServiceName service;
+    private final IngressAdmission ingress;
     private final Promise<ClientResponse> response = Promise.promise();
     private final Set<DaemonId> triedDaemons = new HashSet<>();
     private final StringBuilder hops = new StringBuilder();
@@ -77,10 +71,11 @@
     private boolean attemptInProgress;
     private boolean mayHaveRun;
 
-    RequestDispatch(RequestContext context, ClientRequest request, ServiceName service) {
+    RequestDispatch(RequestContext context, ClientRequest request, ServiceName service, IngressAdmission ingress) {
         this.context = context;
         this.request = request;
         this.service = service;
+        this.ingress = ingress;
     }
 
     Future<ClientResponse> start() {
@@ -91,10 +86,31 @@
             context.vertx().cancelTimer(timer);
             logResponse();
         });
-        tryNextBackend();
+        if (!refuseEarly()) {
+            tryNextBackend();
+        }
         return response.future();
     }
 
+    /** Refuses the request before anything is sent if no backend server can serve it in time. */
+    private boolean refuseEarly() {
+        FleetSnapshot fleet = context.fleet().get();
+        Optional<DaemonId> owner = key(fleet).isPresent() ? owner(fleet).map(FleetMember::daemon) : Optional.empty();
+        List<Candidate> candidates = fleet.candidates(service).stream()
+                .filter(candidate -> owner.isEmpty() || owner.get().equals(candidate.daemon()))
+                .toList();
+        Optional<Duration> untilRoom =
+                ingress.refusal(request, service, context.loadBalancer().leastUtilization(candidates));
+        if (untilRoom.isEmpty()) {
+            return false;
+        }
+        context.metrics().onOverload("early", request.route().priority());
+        hops.append(" early:overloaded");
+        retryAfter = untilRoom;
+        finish(notRunResponse());
+        return true;
+    }
+
     private Duration remaining() {
         return request.deadline().remaining(context.time());
     }
@@ -188,11 +204,11 @@
                 member.backend().orElseThrow().process(),
                 hasAlternative(),
                 Optional.empty(),
-                request.deadline(),
-                Duration.ZERO);
-        Duration queueWait = queueWait();
+                IngressAdmission.target(request),
+                ingress.expectedWork(request),
+                request.nested());
         context.backendSender()
-                .send(member, backendRequest, queueWait, request.cancelled())
+                .send(member, backendRequest, remaining(), request.cancelled())
                 .onComplete(done -> {
                     attemptInProgress = false;
                     BackendOutcome result =
@@ -203,35 +219,6 @@
                 });
     }
 
-    /**
-     * Returns the maximum time in the queue: until the latency target can no longer be met, or a small share of the remaining
-     * time if that is longer; for urgent requests at least until a slot usually becomes free. A longer queue would delay all
-     * responses without increasing throughput.
-     */
-    private Duration queueWait() {
-        Duration expectedLatency =
-                context.loadBalancer().meanLatency(request.route().name());
-        Duration elapsed = Duration.ofNanos(context.time().monotonicNanos() - request.arrivedNanos());
-        Duration untilTarget = request.route().targetLatency().minus(elapsed).minus(expectedLatency);
-        Duration untilDeadline = remaining().minus(expectedLatency);
-        Duration lateWait = Duration.ofNanos((long) (untilDeadline.toNanos() * LATE_QUEUE_SHARE));
-        Duration nextSlot = shorter(SLOT_RELEASE_TIME, untilDeadline);
-        Duration wait = longer(longer(untilTarget, lateWait), isUrgent() ? nextSlot : Duration.ZERO);
-        return wait.isNegative() ? Duration.ZERO : wait;
-    }
-
-    private boolean isUrgent() {
-        return Rank.ofPriority(request.route().priority()).isAbove(Rank.BROWSE);
-    }
-
-    private static Duration longer(Duration one, Duration other) {
-        return one.compareTo(other) > 0 ? one : other;
-    }
-
-    private static Duration shorter(Duration one, Duration other) {
-        return one.compareTo(other) < 0 ? one : other;
-    }
-
     /** Returns whether a slow backend server may refuse the request; allowed once, because each refusal costs time. */
     private boolean hasAlternative() {
         FleetSnapshot fleet = context.fleet().get();
@@ -254,6 +241,7 @@
         mayHaveRun = true;
         if (answered.status() < SERVER_ERROR) {
             context.loadBalancer().onResponse(daemon, request.route().name(), latency);
+            ingress.onResponse(request, service, latency);
             finish(toResponse(answered));
             return;
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -32,6 +32,9 @@
         Duration.ofMillis(3_200)
     };
 
+    /** Priorities from this number on share one label. */
+    private static final int LOW_PRIORITY = 4;
+
     private static final String STORE_CALLS = "daisyhoist.fleet.store.calls";
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -40,6 +43,7 @@
     private final Map<ResponseSeries, Timer> responseTimers = new ConcurrentHashMap<>();
 
     private final Map<RunSeries, Timer> runTimers = new ConcurrentHashMap<>();
+    private final Map<String, Timer> waitTimers = new ConcurrentHashMap<>();
 
     private record ResponseSeries(String route, ServiceName service, int status) {}
 
@@ -79,6 +83,29 @@
         registry.counter("daisyhoist.fleet.refusals", "reason", reason).increment();
     }
 
+    /** Counts a request that was refused for lack of room, at this backend server or before it was sent. */
+    public void onOverload(String cause, int priority) {
+        registry.counter("daisyhoist.fleet.overload.refusals", "cause", cause, "priority", label(priority))
+                .increment();
+    }
+
+    /** Records how long a request waited for a slot of the local backend server. */
+    public void onQueueWait(int priority, Duration wait) {
+        waitTimers
+                .computeIfAbsent(
+                        label(priority),
+                        any -> timer(
+                                        "daisyhoist.fleet.queue.wait",
+                                        "Time until a request got a slot of the backend server")
+                                .tag("priority", any)
+                                .register(registry))
+                .record(wait);
+    }
+
+    private static String label(int priority) {
+        return priority < LOW_PRIORITY ? Integer.toString(priority) : LOW_PRIORITY + "+";
+    }
+
     /** Counts a retry on another backend server. */
     public void onRetry(ServiceName service) {
         registry.counter("daisyhoist.fleet.retries", "service", service.name()).increment();
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/BackendAdmissionTest.java
@@ -1,6 +1,8 @@
 package io.daisyhoist.mesh.request;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.daisyhoist.core.time.Deadline;
@@ -10,6 +12,7 @@
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -113,4 +116,32 @@
         run("1", Duration.ZERO);
         await().untilAsserted(() -> assertEquals(1, arrivals.get()));
     }
+
+    /** Guards against a call of a running request that waits behind new requests, so that both hold slots for nothing. */
+    @Test
+    void run_nestedCallArrivesLast_isSentFirst() {
+        List<String> received = new CopyOnWriteArrayList<>();
+        AdmissionFixture single =
+                new AdmissionFixture(1, socket -> socket.handler(head -> received.add(firstLine(head))));
+        try {
+            Promise<Void> cancelled = Promise.promise();
+            Future<Void> never = Promise.<Void>promise().future();
+            Duration wait = Duration.ofSeconds(10);
+            single.context.runOnContext(run -> {
+                single.admission.run(single.request("1", "/running"), wait, cancelled.future());
+                single.admission.run(single.request("2", "/new"), wait, never);
+                single.admission.run(single.request("3", "/nested", true), wait, never);
+            });
+            await().until(() -> received.size() == 1);
+            cancelled.complete();
+            await().until(() -> received.size() == 2);
+            assertEquals(List.of("GET /running HTTP/1.1", "GET /nested HTTP/1.1"), received);
+        } finally {
+            single.close();
+        }
+    }
+
+    private static String firstLine(Buffer head) {
+        return head.toString().lines().findFirst().orElse("");
+    }
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequest.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequest.java
@@ -764,6 +764,21 @@
     return expectedWorkMs_;
   }
 
+  public static final int NESTED_FIELD_NUMBER = 24;
+  private boolean nested_ = false;
+  /**
+   * <pre>
+   * A call of the backend server beside the sender, on behalf of a request that it is running.
+   * </pre>
+   *
+   * <code>bool nested = 24;</code>
+   * @return The nested.
+   */
+  @java.lang.Override
+  public boolean getNested() {
+    return nested_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -847,6 +862,9 @@
     if (expectedWorkMs_ != 0) {
       output.writeUInt32(23, expectedWorkMs_);
     }
+    if (nested_ != false) {
+      output.writeBool(24, nested_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -943,6 +961,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(23, expectedWorkMs_);
     }
+    if (nested_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(24, nested_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1022,6 +1044,8 @@
         != other.getRemainingTargetMs()) return false;
     if (getExpectedWorkMs()
         != other.getExpectedWorkMs()) return false;
+    if (getNested()
+        != other.getNested()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1097,6 +1121,9 @@
     hash = (53 * hash) + getRemainingTargetMs();
     hash = (37 * hash) + EXPECTED_WORK_MS_FIELD_NUMBER;
     hash = (53 * hash) + getExpectedWorkMs();
+    hash = (37 * hash) + NESTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getNested());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1268,6 +1295,7 @@
       bodyFollows_ = false;
       remainingTargetMs_ = 0;
       expectedWorkMs_ = 0;
+      nested_ = false;
       return this;
     }
 
@@ -1389,6 +1417,9 @@
       if (((from_bitField0_ & 0x00400000) != 0)) {
         result.expectedWorkMs_ = expectedWorkMs_;
       }
+      if (((from_bitField0_ & 0x00800000) != 0)) {
+        result.nested_ = nested_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1516,6 +1547,9 @@
       if (other.getExpectedWorkMs() != 0) {
         setExpectedWorkMs(other.getExpectedWorkMs());
       }
+      if (other.getNested() != false) {
+        setNested(other.getNested());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1667,6 +1701,11 @@
               bitField0_ |= 0x00400000;
               break;
             } // case 184
+            case 192: {
+              nested_ = input.readBool();
+              bitField0_ |= 0x00800000;
+              break;
+            } // case 192
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3370,6 +3409,50 @@
       return this;
     }
 
+    private boolean nested_ ;
+    /**
+     * <pre>
+     * A call of the backend server beside the sender, on behalf of a request that it is running.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @return The nested.
+     */
+    @java.lang.Override
+    public boolean getNested() {
+      return nested_;
+    }
+    /**
+     * <pre>
+     * A call of the backend server beside the sender, on behalf of a request that it is running.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @param value The nested to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNested(boolean value) {
+
+      nested_ = value;
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * A call of the backend server beside the sender, on behalf of a request that it is running.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNested() {
+      bitField0_ = (bitField0_ & ~0x00800000);
+      nested_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.ForwardRequest)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequestOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/ForwardRequestOrBuilder.java
@@ -343,4 +343,14 @@
    * @return The expectedWorkMs.
    */
   int getExpectedWorkMs();
+
+  /**
+   * <pre>
+   * A call of the backend server beside the sender, on behalf of a request that it is running.
+   * </pre>
+   *
+   * <code>bool nested = 24;</code>
+   * @return The nested.
+   */
+  boolean getNested();
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -312,7 +312,7 @@
       "mpts.DroppedUpToMsEntry\0324\n\022DroppedUpToMs" +
       "Entry\022\013\n\003key\030\001 \001(\004\022\r\n\005value\030\002 \001(\022:\0028\001J\004\010" +
       "\002\020\003\"\037\n\013TransferAck\022\020\n\010accepted\030\001 \001(\010\"%\n\006" +
-      "Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\267\005\n\016" +
+      "Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\307\005\n\016" +
       "ForwardRequest\022\017\n\007service\030\001 \001(\t\022\034\n\017parti" +
       "tion_index\030\002 \001(\rH\000\210\001\001\022\020\n\003key\030\003 \001(\tH\001\210\001\001\022" +
       "\016\n\006method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers" +
@@ -327,59 +327,59 @@
       "s_alternative\030\022 \001(\010\022\025\n\010customer\030\023 \001(\tH\004\210" +
       "\001\001\022\036\n\021customer_key_hash\030\024 \001(\014H\005\210\001\001\022\024\n\014bo" +
       "dy_follows\030\025 \001(\010\022\033\n\023remaining_target_ms\030" +
-      "\026 \001(\r\022\030\n\020expected_work_ms\030\027 \001(\rB\022\n\020_part" +
-      "ition_indexB\006\n\004_keyB\020\n\016_attempt_tokenB\023\n" +
-      "\021_expected_backendB\013\n\t_customerB\024\n\022_cust" +
-      "omer_key_hash\"0\n\016BackendProcess\022\n\n\002id\030\001 " +
-      "\001(\t\022\022\n\nstarted_ms\030\002 \001(\006\"\221\001\n\013BackendLoad\022" +
-      "\021\n\tin_flight\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\r\n\005li" +
-      "mit\030\003 \001(\r\022\030\n\020slowdown_percent\030\004 \001(\r\022\034\n\024c" +
-      "ompleted_per_1000_s\030\005 \001(\r\022\030\n\020rejected_pe" +
-      "rcent\030\006 \001(\r\"\302\002\n\017ForwardResponse\022\016\n\006statu" +
-      "s\030\001 \001(\005\022(\n\007headers\030\002 \003(\0132\027.daisyhoist.pe" +
-      "er.Header\022\014\n\004body\030\003 \001(\014\022.\n\007refusal\030\004 \001(\013" +
-      "2\030.daisyhoist.peer.RefusalH\000\210\001\001\022\025\n\rgroup" +
-      "_version\030\005 \001(\004\022\017\n\007backend\030\006 \001(\t\022\032\n\rattem" +
-      "pt_token\030\007 \001(\tH\001\210\001\001\022/\n\004load\030\010 \001(\0132\034.dais" +
-      "yhoist.peer.BackendLoadH\002\210\001\001\022\033\n\023answered" +
-      "_by_backend\030\t \001(\010B\n\n\010_refusalB\020\n\016_attemp" +
-      "t_tokenB\007\n\005_load\"S\n\007Refusal\022\014\n\004code\030\001 \001(" +
-      "\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007message\030\003 \001(\t\022\026\n" +
-      "\016retry_after_ms\030\004 \001(\r\"-\n\rCancelRequest\022\034" +
-      "\n\024cancelled_request_id\030\001 \001(\004\"o\n\013CrashRep" +
-      "ort\022\017\n\007backend\030\001 \001(\t\022\033\n\023backend_incarnat" +
-      "ion\030\002 \001(\006\022\024\n\014fingerprints\030\003 \003(\t\022\034\n\024clear" +
-      "ed_fingerprints\030\004 \003(\t\"\236\002\n\tFleetLoad\022\016\n\006d" +
-      "aemon\030\001 \001(\t\022\026\n\016key_busy_slots\030\002 \001(\001\022\023\n\013k" +
-      "eys_follow\030\003 \001(\010\022\031\n\021operator_revision\030\004 " +
-      "\001(\004\022\026\n\016fleet_revision\030\005 \001(\004\022!\n\024store_con" +
-      "tact_age_ms\030\006 \001(\rH\000\210\001\001\022\013\n\003era\030\007 \001(\004\022\026\n\016c" +
-      "onfig_version\030\010 \001(\004\022$\n\027config_confirmed_" +
-      "age_ms\030\t \001(\rH\001\210\001\001B\027\n\025_store_contact_age_" +
-      "msB\032\n\030_config_confirmed_age_ms\"\367\001\n\014Store" +
-      "Changes\022\016\n\006prefix\030\001 \001(\t\022\025\n\rfrom_revision" +
-      "\030\002 \001(\004\022\r\n\005as_of\030\003 \001(\004\022\030\n\020deflated_change" +
-      "s\030\004 \001(\014\022\013\n\003era\030\005 \001(\004\032E\n\006Change\022\013\n\003key\030\001 " +
-      "\001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\014H\000\210\001" +
-      "\001B\010\n\006_value\032C\n\nChangeList\0225\n\007changes\030\001 \003" +
-      "(\0132$.daisyhoist.peer.StoreChanges.Change" +
-      "\"\225\001\n\rOperatorItems\0222\n\005items\030\001 \003(\0132#.dais" +
-      "yhoist.peer.OperatorItems.Item\022\r\n\005as_of\030" +
-      "\002 \001(\004\022\013\n\003era\030\003 \001(\004\0324\n\004Item\022\013\n\003key\030\001 \001(\t\022" +
-      "\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004\"\306\001\n\014Quo" +
-      "taRequest\022\016\n\006daemon\030\001 \001(\t\022\023\n\013incarnation" +
-      "\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\0225\n\007demands\030\004 \003(\0132" +
-      "$.daisyhoist.peer.QuotaRequest.Demand\032J\n" +
-      "\006Demand\022\020\n\010customer\030\001 \001(\t\022\014\n\004used\030\002 \001(\r\022" +
-      "\016\n\006wanted\030\003 \001(\r\022\020\n\010returned\030\004 \001(\r\"\256\001\n\tQu" +
-      "otaLoan\022\014\n\004term\030\001 \001(\004\022\016\n\006number\030\002 \001(\004\022.\n" +
-      "\005parts\030\003 \003(\0132\037.daisyhoist.peer.QuotaLoan" +
-      ".Part\032S\n\004Part\022\020\n\010customer\030\001 \001(\t\022\020\n\010reque" +
-      "sts\030\002 \001(\r\022\020\n\010valid_ms\030\003 \001(\r\022\025\n\rmore_afte" +
-      "r_ms\030\004 \001(\r\"8\n\tBodyChunk\022\014\n\004data\030\001 \001(\014\022\014\n" +
-      "\004last\030\002 \001(\010\022\017\n\007aborted\030\003 \001(\010\"\033\n\nBodyCred" +
-      "it\022\r\n\005bytes\030\001 \001(\rB\034\n\030io.daisyhoist.wire." +
-      "protoP\001b\006proto3"
+      "\026 \001(\r\022\030\n\020expected_work_ms\030\027 \001(\r\022\016\n\006neste" +
+      "d\030\030 \001(\010B\022\n\020_partition_indexB\006\n\004_keyB\020\n\016_" +
+      "attempt_tokenB\023\n\021_expected_backendB\013\n\t_c" +
+      "ustomerB\024\n\022_customer_key_hash\"0\n\016Backend" +
+      "Process\022\n\n\002id\030\001 \001(\t\022\022\n\nstarted_ms\030\002 \001(\006\"" +
+      "\221\001\n\013BackendLoad\022\021\n\tin_flight\030\001 \001(\r\022\016\n\006qu" +
+      "eued\030\002 \001(\r\022\r\n\005limit\030\003 \001(\r\022\030\n\020slowdown_pe" +
+      "rcent\030\004 \001(\r\022\034\n\024completed_per_1000_s\030\005 \001(" +
+      "\r\022\030\n\020rejected_percent\030\006 \001(\r\"\302\002\n\017ForwardR" +
+      "esponse\022\016\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003(\013" +
+      "2\027.daisyhoist.peer.Header\022\014\n\004body\030\003 \001(\014\022" +
+      ".\n\007refusal\030\004 \001(\0132\030.daisyhoist.peer.Refus" +
+      "alH\000\210\001\001\022\025\n\rgroup_version\030\005 \001(\004\022\017\n\007backen" +
+      "d\030\006 \001(\t\022\032\n\rattempt_token\030\007 \001(\tH\001\210\001\001\022/\n\004l" +
+      "oad\030\010 \001(\0132\034.daisyhoist.peer.BackendLoadH" +
+      "\002\210\001\001\022\033\n\023answered_by_backend\030\t \001(\010B\n\n\010_re" +
+      "fusalB\020\n\016_attempt_tokenB\007\n\005_load\"S\n\007Refu" +
+      "sal\022\014\n\004code\030\001 \001(\t\022\021\n\trun_state\030\002 \001(\t\022\017\n\007" +
+      "message\030\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\r\"-\n" +
+      "\rCancelRequest\022\034\n\024cancelled_request_id\030\001" +
+      " \001(\004\"o\n\013CrashReport\022\017\n\007backend\030\001 \001(\t\022\033\n\023" +
+      "backend_incarnation\030\002 \001(\006\022\024\n\014fingerprint" +
+      "s\030\003 \003(\t\022\034\n\024cleared_fingerprints\030\004 \003(\t\"\236\002" +
+      "\n\tFleetLoad\022\016\n\006daemon\030\001 \001(\t\022\026\n\016key_busy_" +
+      "slots\030\002 \001(\001\022\023\n\013keys_follow\030\003 \001(\010\022\031\n\021oper" +
+      "ator_revision\030\004 \001(\004\022\026\n\016fleet_revision\030\005 " +
+      "\001(\004\022!\n\024store_contact_age_ms\030\006 \001(\rH\000\210\001\001\022\013" +
+      "\n\003era\030\007 \001(\004\022\026\n\016config_version\030\010 \001(\004\022$\n\027c" +
+      "onfig_confirmed_age_ms\030\t \001(\rH\001\210\001\001B\027\n\025_st" +
+      "ore_contact_age_msB\032\n\030_config_confirmed_" +
+      "age_ms\"\367\001\n\014StoreChanges\022\016\n\006prefix\030\001 \001(\t\022" +
+      "\025\n\rfrom_revision\030\002 \001(\004\022\r\n\005as_of\030\003 \001(\004\022\030\n" +
+      "\020deflated_changes\030\004 \001(\014\022\013\n\003era\030\005 \001(\004\032E\n\006" +
+      "Change\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n" +
+      "\005value\030\003 \001(\014H\000\210\001\001B\010\n\006_value\032C\n\nChangeLis" +
+      "t\0225\n\007changes\030\001 \003(\0132$.daisyhoist.peer.Sto" +
+      "reChanges.Change\"\225\001\n\rOperatorItems\0222\n\005it" +
+      "ems\030\001 \003(\0132#.daisyhoist.peer.OperatorItem" +
+      "s.Item\022\r\n\005as_of\030\002 \001(\004\022\013\n\003era\030\003 \001(\004\0324\n\004It" +
+      "em\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revisi" +
+      "on\030\003 \001(\004\"\306\001\n\014QuotaRequest\022\016\n\006daemon\030\001 \001(" +
+      "\t\022\023\n\013incarnation\030\002 \001(\006\022\016\n\006number\030\003 \001(\004\0225" +
+      "\n\007demands\030\004 \003(\0132$.daisyhoist.peer.QuotaR" +
+      "equest.Demand\032J\n\006Demand\022\020\n\010customer\030\001 \001(" +
+      "\t\022\014\n\004used\030\002 \001(\r\022\016\n\006wanted\030\003 \001(\r\022\020\n\010retur" +
+      "ned\030\004 \001(\r\"\256\001\n\tQuotaLoan\022\014\n\004term\030\001 \001(\004\022\016\n" +
+      "\006number\030\002 \001(\004\022.\n\005parts\030\003 \003(\0132\037.daisyhois" +
+      "t.peer.QuotaLoan.Part\032S\n\004Part\022\020\n\010custome" +
+      "r\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\020\n\010valid_ms\030\003 " +
+      "\001(\r\022\025\n\rmore_after_ms\030\004 \001(\r\"8\n\tBodyChunk\022" +
+      "\014\n\004data\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\022\017\n\007aborted\030\003" +
+      " \001(\010\"\033\n\nBodyCredit\022\r\n\005bytes\030\001 \001(\rB\034\n\030io." +
+      "daisyhoist.wire.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -510,7 +510,7 @@
     internal_static_daisyhoist_peer_ForwardRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_ForwardRequest_descriptor,
-        new java.lang.String[] { "Service", "PartitionIndex", "Key", "Method", "Path", "Headers", "Body", "RemainingDeadlineMs", "Rank", "AttemptToken", "Traceparent", "TokenOnly", "RequestId", "CallerService", "ExpectedBackend", "QueueWaitMs", "ConfigVersion", "HasAlternative", "Customer", "CustomerKeyHash", "BodyFollows", "RemainingTargetMs", "ExpectedWorkMs", });
+        new java.lang.String[] { "Service", "PartitionIndex", "Key", "Method", "Path", "Headers", "Body", "RemainingDeadlineMs", "Rank", "AttemptToken", "Traceparent", "TokenOnly", "RequestId", "CallerService", "ExpectedBackend", "QueueWaitMs", "ConfigVersion", "HasAlternative", "Customer", "CustomerKeyHash", "BodyFollows", "RemainingTargetMs", "ExpectedWorkMs", "Nested", });
     internal_static_daisyhoist_peer_BackendProcess_descriptor =
       getDescriptor().getMessageType(20);
     internal_static_daisyhoist_peer_BackendProcess_fieldAccessorTable = new
