--- a/core/src/main/java/io/daisyhoist/core/admission/AdmissionController.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/AdmissionController.java
@@ -117,18 +117,6 @@
         return admitOrQueue(rank, remaining, exclusive);
     }
 
-    /**
-     * Offers a request that may be queued for a limited time only.
-     *
-     * <p>The limit does not apply to a request that can start at once. Callers derive it from an estimate of the latency,
-     * and an estimate that is too high is corrected only by requests that run.
-     *
-     * @param maxWait maximum time in the queue; may be zero
-     */
-    public AdmissionDecision offerWithMaxWait(Rank rank, Duration maxWait) {
-        return admitOrQueue(rank, maxWait, false);
-    }
-
     private AdmissionDecision admitOrQueue(Rank rank, Duration maxWait, boolean exclusive) {
         if (closedBy.isPresent()) {
             return new AdmissionDecision.Refused(closedBy.get());
--- a/core/src/main/java/io/daisyhoist/core/admission/Rank.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/Rank.java
@@ -22,11 +22,6 @@
                 .findFirst();
     }
 
-    /** Returns the rank for a route's priority, 0 being the highest priority. */
-    public static Rank ofPriority(int priority) {
-        return values()[Math.min(priority, BROWSE.ordinal())];
-    }
-
     /** Returns whether this rank is higher than another. */
     public boolean isAbove(Rank other) {
         return compareTo(other) < 0;
--- a/core/src/main/java/io/daisyhoist/core/admission/RetryAfterSpread.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/RetryAfterSpread.java
@@ -16,7 +16,16 @@
 
     /** Returns a time that differs by up to a quarter. */
     public Duration spread(Duration retryAfter) {
-        double factor = MIN_FACTOR + (MAX_FACTOR - MIN_FACTOR) * random.nextDouble();
+        return multiply(retryAfter, MAX_FACTOR);
+    }
+
+    /** Returns a time that is shorter by up to a quarter. */
+    public Duration shorten(Duration retryAfter) {
+        return multiply(retryAfter, 1);
+    }
+
+    private Duration multiply(Duration retryAfter, double maxFactor) {
+        double factor = MIN_FACTOR + (maxFactor - MIN_FACTOR) * random.nextDouble();
         return Duration.ofNanos((long) (retryAfter.toNanos() * factor));
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/IngressAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/IngressAdmission.java
@@ -22,6 +22,12 @@
 
     private static final double GAIN_DOWN = 0.1;
 
+    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(200);
+    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(30);
+
+    /** Clients retry within a third of their remaining time or not at all. */
+    private static final int RETRY_AFTER_DIVISOR = 3;
+
     private final TimeSource time;
     private final WorkEstimator routeEstimator;
     private final WorkEstimator serviceEstimator;
@@ -73,4 +79,17 @@
                 .timeUntilRoom(cost, utilization, meanWorkNanos, time.monotonicNanos())
                 .map(spread::spread);
     }
+
+    /**
+     * Returns after which time a refused client may return, at most a third of its remaining time. Clients for which that is too
+     * short are spread, because they would otherwise return together.
+     *
+     * @param expected expected time until there is room, if it is known
+     */
+    Duration retryAfter(Optional<Duration> expected, Duration remaining) {
+        Duration suggested = expected.orElse(DEFAULT_RETRY_AFTER);
+        Duration atLeast = suggested.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : suggested;
+        Duration max = remaining.dividedBy(RETRY_AFTER_DIVISOR);
+        return atLeast.compareTo(max) <= 0 ? atLeast : spread.shorten(max);
+    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -46,12 +46,6 @@
     /** Limits the wait for a key move to less than 1 s. */
     private static final int MAX_MOVE_WAITS = 24;
 
-    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(200);
-    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(30);
-
-    /** Clients retry within a third of their remaining time or not at all. */
-    private static final int RETRY_AFTER_DIVISOR = 3;
-
     private static final int SERVER_ERROR = 500;
 
     private final RequestContext context;
@@ -340,10 +334,7 @@
     }
 
     private ClientResponse notRunResponse() {
-        Duration suggested = retryAfter.orElse(DEFAULT_RETRY_AFTER);
-        Duration max = remaining().dividedBy(RETRY_AFTER_DIVISOR);
-        Duration bounded = suggested.compareTo(max) > 0 ? max : suggested;
-        return ClientResponse.notRun(bounded.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : bounded);
+        return ClientResponse.notRun(ingress.retryAfter(retryAfter, remaining()));
     }
 
     private ClientResponse toResponse(Answered answered) {
--- a/testkit/src/main/java/io/daisyhoist/testkit/bench/DecisionBenchmark.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/bench/DecisionBenchmark.java
@@ -1,6 +1,8 @@
 package io.daisyhoist.testkit.bench;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -11,8 +13,14 @@
 import io.daisyhoist.core.admission.AdmissionController;
 import io.daisyhoist.core.admission.AdmissionDecision;
 import io.daisyhoist.core.admission.AdmissionUpdate;
+import io.daisyhoist.core.admission.CostAdmission;
+import io.daisyhoist.core.admission.CostDecision;
+import io.daisyhoist.core.admission.CostRequest;
 import io.daisyhoist.core.admission.Outcome;
 import io.daisyhoist.core.admission.Rank;
+import io.daisyhoist.core.admission.RequestCost;
+import io.daisyhoist.core.admission.ValuePerWorkOrder;
+import io.daisyhoist.core.admission.WorkEstimate;
 import io.daisyhoist.core.atmostonce.AttemptLedger;
 import io.daisyhoist.core.atmostonce.AttemptToken;
 import io.daisyhoist.core.atmostonce.LedgerLimits;
@@ -50,6 +58,10 @@
 @Fork(1)
 public class DecisionBenchmark {
     private static final int KEYS = 1024;
+    private static final int SLOTS = 6;
+    private static final int QUEUE_BOUND = 24;
+    private static final long FAR = Long.MAX_VALUE / 4;
+    private static final Duration QUEUE_WAIT = Duration.ofDays(1);
     private static final Duration LATENCY = Duration.ofMillis(2);
 
     /** Number of group members. */
@@ -63,6 +75,10 @@
     private String[] keys;
     private int nextKeyIndex;
     private AdmissionController admissionController;
+    private CostAdmission costAdmission;
+    private RequestCost[] costs;
+    private Deque<CostRequest> inFlight;
+    private int nextCostIndex;
     private BackendSelector selector;
     private List<BackendCandidate> candidates;
     private AttemptLedger ledger;
@@ -77,6 +93,8 @@
         routing = RoutingSnapshot.of(groupRecord, BenchmarkGroup.config(members));
         keys = IntStream.range(0, KEYS).mapToObj(index -> "dish-" + index).toArray(String[]::new);
         admissionController = new AdmissionController(time, new AdaptiveLimit(time, 2, 6), 12);
+        nextCostIndex = 0;
+        fillCostAdmission();
         selector = new PowerOfTwoChoices(new AvailabilityZone("z0"), random.split());
         candidates = groupRecord.members().stream()
                 .map(member ->
@@ -101,6 +119,32 @@
                 : AdmissionUpdate.NONE;
     }
 
+    /** All decisions about one request at a busy backend server with a full queue: its arrival, an end, and the next start. */
+    @Benchmark
+    public CostDecision costAdmission() {
+        costAdmission.complete(inFlight.remove());
+        costAdmission.refuseNext();
+        inFlight.add(costAdmission.startNext().orElseThrow());
+        return costAdmission.offer(costs[nextCostIndex++ & (KEYS - 1)], QUEUE_WAIT);
+    }
+
+    private RequestCost cost(int index) {
+        long work = Duration.ofMillis(30 + 10L * (index % 40)).toNanos();
+        return new RequestCost(index % 20, index % 3, index % 4 == 0, FAR, FAR, new WorkEstimate(work, 0));
+    }
+
+    private void fillCostAdmission() {
+        costAdmission = new CostAdmission(time, new ValuePerWorkOrder(), SLOTS, QUEUE_BOUND);
+        costs = IntStream.range(0, KEYS).mapToObj(this::cost).toArray(RequestCost[]::new);
+        inFlight = new ArrayDeque<>();
+        while (inFlight.size() < SLOTS) {
+            inFlight.add(((CostDecision.Started) costAdmission.offer(costs[nextCostIndex++], QUEUE_WAIT)).request());
+        }
+        while (costAdmission.queued() < QUEUE_BOUND) {
+            costAdmission.offer(costs[nextCostIndex++], QUEUE_WAIT);
+        }
+    }
+
     /** Selection of a backend server for a request without a key. */
     @Benchmark
     public Optional<BackendCandidate> selection() {
