Keep the minimum share for each route and priority

Customers of different priority use the same routes. With one share for a route, those of low priority would have had none of their own. The test of nested calls guards against clients of other instances whose requests go before all others.

--- a/core/src/main/java/io/daisyhoist/core/admission/WorkEstimator.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/WorkEstimator.java
@@ -6,10 +6,12 @@
 import io.daisyhoist.core.time.TimeSource;
 
 /**
- * Learns the run time of each kind of request from responses. Kinds beyond {@link KindShares#MAX_KINDS} share one estimate.
+ * Learns the run time of each kind of request from responses. Kinds beyond {@value #MAX_KINDS} share one estimate.
  * Confined to one thread.
  */
 public final class WorkEstimator {
+    private static final int MAX_KINDS = 64;
+
     /** A single very long run moves the mean by no more than a run of this many times the mean. */
     private static final double MAX_RATIO = 4;
 
@@ -17,16 +19,11 @@
     private final double gainUp;
     private final double gainDown;
     private final Map<String, State> stateByKind = new HashMap<>();
-    private final State otherKinds = new State(KindShares.MAX_KINDS - 1);
+    private final State otherKinds = new State();
 
     private static final class State {
-        private final int number;
         private double meanNanos;
         private long updatedNanos;
-
-        private State(int number) {
-            this.number = number;
-        }
     }
 
     /**
@@ -58,20 +55,15 @@
                 : new WorkEstimate((long) state.meanNanos, time.monotonicNanos() - state.updatedNanos);
     }
 
-    /** Returns the number of a kind, below {@link KindShares#MAX_KINDS}. */
-    public int kindNumber(String kind) {
-        return state(kind).number;
-    }
-
     private State state(String kind) {
         State known = stateByKind.get(kind);
         if (known != null) {
             return known;
         }
-        if (stateByKind.size() >= KindShares.MAX_KINDS - 1) {
+        if (stateByKind.size() >= MAX_KINDS) {
             return otherKinds;
         }
-        State created = new State(stateByKind.size());
+        State created = new State();
         stateByKind.put(kind, created);
         return created;
     }
--- a/core/src/test/java/io/daisyhoist/core/admission/LoadModel.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/LoadModel.java
@@ -112,6 +112,7 @@
         private final CostAdmission admission;
         private final WorkEstimator estimator = new WorkEstimator(time, 0.05, 0.05);
         private final Map<CostRequest, Attempt> attempts = new LinkedHashMap<>();
+        private final KindNumbers kindNumbers = new KindNumbers();
         private final Map<Kind, Integer> presentByKind = new HashMap<>();
         private final double speed;
         private final boolean slowable;
@@ -132,7 +133,7 @@
             Kind kind = attempt.kind();
             WorkEstimate work = estimator.estimate(kind.name());
             RequestCost cost = new RequestCost(
-                    estimator.kindNumber(kind.name()),
+                    kindNumbers.number(kind.name(), kind.priority()),
                     kind.priority(),
                     kind.nested(),
                     attempt.targetNanos(),
--- a/core/src/test/java/io/daisyhoist/core/admission/WorkEstimatorTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/WorkEstimatorTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class WorkEstimatorTest {
@@ -33,11 +34,22 @@
         assertEquals(25, estimator.estimate("a").plannedNanos());
     }
 
-    /** Guards against state that grows with the names of kinds. */
+    /** Guards against state that grows with the names of kinds, for example over many configurations. */
     @Test
-    void kindNumber_manyKinds_isBounded() {
+    void numberAndEstimate_manyKinds_areBounded() {
+        KindNumbers numbers = new KindNumbers();
         for (int i = 0; i < 1_000; i++) {
-            assertTrue(estimator.kindNumber("kind " + i) < KindShares.MAX_KINDS);
+            estimator.record("kind " + i, 100);
+            assertTrue(numbers.number("kind " + i, 1) < KindShares.MAX_KINDS);
         }
+        assertEquals(numbers.number("kind 998", 1), numbers.number("kind 999", 1));
+        assertEquals(100, estimator.estimate("kind that was never recorded").meanNanos());
+    }
+
+    /** Guards against customers of low priority that starve on a route that others use with a high one. */
+    @Test
+    void number_sameRouteOtherPriority_isAnotherKind() {
+        KindNumbers numbers = new KindNumbers();
+        assertNotEquals(numbers.number("r", 1), numbers.number("r", 5));
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/IngressAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/IngressAdmission.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 
 import io.daisyhoist.core.admission.EarlyRefusal;
+import io.daisyhoist.core.admission.KindNumbers;
 import io.daisyhoist.core.admission.RequestCost;
 import io.daisyhoist.core.admission.RetryAfterSpread;
 import io.daisyhoist.core.admission.WorkEstimator;
@@ -29,6 +30,7 @@
     private static final int RETRY_AFTER_DIVISOR = 3;
 
     private final TimeSource time;
+    private final KindNumbers kindNumbers = new KindNumbers();
     private final WorkEstimator routeEstimator;
     private final WorkEstimator serviceEstimator;
     private final EarlyRefusal earlyRefusal = new EarlyRefusal();
@@ -68,7 +70,7 @@
     Optional<Duration> refusal(ClientRequest request, ServiceName service, OptionalDouble utilization) {
         String route = request.route().name();
         RequestCost cost = new RequestCost(
-                routeEstimator.kindNumber(route),
+                kindNumbers.number(route, request.route().priority()),
                 request.route().priority(),
                 request.nested(),
                 target(request).atNanos(),
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestCosts.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestCosts.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import io.daisyhoist.core.admission.KindNumbers;
 import io.daisyhoist.core.admission.RequestCost;
 import io.daisyhoist.core.admission.WorkEstimate;
 import io.daisyhoist.core.admission.WorkEstimator;
@@ -23,6 +24,7 @@
     private static final Duration DEFAULT_WORK = Duration.ofMillis(100);
 
     private final Supplier<FleetSnapshot> fleet;
+    private final KindNumbers kindNumbers = new KindNumbers();
     private final WorkEstimator estimator;
 
     RequestCosts(TimeSource time, Supplier<FleetSnapshot> fleet) {
@@ -33,7 +35,7 @@
     RequestCost cost(BackendRequestData request) {
         String kind = kind(request);
         return new RequestCost(
-                estimator.kindNumber(kind),
+                kindNumbers.number(kind, request.priority()),
                 request.priority(),
                 request.nested(),
                 request.target().atNanos(),
@@ -58,10 +60,10 @@
         estimator.record(kind(request), runTime.toNanos());
     }
 
-    /** Requests without a route, as after a change of the configuration, count as one kind for each priority. */
+    /** Requests without a route, as after a change of the configuration, count as one kind. */
     private String kind(BackendRequestData request) {
         Optional<Route> route =
                 fleet.get().config().flatMap(config -> config.routes().find(request.host(), request.path()));
-        return route.map(Route::name).orElseGet(() -> "priority " + request.priority());
+        return route.map(Route::name).orElse("");
     }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -12,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -64,6 +66,7 @@
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final TimeSource time = new SystemTimeSource();
     private final AtomicInteger sends = new AtomicInteger();
+    private final List<Boolean> nested = new CopyOnWriteArrayList<>();
     private List<HttpField> responseHeaders = List.of();
     private Buffer responseBody = Buffer.buffer("body");
     private FleetSnapshot fleet = WITHOUT_ROUTES;
@@ -87,6 +90,7 @@
                 SERVICE,
                 (member, request, queueWait, cancelled) -> {
                     sends.incrementAndGet();
+                    nested.add(request.nested());
                     return Future.succeededFuture(new Answered(200, responseHeaders, responseBody));
                 },
                 new LoadBalancer(time, new SplittableRandom(1), new AvailabilityZone("z")),
@@ -152,7 +156,11 @@
     }
 
     private Socket sendRequest(String id) throws IOException {
-        Socket socket = new Socket("127.0.0.1", port);
+        return sendRequest(id, "127.0.0.1");
+    }
+
+    private Socket sendRequest(String id, String clientAddress) throws IOException {
+        Socket socket = new Socket("127.0.0.1", port, InetAddress.getByName(clientAddress), 0);
         socket.getOutputStream()
                 .write(("GET /x/ HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
         return socket;
@@ -176,6 +184,15 @@
         waiting.close();
     }
 
+    /** Guards against clients of other instances whose requests go before those of all others. */
+    @Test
+    void request_ofOtherAddress_isNotNested() throws Exception {
+        fleet = withRoute();
+        statusLine(sendRequest("1", "127.0.0.1"));
+        statusLine(sendRequest("2", "127.0.0.2"));
+        assertEquals(List.of(true, false), nested);
+    }
+
     @Test
     void request_withoutRoute_isNotFoundOnlyWithConfiguration() {
         assertEquals(404, get().statusCode());
