--- a/core/src/test/java/io/daisyhoist/core/admission/AdmissionOrderLoadTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/AdmissionOrderLoadTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Compares admission orders on seeded load patterns, and prints what each kind of caller gets. */
@@ -104,6 +105,9 @@
         Map<Candidate, Map<Kind, Result>> results = new LinkedHashMap<>();
         CANDIDATES.forEach(candidate -> results.put(candidate, run(pattern, candidate)));
         results.forEach((candidate, byKind) -> print(pattern, candidate, byKind));
+        results.values()
+                .forEach(byKind -> byKind.values()
+                        .forEach(result -> assertEquals(result.sent(), result.ended(), "each request ends once")));
         Map<Kind, Result> chosen = results.get(CANDIDATES.get(CANDIDATES.size() - 1));
         assertTrue(value(chosen) >= value(results.get(CANDIDATES.get(0))), "value against the order before");
         double all = chosen.values().stream()
--- a/core/src/test/java/io/daisyhoist/core/admission/LoadModel.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/LoadModel.java
@@ -66,6 +66,10 @@
             return sent;
         }
 
+        int ended() {
+            return inTarget + late + refused + failed;
+        }
+
         void add(Result other) {
             sent += other.sent;
             inTarget += other.inTarget;
