Name the early refusal by its reason, and hold the HTTP client of a test

The refusal at the daemon that receives a request is now DeadlineRefusal: another part refuses early for another reason.

--- a/core/src/main/java/io/daisyhoist/core/admission/EarlyRefusal.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/DeadlineRefusal.java
@@ -11,7 +11,7 @@
  * refused, because others go before some of those. Of each kind, every few requests are sent nevertheless: they renew the
  * reports, and the kind keeps its share at the backend servers. Confined to one thread.
  */
-public final class EarlyRefusal {
+public final class DeadlineRefusal {
     private static final int REFUSALS_PER_PROBE = 3;
 
     private final int[] refusalsSinceProbe = new int[KindShares.MAX_KINDS];
--- a/core/src/test/java/io/daisyhoist/core/admission/EarlyRefusalTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/DeadlineRefusalTest.java
@@ -9,11 +9,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-class EarlyRefusalTest {
+class DeadlineRefusalTest {
     private static final long WORK_NANOS = Duration.ofMillis(200).toNanos();
     private static final OptionalDouble FULL = OptionalDouble.of(6);
 
-    private final EarlyRefusal refusal = new EarlyRefusal();
+    private final DeadlineRefusal refusal = new DeadlineRefusal();
 
     private Optional<Duration> decide(int priority, boolean nested, long deadlineMillis, OptionalDouble utilization) {
         long deadlineNanos = Duration.ofMillis(deadlineMillis).toNanos();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/IngressAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/IngressAdmission.java
@@ -5,7 +5,7 @@
 import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 
-import io.daisyhoist.core.admission.EarlyRefusal;
+import io.daisyhoist.core.admission.DeadlineRefusal;
 import io.daisyhoist.core.admission.KindNumbers;
 import io.daisyhoist.core.admission.RequestCost;
 import io.daisyhoist.core.admission.RetryAfterSpread;
@@ -33,7 +33,7 @@
     private final KindNumbers kindNumbers = new KindNumbers();
     private final WorkEstimator routeEstimator;
     private final WorkEstimator serviceEstimator;
-    private final EarlyRefusal earlyRefusal = new EarlyRefusal();
+    private final DeadlineRefusal deadlineRefusal = new DeadlineRefusal();
     private final RetryAfterSpread spread;
 
     /** Creates an admission that knows no run times. */
@@ -65,7 +65,7 @@
      * Returns after which time a client may return whose request no backend server can serve in time; empty if the request is
      * to be sent.
      *
-     * @param utilization see {@link EarlyRefusal#timeUntilRoom}
+     * @param utilization see {@link DeadlineRefusal#timeUntilRoom}
      */
     Optional<Duration> refusal(ClientRequest request, ServiceName service, OptionalDouble utilization) {
         String route = request.route().name();
@@ -77,7 +77,7 @@
                 request.deadline().atNanos(),
                 routeEstimator.estimate(route));
         long meanWorkNanos = serviceEstimator.estimate(service.name()).plannedNanos();
-        return earlyRefusal
+        return deadlineRefusal
                 .timeUntilRoom(cost, utilization, meanWorkNanos, time.monotonicNanos())
                 .map(spread::spread);
     }
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ClientServerTest.java
@@ -43,6 +43,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
@@ -64,6 +65,9 @@
     private static final Duration PAUSE = Duration.ofMillis(300);
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    /** Held, because Vert.x closes a client that is garbage collected, also while it waits for a response. */
+    private final HttpClient client = vertx.createHttpClient();
+
     private final TimeSource time = new SystemTimeSource();
     private final AtomicInteger sends = new AtomicInteger();
     private final List<Boolean> nested = new CopyOnWriteArrayList<>();
@@ -112,8 +116,7 @@
     }
 
     private HttpClientResponse get() {
-        return result(vertx.createHttpClient()
-                .request(HttpMethod.GET, port, "127.0.0.1", "/x/")
+        return result(client.request(HttpMethod.GET, port, "127.0.0.1", "/x/")
                 .compose(request -> request.putHeader("Id", "1").send()));
     }
 
