Refuse early for a key only by the load of its holder

A keyed request whose holder was not known was judged by all backend servers of its service. Requests that are refused before they are sent no longer raise the retry budget.

--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -73,7 +73,6 @@
     }
 
     Future<ClientResponse> start() {
-        context.budget().onRequest(service);
         long remainingMillis = Math.max(1, remaining().toMillis());
         long timer = context.vertx().setTimer(remainingMillis, fired -> onDeadline());
         response.future().onComplete(done -> {
@@ -81,6 +80,7 @@
             logResponse();
         });
         if (!refuseEarly()) {
+            context.budget().onRequest(service);
             tryNextBackend();
         }
         return response.future();
@@ -89,10 +89,14 @@
     /** Refuses the request before anything is sent if no backend server can serve it in time. */
     private boolean refuseEarly() {
         FleetSnapshot fleet = context.fleet().get();
-        Optional<DaemonId> owner = key(fleet).isPresent() ? owner(fleet).map(FleetMember::daemon) : Optional.empty();
-        List<Candidate> candidates = fleet.candidates(service).stream()
-                .filter(candidate -> owner.isEmpty() || owner.get().equals(candidate.daemon()))
-                .toList();
+        List<Candidate> candidates = fleet.candidates(service);
+        if (key(fleet).isPresent()) {
+            Optional<DaemonId> owner = owner(fleet).map(FleetMember::daemon);
+            candidates = candidates.stream()
+                    .filter(candidate ->
+                            owner.filter(candidate.daemon()::equals).isPresent())
+                    .toList();
+        }
         Optional<Duration> untilRoom =
                 ingress.refusal(request, service, context.loadBalancer().leastUtilization(candidates));
         if (untilRoom.isEmpty()) {
