--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ForwardCodec.java
@@ -9,6 +9,9 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.UnsafeByteOperations;
+import io.daisyhoist.core.customer.ApiKeyHash;
+import io.daisyhoist.core.customer.CustomerCredential;
+import io.daisyhoist.core.customer.CustomerName;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.core.routing.LoadBalancer;
@@ -63,6 +66,10 @@
                 .setNested(request.nested());
         request.key().ifPresent(key -> message.setKey(Integer.toString(key)));
         request.headers().forEach(field -> message.addHeaders(header(field)));
+        request.customer()
+                .ifPresent(credential -> message.setCustomer(
+                                credential.customer().name())
+                        .setCustomerKeyHash(ByteString.copyFrom(credential.key().bytes())));
         return Envelope.newBuilder().setForwardRequest(message).build();
     }
 
@@ -92,7 +99,7 @@
                         message.getExpectedBackend().getId(),
                         message.getExpectedBackend().getStartedMs()),
                 message.getHasAlternative(),
-                Optional.empty(),
+                credential(message),
                 Deadline.after(time, Duration.ofMillis(requireNonNegative("target", message.getRemainingTargetMs()))),
                 Duration.ofMillis(requireNonNegative("expected work", message.getExpectedWorkMs())),
                 message.getNested());
@@ -102,6 +109,17 @@
         return (int) Math.min(Integer.MAX_VALUE, Math.max(0, duration.toMillis()));
     }
 
+    private static Optional<CustomerCredential> credential(ForwardRequest message) {
+        if (message.hasCustomer() != message.hasCustomerKeyHash()) {
+            throw new IllegalArgumentException("a customer without a key, or a key without a customer");
+        }
+        return message.hasCustomer()
+                ? Optional.of(new CustomerCredential(
+                        new CustomerName(message.getCustomer()),
+                        ApiKeyHash.ofBytes(message.getCustomerKeyHash().toByteArray())))
+                : Optional.empty();
+    }
+
     private static void requireText(String field, String value) {
         if (value.isEmpty()) {
             throw new IllegalArgumentException(field + " is missing");
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendAdmission.java
@@ -12,11 +12,14 @@
 import io.daisyhoist.core.admission.CostRequest;
 import io.daisyhoist.core.admission.RequestCost;
 import io.daisyhoist.core.admission.RetryAfterSpread;
+import io.daisyhoist.core.customer.ApiKeyCheck;
 import io.daisyhoist.core.fleet.LocalBackend;
 import io.daisyhoist.core.model.AvailabilityZone;
+import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.route.ServicePolicy;
 import io.daisyhoist.core.routing.LoadBalancer;
 import io.daisyhoist.core.time.Deadline;
+import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.connection.BackendHttpClient;
 import io.daisyhoist.mesh.connection.BackendOutcome;
@@ -36,7 +39,7 @@
  *
  * <p>Invariants: a request is written only if, at that moment, the backend server is the expected process, is not leaving,
  * its availability zone is known not to be evacuated, the request has not crashed backend servers, the backend server holds
- * its key and has capacity for another request; otherwise the request is refused as not run. Confined to the traffic event
+ * its key, the newest configuration gives the API key to the customer, and there is capacity for another request; otherwise the request is refused as not run. Confined to the traffic event
  * loop.
  */
 public final class BackendAdmission {
@@ -51,6 +54,7 @@
     private final AvailabilityZone zone;
     private final Supplier<FleetSnapshot> fleet;
     private final Supplier<LocalBackendSnapshot> localBackend;
+    private final ApiKeyCheck keyCheck;
     private final BackendHttpClient client;
     private final SlotQueue slotQueue;
     private final RequestCosts costs;
@@ -75,9 +79,24 @@
      * @param zone availability zone of the backend server
      * @param fleet present state of the fleet
      * @param localBackend present state of the backend server
+     * @param keyCheck checks the API keys of requests
      */
     public record KnownState(
-            AvailabilityZone zone, Supplier<FleetSnapshot> fleet, Supplier<LocalBackendSnapshot> localBackend) {}
+            AvailabilityZone zone,
+            Supplier<FleetSnapshot> fleet,
+            Supplier<LocalBackendSnapshot> localBackend,
+            ApiKeyCheck keyCheck) {
+        /** Creates the state of a daemon in a fleet without a revocation limit. */
+        public KnownState(
+                AvailabilityZone zone, Supplier<FleetSnapshot> fleet, Supplier<LocalBackendSnapshot> localBackend) {
+            this(
+                    zone,
+                    fleet,
+                    localBackend,
+                    ApiKeyCheck.withoutRevocationLimit(
+                            new SystemTimeSource(), () -> fleet.get().config().map(FleetConfig::customers)));
+        }
+    }
 
     /** Creates admission control that accepts requests. */
     public BackendAdmission(
@@ -91,6 +110,7 @@
         this.zone = state.zone();
         this.fleet = state.fleet();
         this.localBackend = state.localBackend();
+        this.keyCheck = state.keyCheck();
         this.client = client;
         this.keyRequestListener = keyRequestListener;
         this.crashGuard = crashGuard;
@@ -194,7 +214,7 @@
         }
         boolean held = request.key().isEmpty() || snapshot.holds(request.key().getAsInt(), time.monotonicNanos());
         if (held) {
-            return Optional.empty();
+            return CustomerAuthenticator.refusalReason(keyCheck, request);
         }
         return Optional.of(snapshot.mayGrant() ? NotRunReason.KEY_MOVING : NotRunReason.KEY_NOT_HELD);
     }
@@ -296,6 +316,12 @@
             return refusalReason(request).isEmpty() && coldStartLimiter.allowsSend(backend, policy(request));
         }
 
+        @Override
+        public boolean removesCustomerHeaders() {
+            return fleet.get().config().stream()
+                    .anyMatch(config -> !config.customers().isEmpty());
+        }
+
         @Override
         public void onWrite() {
             coldStartLimiter.recordSend();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -201,7 +201,7 @@
                 context.callerService().name(),
                 member.backend().orElseThrow().process(),
                 hasAlternative(),
-                Optional.empty(),
+                request.customer(),
                 IngressAdmission.target(request),
                 ingress.expectedWork(request),
                 request.nested());
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
@@ -121,6 +121,7 @@
                 time.monotonicNanos(),
                 Deadline.after(time, deadline),
                 disconnected.future(),
+                Optional.empty(),
                 false);
     }
 
