--- a/core/src/main/java/io/daisyhoist/core/routing/CandidateScan.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/CandidateScan.java
@@ -176,6 +176,11 @@
         return expectedBusy(i) < limit(i);
     }
 
+    /** Returns the utilization that is expected with one more request. */
+    double utilizationWithOneMore(int i) {
+        return (expectedBusy(i) + 1) / limit(i);
+    }
+
     /** Returns the expected utilization, increased by the share of requests that the server does not serve. */
     double cost(int i) {
         return expectedBusy(i) / limit(i) + states[i].expectedLoss(now);
--- a/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/LoadBalancer.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
@@ -176,6 +177,24 @@
                 : Duration.ofNanos((long) (ratio * meanLatency(route).toNanos()));
     }
 
+    /**
+     * Returns the utilization that the least busy candidate would have with one more request; empty if there is no candidate,
+     * or one without a recent load report.
+     */
+    public OptionalDouble leastUtilization(Collection<Candidate> candidates) {
+        read(candidates, Set.of());
+        long now = time.monotonicNanos();
+        OptionalDouble least = OptionalDouble.empty();
+        for (int i = 0; i < scan.size(); i++) {
+            if (!scan.state(i).hasLoad(now)) {
+                return OptionalDouble.empty();
+            }
+            double utilization = scan.utilizationWithOneMore(i);
+            least = OptionalDouble.of(Math.min(least.orElse(utilization), utilization));
+        }
+        return least;
+    }
+
     /**
      * Decides whether a new request to a service is refused before it is sent, because its backend servers reject most
      * requests; returns after which time the client may try again, or empty if the request is to be sent.
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/BackendChoice.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/BackendChoice.java
@@ -49,6 +49,18 @@
         return selected.map(candidate -> fleet.members().get(candidate.daemon()));
     }
 
+    /** Returns the backend servers that can run the request: the owner of its key, or all of the service. */
+    List<Candidate> possible(FleetSnapshot fleet, OptionalInt key) {
+        List<Candidate> candidates = fleet.candidates(service);
+        if (key.isEmpty()) {
+            return candidates;
+        }
+        Optional<DaemonId> owner = select(fleet, key, Set.of(), false).map(FleetMember::daemon);
+        return candidates.stream()
+                .filter(candidate -> owner.filter(candidate.daemon()::equals).isPresent())
+                .toList();
+    }
+
     private static Optional<FleetMember> owner(FleetSnapshot fleet, RangeAssignment assignment) {
         return Optional.ofNullable(fleet.members().get(assignment.daemon()))
                 .filter(member -> !fleet.isEvacuated(member.availabilityZone()))
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientRequest.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientRequest.java
@@ -26,6 +26,7 @@
  * @param deadline latest time of the response
  * @param cancelled completes when the client has disconnected
  * @param customer customer whose API key the request has; empty if it needs no key
+ * @param nested whether the local backend server sent it
  */
 public record ClientRequest(
         String id,
@@ -39,4 +40,5 @@
         long arrivedNanos,
         Deadline deadline,
         Future<Void> cancelled,
-        Optional<CustomerCredential> customer) {}
+        Optional<CustomerCredential> customer,
+        boolean nested) {}
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 
 import com.google.common.flogger.FluentLogger;
-import io.daisyhoist.core.admission.Rank;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ServiceName;
@@ -39,12 +38,6 @@
     /** Rejections by backend servers after which the request may still be sent to another one. */
     private static final int MAX_REJECTIONS = 1;
 
-    /** Share of the remaining time that a request may be queued although its response will miss the latency target. */
-    private static final double LATE_QUEUE_SHARE = 0.2;
-
-    /** Time in which a slot of a busy backend server usually becomes free. */
-    private static final Duration SLOT_RELEASE_TIME = Duration.ofMillis(150);
-
     /** Minimum remaining time for another attempt. */
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(15);
 
@@ -59,6 +52,7 @@
     private final ClientRequest request;
     private final ServiceName service;
     private final BackendChoice choice;
+    private final IngressAdmission ingress;
     private final Promise<ClientResponse> response = Promise.promise();
     private final Set<DaemonId> triedDaemons = new HashSet<>();
     private final StringBuilder hops = new StringBuilder();
@@ -73,11 +67,12 @@
     private boolean attemptInProgress;
     private boolean mayHaveRun;
 
-    RequestDispatch(RequestContext context, ClientRequest request, ServiceName service) {
+    RequestDispatch(RequestContext context, ClientRequest request, ServiceName service, IngressAdmission ingress) {
         this.context = context;
         this.request = request;
         this.service = service;
         this.choice = new BackendChoice(context.loadBalancer(), service);
+        this.ingress = ingress;
     }
 
     Future<ClientResponse> start() {
@@ -94,21 +89,41 @@
         return response.future();
     }
 
-    /** Refuses the request if the backend servers of its service reject most requests. */
+    /** Refuses the request before anything is sent if its service is overloaded. */
     private boolean refuseEarly() {
         FleetSnapshot fleet = context.fleet().get();
+        return refuseRejected(fleet) || refuseLate(fleet);
+    }
+
+    /** Refuses the request if the backend servers of its service reject most requests. */
+    private boolean refuseRejected(FleetSnapshot fleet) {
         Optional<Duration> refused = key(fleet).isPresent()
                 ? Optional.empty()
                 : context.loadBalancer().refuseEarly(service, fleet.candidates(service));
         refused.ifPresent(delay -> {
-            retryAfter = refused;
-            hops.append(" early");
             context.metrics().onEarlyRefusal(service);
-            finish(notRunResponse());
+            finishEarly("rejected", delay);
         });
         return refused.isPresent();
     }
 
+    /** Refuses the request if no backend server can serve it in time. */
+    private boolean refuseLate(FleetSnapshot fleet) {
+        Optional<Duration> untilRoom = ingress.refusal(
+                request, service, context.loadBalancer().leastUtilization(choice.possible(fleet, key(fleet))));
+        untilRoom.ifPresent(delay -> {
+            context.metrics().onOverload("early", request.route().priority());
+            finishEarly("overloaded", delay);
+        });
+        return untilRoom.isPresent();
+    }
+
+    private void finishEarly(String reason, Duration delay) {
+        hops.append(" early:").append(reason);
+        retryAfter = Optional.of(delay);
+        finish(notRunResponse());
+    }
+
     private Duration remaining() {
         return request.deadline().remaining(context.time());
     }
@@ -181,11 +196,11 @@
                 member.backend().orElseThrow().process(),
                 hasAlternative(),
                 request.customer(),
-                request.deadline(),
-                Duration.ZERO);
-        Duration queueWait = queueWait();
+                IngressAdmission.target(request),
+                ingress.expectedWork(request),
+                request.nested());
         context.backendSender()
-                .send(member, backendRequest, queueWait, request.cancelled())
+                .send(member, backendRequest, remaining(), request.cancelled())
                 .onComplete(done -> {
                     attemptInProgress = false;
                     BackendOutcome result =
@@ -196,35 +211,6 @@
                 });
     }
 
-    /**
-     * Returns the maximum time in the queue: until the latency target can no longer be met, or a small share of the remaining
-     * time if that is longer; for urgent requests at least until a slot usually becomes free. A longer queue would delay all
-     * responses without increasing throughput.
-     */
-    private Duration queueWait() {
-        Duration expectedLatency =
-                context.loadBalancer().meanLatency(request.route().name());
-        Duration elapsed = Duration.ofNanos(context.time().monotonicNanos() - request.arrivedNanos());
-        Duration untilTarget = request.route().targetLatency().minus(elapsed).minus(expectedLatency);
-        Duration untilDeadline = remaining().minus(expectedLatency);
-        Duration lateWait = Duration.ofNanos((long) (untilDeadline.toNanos() * LATE_QUEUE_SHARE));
-        Duration nextSlot = shorter(SLOT_RELEASE_TIME, untilDeadline);
-        Duration wait = longer(longer(untilTarget, lateWait), isUrgent() ? nextSlot : Duration.ZERO);
-        return wait.isNegative() ? Duration.ZERO : wait;
-    }
-
-    private boolean isUrgent() {
-        return Rank.ofPriority(request.route().priority()).isAbove(Rank.BROWSE);
-    }
-
-    private static Duration longer(Duration one, Duration other) {
-        return one.compareTo(other) > 0 ? one : other;
-    }
-
-    private static Duration shorter(Duration one, Duration other) {
-        return one.compareTo(other) < 0 ? one : other;
-    }
-
     /** Returns whether a slow backend server may refuse the request; allowed once, because each refusal costs time. */
     private boolean hasAlternative() {
         FleetSnapshot fleet = context.fleet().get();
@@ -247,6 +233,7 @@
         mayHaveRun = true;
         if (answered.status() < SERVER_ERROR) {
             onLatency(daemon, latency);
+            ingress.onResponse(request, service, latency);
             finish(toResponse(answered));
             return;
         }
@@ -353,7 +340,7 @@
     /** Returns whether a request that is sent now can be expected to end before the deadline. */
     private boolean hasTimeForAttempt() {
         Duration run = choice.shortestRun(context.fleet().get(), request.route(), triedDaemons);
-        return remaining().compareTo(longer(MIN_ATTEMPT_TIME, run)) > 0;
+        return remaining().compareTo(MIN_ATTEMPT_TIME) > 0 && remaining().compareTo(run) > 0;
     }
 
     private ClientResponse failureResponse() {
@@ -364,7 +351,7 @@
     }
 
     private ClientResponse notRunResponse() {
-        return ClientResponse.notRun(RetryDelay.bounded(retryAfter, remaining()));
+        return ClientResponse.notRun(ingress.retryAfter(retryAfter, remaining()));
     }
 
     private ClientResponse toResponse(Answered answered) {
--- a/mesh/src/test/java/io/daisyhoist/mesh/limits/ClientConnectionHandlerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/limits/ClientConnectionHandlerTest.java
@@ -223,7 +223,7 @@
             write(ordinary, POST);
             assertEquals("/2 hello;", readBodies(ordinary.getInputStream(), 1));
             assertTrue(budget.heldBytes() <= budget.maxBytes());
-            assertTrue(metrics.scrape().contains("daisyhoist_fleet_client_refusals_total{reason=\"memory\"}"));
+            await().until(() -> metrics.scrape().contains("daisyhoist_fleet_client_refusals_total{reason=\"memory\"}"));
         } finally {
             for (Socket socket : crowd) {
                 socket.close();
