--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
@@ -0,0 +1,137 @@
+package io.daisyhoist.core.quota;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.daisyhoist.core.customer.CustomerName;
+import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.core.time.TimeSource;
+
+/**
+ * Lends quota of the customers whose seats this daemon holds.
+ *
+ * <p>Invariant: for each customer, the loans that count in any window are at most the allowance of the seats that this
+ * daemon holds, whoever asks. Memory is bounded by the number of configured customers. Confined to one thread.
+ */
+public final class QuotaLender {
+    /** Validity of a loan while quota is scarce; unused parts become available soon. */
+    static final Duration SHORT_LOAN = Duration.ofMillis(400);
+
+    /** Validity of a loan while less than half of the allowance is lent, so that steady demand causes few messages. */
+    static final Duration LONG_LOAN = Duration.ofMillis(2_000);
+
+    private static final double AMPLE_SHARE = 0.5;
+
+    /** Bounds the messages of a daemon that finds no quota. */
+    private static final Duration MIN_MORE_AFTER = Duration.ofMillis(200);
+
+    private static final Duration MAX_MORE_AFTER = Duration.ofMillis(2_000);
+
+    private final TimeSource time;
+    private final Duration window;
+    private final SeatTenure tenure;
+    private final Supplier<QuotaSeats> seats;
+    private final BooleanSupplier registered;
+    private final Function<CustomerName, Optional<QuotaPlan>> plans;
+    private final Map<CustomerName, LoanLedger> ledgers = new HashMap<>();
+
+    /**
+     * Creates a lender that has lent nothing.
+     *
+     * @param window sliding window in which the requests of a customer are counted
+     * @param tenure seats of this daemon; used by this lender only
+     * @param seats holders of the seats according to the members that this daemon knows
+     * @param registered whether no other daemon may have taken this one for lost; asked before each loan, because the
+     *     process may have been suspended
+     * @param plans division of the quota of a customer; empty for customers without a quota
+     */
+    public QuotaLender(
+            TimeSource time,
+            Duration window,
+            SeatTenure tenure,
+            Supplier<QuotaSeats> seats,
+            BooleanSupplier registered,
+            Function<CustomerName, Optional<QuotaPlan>> plans) {
+        this.time = time;
+        this.window = window;
+        this.tenure = tenure;
+        this.seats = seats;
+        this.registered = registered;
+        this.plans = plans;
+    }
+
+    /** Updates the seats, and forgets customers of which nothing that was lent counts any more. */
+    public void refresh() {
+        tenure.update(seats.get(), registered.getAsBoolean());
+        long now = time.monotonicNanos();
+        ledgers.values().removeIf(ledger -> ledger.isEmpty(now));
+    }
+
+    /**
+     * Lends quota.
+     *
+     * @param number number of the message, by which the borrower may return a part of the loan later
+     */
+    public QuotaPart lend(ProcessId borrower, long number, QuotaDemand demand) {
+        tenure.update(seats.get(), registered.getAsBoolean());
+        CustomerName customer = demand.customer();
+        Optional<QuotaPlan> plan = plans.apply(customer);
+        if (plan.isEmpty()) {
+            return refusal(customer, MAX_MORE_AFTER);
+        }
+        double allowance = tenure.allowance(customer, plan.get());
+        LoanLedger ledger = ledgers.get(customer);
+        if (ledger == null && allowance < 1) {
+            return refusal(customer, MAX_MORE_AFTER);
+        }
+        long now = time.monotonicNanos();
+        if (ledger == null) {
+            ledger = new LoanLedger(window, plan.get(), now);
+            ledgers.put(customer, ledger);
+        }
+        ledger.onPlan(plan.get());
+        ledger.returnLoans(borrower, demand.returns(), now);
+        if (demand.wanted() == 0 || allowance < 1) {
+            return refusal(customer, demand.wanted() == 0 ? Duration.ZERO : MAX_MORE_AFTER);
+        }
+        LoanLedger.Pace pace = LoanLedger.Pace.of(plan.get(), allowance);
+        int requests = ledger.room(pace, demand.wanted(), now);
+        if (requests == 0) {
+            return refusal(customer, bounded(ledger.timeUntilRoom(pace, now)));
+        }
+        boolean ample = ledger.lent(now) + requests <= allowance * AMPLE_SHARE;
+        Duration validity = ample && demand.wanted() > 1 ? LONG_LOAN : SHORT_LOAN;
+        ledger.lend(borrower, number, requests, validity, now);
+        Duration moreAfter = requests < demand.wanted() ? bounded(ledger.timeUntilRoom(pace, now)) : Duration.ZERO;
+        return new QuotaPart(customer, requests, validity, moreAfter);
+    }
+
+    private static QuotaPart refusal(CustomerName customer, Duration moreAfter) {
+        return new QuotaPart(customer, 0, Duration.ZERO, moreAfter);
+    }
+
+    private static Duration bounded(Duration moreAfter) {
+        if (moreAfter.compareTo(MIN_MORE_AFTER) < 0) {
+            return MIN_MORE_AFTER;
+        }
+        return moreAfter.compareTo(MAX_MORE_AFTER) > 0 ? MAX_MORE_AFTER : moreAfter;
+    }
+
+    /** Returns the share of the allowance of each customer that is lent at present, of customers that have loans. */
+    public Map<CustomerName, Double> lentShares() {
+        Map<CustomerName, Double> shares = new HashMap<>();
+        long now = time.monotonicNanos();
+        ledgers.forEach((customer, ledger) -> plans.apply(customer).ifPresent(plan -> {
+            double allowance = tenure.allowance(customer, plan);
+            if (allowance >= 1) {
+                shares.put(customer, ledger.lent(now) / allowance);
+            }
+        }));
+        return shares;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/daisyhoist/core/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Quotas of customers over all daemons: lenders, loans and the local decision. */
+package io.daisyhoist.core.quota;
