--- a/core/src/main/java/io/daisyhoist/core/keyrange/RegistrationLease.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RegistrationLease.java
@@ -11,7 +11,8 @@
  *
  * <p>Invariant: the lease expires {@link #validity} after the daemon sent the latest call by which the store confirmed
  * its registration. Other daemons take over its keys only after the registration has been missing for this validity and
- * a margin, so no key lease granted under this lease can outlive it. Confined to one thread.
+ * a margin, so no key lease granted under this lease can outlive it. Confined to one
+ * thread, except for the methods that only read, which any thread may call.
  */
 public final class RegistrationLease {
     /** Largest fraction by which the clock of a backend server may run slower than the daemon's clock. */
@@ -23,7 +24,7 @@
     private final TimeSource time;
     private final Duration validity;
     private final Duration maxKeyLease;
-    private Optional<ElapsedTimer> lastConfirmedCall = Optional.empty();
+    private volatile Optional<ElapsedTimer> lastConfirmedCall = Optional.empty();
 
     /**
      * Creates an expired lease.
--- a/core/src/main/java/io/daisyhoist/core/quota/LoanLedger.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/LoanLedger.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 
 import io.daisyhoist.core.model.ProcessId;
@@ -74,6 +76,14 @@
         return lent;
     }
 
+    /** Returns the requests lent that count at present by borrower. */
+    Map<ProcessId, Double> lentByBorrower(long nowNanos) {
+        removeLapsed(nowNanos);
+        Map<ProcessId, Double> byBorrower = new HashMap<>();
+        loans.forEach(loan -> byBorrower.merge(loan.borrower, loan.requests, Double::sum));
+        return byBorrower;
+    }
+
     /** Takes back a part of an earlier loan. */
     void returnLoans(ProcessId borrower, List<QuotaDemand.Return> returns, long nowNanos) {
         if (returns.isEmpty()) {
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
@@ -1,7 +1,10 @@
 package io.daisyhoist.core.quota;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -122,16 +125,31 @@
         return moreAfter.compareTo(MAX_MORE_AFTER) > 0 ? MAX_MORE_AFTER : moreAfter;
     }
 
-    /** Returns the share of the allowance of each customer that is lent at present, of customers that have loans. */
-    public Map<CustomerName, Double> lentShares() {
-        Map<CustomerName, Double> shares = new HashMap<>();
+    /**
+     * Use of a customer's quota at this lender. Immutable.
+     *
+     * @param customer the customer
+     * @param allowance requests that this daemon may lend for any window
+     * @param share share of the allowance that is lent at present
+     * @param borrowers number of daemons that have loans which count
+     * @param largestBorrower daemon with the largest loans
+     */
+    public record Usage(
+            CustomerName customer, double allowance, double share, int borrowers, ProcessId largestBorrower) {}
+
+    /** Returns the use of all customers that have loans. */
+    public List<Usage> usage() {
+        List<Usage> usages = new ArrayList<>();
         long now = time.monotonicNanos();
         ledgers.forEach((customer, ledger) -> plans.apply(customer).ifPresent(plan -> {
             double allowance = tenure.allowance(customer, plan);
-            if (allowance >= 1) {
-                shares.put(customer, ledger.lent(now) / allowance);
+            Map<ProcessId, Double> lent = ledger.lentByBorrower(now);
+            if (allowance >= 1 && !lent.isEmpty()) {
+                ProcessId largest = Collections.max(lent.entrySet(), Map.Entry.comparingByValue())
+                        .getKey();
+                usages.add(new Usage(customer, allowance, ledger.lent(now) / allowance, lent.size(), largest));
             }
         }));
-        return shares;
+        return usages;
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -195,6 +195,11 @@
         return ready;
     }
 
+    /** Returns whether the store confirmed the registration so recently that no other daemon may have taken this one for lost. */
+    public boolean isRegistrationConfirmed() {
+        return registrationLease.isConfirmedWithin(REGISTRATION_LEASE_DURATION);
+    }
+
     /** Returns whether this daemon watches the store itself instead of following another daemon. */
     public boolean isWatchingStore() {
         return follower.isWatching();
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -29,11 +29,16 @@
 import io.daisyhoist.mesh.connection.BackendRequestData;
 import io.daisyhoist.mesh.connection.CrashReportCodec;
 import io.daisyhoist.mesh.connection.HeaderNames;
+import io.daisyhoist.mesh.quota.FleetQuota;
+import io.daisyhoist.mesh.quota.PeerQuotaTransport;
+import io.daisyhoist.mesh.quota.QuotaReceiver;
+import io.daisyhoist.mesh.quota.QuotaReport;
 import io.daisyhoist.mesh.request.BackendAdmission;
 import io.daisyhoist.mesh.request.ClientServer;
 import io.daisyhoist.mesh.request.CrashGuard;
 import io.daisyhoist.mesh.request.ForwardReceiver;
 import io.daisyhoist.mesh.request.Forwarder;
+import io.daisyhoist.mesh.request.QuotaCheck;
 import io.daisyhoist.mesh.request.RequestContext;
 import io.daisyhoist.mesh.store.CountedStore;
 import io.daisyhoist.mesh.store.MetadataStore;
@@ -91,6 +96,7 @@
     private final PeerServer peerServer;
     private final CrashGuard crashGuard;
     private final BackendAdmission admission;
+    private final FleetQuota quota;
     private final ClientServer clientServer;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private boolean stopping;
@@ -134,12 +140,18 @@
                 fleetControl::onKeyRequest,
                 crashGuard,
                 metrics);
-        this.peerServer = new PeerServer(
-                peerLoops,
-                identity,
-                PEER_LIMITS,
-                new ForwardReceiver(
-                        context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent));
+        this.quota = new FleetQuota(
+                identity.process(),
+                time,
+                settings.bounds().customers(),
+                new SplittableRandom(incarnation),
+                fleetControl::fleet,
+                fleetControl::isRegistrationConfirmed,
+                new FleetQuota.QuotaIo(new PeerQuotaTransport(context, peerClient), metrics));
+        ForwardReceiver forwardReceiver = new ForwardReceiver(
+                context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent);
+        this.peerServer =
+                new PeerServer(peerLoops, identity, PEER_LIMITS, new QuotaReceiver(context, quota, forwardReceiver));
         LoadBalancer loadBalancer = new LoadBalancer(time, new SplittableRandom(incarnation), settings.zone());
         RequestContext requestContext = new RequestContext(
                 vertx,
@@ -155,7 +167,7 @@
                         settings.bounds().retrySlack(),
                         settings.bounds().retryWindow()),
                 metrics);
-        this.clientServer = new ClientServer(vertx, requestContext, headerNames);
+        this.clientServer = new ClientServer(vertx, requestContext, headerNames, QuotaCheck.of(quota));
         addGauges(backendClient);
     }
 
@@ -223,6 +235,8 @@
         context.runOnContext(run -> {
             eventLoopDelay.start();
             vertx.setPeriodic(CRASH_CHECK_INTERVAL_MILLIS, fired -> checkCrashes());
+            vertx.setPeriodic(FleetQuota.TICK_MILLIS, fired -> quota.tick());
+            vertx.setPeriodic(QuotaReport.INTERVAL_MILLIS, fired -> quota.report());
         });
         vertx.setPeriodic(STORE_CALLS_LOG_INTERVAL_MILLIS, fired -> logStoreCalls());
         context.runOnContext(
--- /dev/null
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
@@ -0,0 +1,190 @@
+package io.daisyhoist.mesh.quota;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.customer.Customer;
+import io.daisyhoist.core.customer.CustomerBounds;
+import io.daisyhoist.core.customer.CustomerName;
+import io.daisyhoist.core.customer.CustomerTable;
+import io.daisyhoist.core.fleet.FleetMember;
+import io.daisyhoist.core.model.DaemonId;
+import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.core.quota.QuotaAsk;
+import io.daisyhoist.core.quota.QuotaDecision;
+import io.daisyhoist.core.quota.QuotaDemand;
+import io.daisyhoist.core.quota.QuotaGate;
+import io.daisyhoist.core.quota.QuotaLender;
+import io.daisyhoist.core.quota.QuotaPart;
+import io.daisyhoist.core.quota.QuotaPlan;
+import io.daisyhoist.core.quota.QuotaSeats;
+import io.daisyhoist.core.quota.SeatTenure;
+import io.daisyhoist.core.route.FleetConfig;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.mesh.version.FleetSnapshot;
+import io.daisyhoist.wire.proto.Envelope;
+import io.daisyhoist.wire.proto.QuotaRequest;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+
+/**
+ * Quotas of customers at one daemon: connects its gate and its lender with those of other daemons.
+ *
+ * <p>Without customers that have a quota it sends nothing and computes no seats. Confined to the traffic event loop.
+ */
+public final class FleetQuota {
+    /** Interval of {@link #tick} in milliseconds. */
+    public static final long TICK_MILLIS = 40;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ProcessId self;
+    private final Supplier<FleetSnapshot> fleet;
+    private final CustomerBounds bounds;
+    private final QuotaTransport transport;
+    private final QuotaReport report;
+    private final QuotaGate gate;
+    private final QuotaLender lender;
+    private Set<DaemonId> seatedMembers = Set.of();
+    private QuotaSeats seats = QuotaSeats.EMPTY;
+
+    /**
+     * Creates a daemon's part in the quotas without loans.
+     *
+     * @param fleet newest known state of the fleet
+     * @param registered whether no other daemon may have taken this one for lost
+     */
+    public FleetQuota(
+            ProcessId self,
+            TimeSource time,
+            CustomerBounds bounds,
+            RandomGenerator random,
+            Supplier<FleetSnapshot> fleet,
+            BooleanSupplier registered,
+            QuotaIo io) {
+        this.self = self;
+        this.fleet = fleet;
+        this.bounds = bounds;
+        this.transport = io.transport();
+        SeatTenure tenure = new SeatTenure(self.daemon(), time, bounds.quotaWindow());
+        this.gate = new QuotaGate(self.daemon(), time, bounds.quotaWindow(), random, this::seats, this::plan);
+        this.lender = new QuotaLender(time, bounds.quotaWindow(), tenure, this::seats, registered, this::plan);
+        this.report = new QuotaReport(io.metrics());
+    }
+
+    /**
+     * Connections of a daemon's quotas with the outside. Immutable.
+     *
+     * @param transport sends messages to other daemons
+     * @param metrics receives counts
+     */
+    public record QuotaIo(QuotaTransport transport, QuotaReport.Metrics metrics) {}
+
+    /** Decides about a request of a customer. */
+    public Future<QuotaDecision> acquire(CustomerName customer) {
+        Promise<QuotaDecision> result = Promise.promise();
+        gate.acquire(customer, decision -> {
+            report.onDecision(customer, decision);
+            result.complete(decision);
+        });
+        sendAsks();
+        return result.future();
+    }
+
+    /** Records that the quota of a request that has not run was returned. */
+    public void onReleased(CustomerName customer) {
+        report.onReleased(customer);
+    }
+
+    /** Does the periodic work; to be called every {@link #TICK_MILLIS}. */
+    public void tick() {
+        if (customers().isEmpty() && gate.activeCustomers() == 0) {
+            return;
+        }
+        lender.refresh();
+        gate.tick();
+        sendAsks();
+    }
+
+    /** Writes the lines and metrics of an interval; to be called every {@link QuotaReport#INTERVAL_MILLIS}. */
+    public void report() {
+        report.flush(lender);
+    }
+
+    private void sendAsks() {
+        for (QuotaAsk ask : gate.nextAsks()) {
+            if (ask.lender().equals(self.daemon())) {
+                gate.onReply(ask.number(), lend(self, ask.number(), ask.demands()));
+            } else {
+                send(ask);
+            }
+        }
+    }
+
+    private void send(QuotaAsk ask) {
+        Optional<FleetMember> member = Optional.ofNullable(fleet.get().members().get(ask.lender()));
+        if (member.isEmpty()) {
+            gate.onFailure(ask.number());
+            return;
+        }
+        transport.call(member.get(), QuotaCodec.encode(ask)).onComplete(done -> {
+            if (done.succeeded()) {
+                onReply(ask, done.result());
+            } else {
+                LOGGER.atInfo().log(
+                        "event=quota_call_failed lender=%s reason=\"%s\"",
+                        ask.lender(), done.cause().getMessage());
+                gate.onFailure(ask.number());
+            }
+            sendAsks();
+        });
+    }
+
+    private void onReply(QuotaAsk ask, Envelope reply) {
+        try {
+            gate.onReply(ask.number(), QuotaCodec.decode(reply.getQuotaLoan()));
+        } catch (IllegalArgumentException e) {
+            LOGGER.atWarning().log("event=quota_loan_invalid lender=%s reason=\"%s\"", ask.lender(), e.getMessage());
+            gate.onFailure(ask.number());
+        }
+    }
+
+    /** Lends quota to another daemon and returns the reply; empty if its message is invalid. */
+    Optional<Envelope> handle(ProcessId from, QuotaRequest message) {
+        try {
+            List<QuotaDemand> demands = QuotaCodec.decode(message);
+            return Optional.of(QuotaCodec.encode(message.getNumber(), lend(from, message.getNumber(), demands)));
+        } catch (IllegalArgumentException e) {
+            LOGGER.atWarning().log("event=quota_request_invalid peer=%s reason=\"%s\"", from, e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private List<QuotaPart> lend(ProcessId borrower, long number, List<QuotaDemand> demands) {
+        return demands.stream()
+                .map(demand -> lender.lend(borrower, number, demand))
+                .toList();
+    }
+
+    private CustomerTable customers() {
+        return fleet.get().config().map(FleetConfig::customers).orElse(CustomerTable.EMPTY);
+    }
+
+    private Optional<QuotaPlan> plan(CustomerName customer) {
+        return customers().find(customer).flatMap(Customer::quota).map(quota -> QuotaPlan.of(quota, bounds));
+    }
+
+    private QuotaSeats seats() {
+        Set<DaemonId> members = fleet.get().members().keySet();
+        if (members != seatedMembers && !members.equals(seatedMembers)) {
+            seats = new QuotaSeats(members);
+        }
+        seatedMembers = members;
+        return seats;
+    }
+}
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientResponse.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientResponse.java
@@ -26,6 +26,7 @@
     public static final int TIMED_OUT = 504;
 
     private static final int NO_ROUTE = 404;
+    private static final int OVER_QUOTA = 429;
     private static final int TOO_LARGE = 413;
     private static final int INVALID = 400;
 
@@ -34,6 +35,16 @@
         return new ClientResponse(NOT_RUN, List.of(), Buffer.buffer(), Optional.of(retryAfter));
     }
 
+    /** Returns the response to a request that has not run because its customer has used its quota. */
+    public static ClientResponse overQuota(Duration retryAfter) {
+        return new ClientResponse(OVER_QUOTA, List.of(), Buffer.buffer(), Optional.of(retryAfter));
+    }
+
+    /** Returns whether the daemon states that the request has not run and never will; false for all that ran or may have. */
+    public boolean statesNotRun() {
+        return retryAfter.isPresent();
+    }
+
     /** Returns a response without a body. */
     public static ClientResponse status(int status) {
         return new ClientResponse(status, List.of(), Buffer.buffer(), Optional.empty());
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.customer.CustomerName;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.route.FleetConfig;
@@ -46,6 +47,7 @@
 
     private final RequestContext context;
     private final HeaderNames headerNames;
+    private final QuotaCheck quotaCheck;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final HttpServer server;
     private final PollBarrier pollBarrier;
@@ -53,9 +55,15 @@
     private Optional<Deadline> plannedExit = Optional.empty();
     private boolean refusing;
 
-    /** Creates a server that is not listening. */
+    /** Creates a server that is not listening and applies no quotas. */
     public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames) {
+        this(vertx, context, headerNames, QuotaCheck.unlimited());
+    }
+
+    /** Creates a server that is not listening. */
+    public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames, QuotaCheck quotaCheck) {
         this.context = context;
+        this.quotaCheck = quotaCheck;
         this.headerNames = headerNames;
         this.pollBarrier = new PollBarrier(vertx);
         this.server = vertx.createHttpServer(new HttpServerOptions()
@@ -177,10 +185,18 @@
                 arrivedNanos,
                 deadline,
                 clientClosed);
-        return new RequestDispatch(
-                        context, request, serviceSelector.next(config.get().version(), route.get()))
-                .start()
-                .map(clientResponse -> requireOwn(id, clientResponse));
+        // Filled in when requests have API keys.
+        Optional<CustomerName> customer = Optional.empty();
+        return quotaCheck.run(
+                customer,
+                id,
+                clientClosed,
+                () -> new RequestDispatch(
+                                context,
+                                request,
+                                serviceSelector.next(config.get().version(), route.get()))
+                        .start()
+                        .map(clientResponse -> requireOwn(id, clientResponse)));
     }
 
     /** Replaces a response that contains the id of another request, wherever the two were confused. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -9,6 +9,7 @@
 
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.mesh.connection.ResponseFault;
+import io.daisyhoist.mesh.quota.QuotaReport;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -19,7 +20,7 @@
  *
  * <p>Label values come from the configuration and from fixed sets, so that clients cannot create time series. Thread-safe.
  */
-public final class FleetMetrics {
+public final class FleetMetrics implements QuotaReport.Metrics {
     private static final Duration[] BUCKETS = {
         Duration.ofMillis(10),
         Duration.ofMillis(25),
@@ -84,6 +85,12 @@
         registry.counter("daisyhoist.fleet.retries", "service", service.name()).increment();
     }
 
+    @Override
+    public void onQuota(String customer, String decision, long requests) {
+        registry.counter("daisyhoist.fleet.quota", "customer", customer, "decision", decision)
+                .increment(requests);
+    }
+
     /** Counts a call of the store. */
     public void onStoreCall(String kind) {
         registry.counter(STORE_CALLS, "kind", kind).increment();
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoan.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoan.java
@@ -91,7 +91,7 @@
 
     /**
      * <pre>
-     * Time until the holder expects to have more to lend, if it lent less than was wanted.
+     * Time until the lender expects to have more to lend, if it lent less than was wanted.
      * </pre>
      *
      * <code>uint32 more_after_ms = 4;</code>
@@ -215,7 +215,7 @@
     private int moreAfterMs_ = 0;
     /**
      * <pre>
-     * Time until the holder expects to have more to lend, if it lent less than was wanted.
+     * Time until the lender expects to have more to lend, if it lent less than was wanted.
      * </pre>
      *
      * <code>uint32 more_after_ms = 4;</code>
@@ -752,7 +752,7 @@
       private int moreAfterMs_ ;
       /**
        * <pre>
-       * Time until the holder expects to have more to lend, if it lent less than was wanted.
+       * Time until the lender expects to have more to lend, if it lent less than was wanted.
        * </pre>
        *
        * <code>uint32 more_after_ms = 4;</code>
@@ -764,7 +764,7 @@
       }
       /**
        * <pre>
-       * Time until the holder expects to have more to lend, if it lent less than was wanted.
+       * Time until the lender expects to have more to lend, if it lent less than was wanted.
        * </pre>
        *
        * <code>uint32 more_after_ms = 4;</code>
@@ -780,7 +780,7 @@
       }
       /**
        * <pre>
-       * Time until the holder expects to have more to lend, if it lent less than was wanted.
+       * Time until the lender expects to have more to lend, if it lent less than was wanted.
        * </pre>
        *
        * <code>uint32 more_after_ms = 4;</code>
@@ -844,25 +844,10 @@
 
   }
 
-  public static final int TERM_FIELD_NUMBER = 1;
-  private long term_ = 0L;
-  /**
-   * <pre>
-   * Term of the holder; a daemon ignores loans of an earlier term than it has seen.
-   * </pre>
-   *
-   * <code>uint64 term = 1;</code>
-   * @return The term.
-   */
-  @java.lang.Override
-  public long getTerm() {
-    return term_;
-  }
-
-  public static final int NUMBER_FIELD_NUMBER = 2;
+  public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_ = 0L;
   /**
-   * <code>uint64 number = 2;</code>
+   * <code>uint64 number = 1;</code>
    * @return The number.
    */
   @java.lang.Override
@@ -870,18 +855,18 @@
     return number_;
   }
 
-  public static final int PARTS_FIELD_NUMBER = 3;
+  public static final int PARTS_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
   private java.util.List<io.daisyhoist.wire.proto.QuotaLoan.Part> parts_;
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   @java.lang.Override
   public java.util.List<io.daisyhoist.wire.proto.QuotaLoan.Part> getPartsList() {
     return parts_;
   }
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   @java.lang.Override
   public java.util.List<? extends io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder> 
@@ -889,21 +874,21 @@
     return parts_;
   }
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   @java.lang.Override
   public int getPartsCount() {
     return parts_.size();
   }
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   @java.lang.Override
   public io.daisyhoist.wire.proto.QuotaLoan.Part getParts(int index) {
     return parts_.get(index);
   }
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   @java.lang.Override
   public io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder getPartsOrBuilder(
@@ -925,14 +910,11 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (term_ != 0L) {
-      output.writeUInt64(1, term_);
-    }
     if (number_ != 0L) {
-      output.writeUInt64(2, number_);
+      output.writeUInt64(1, number_);
     }
     for (int i = 0; i < parts_.size(); i++) {
-      output.writeMessage(3, parts_.get(i));
+      output.writeMessage(2, parts_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -943,13 +925,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (term_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, term_);
-    }
     if (number_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, number_);
+        .computeUInt64Size(1, number_);
     }
 
         {
@@ -975,8 +953,6 @@
     }
     io.daisyhoist.wire.proto.QuotaLoan other = (io.daisyhoist.wire.proto.QuotaLoan) obj;
 
-    if (getTerm()
-        != other.getTerm()) return false;
     if (getNumber()
         != other.getNumber()) return false;
     if (!getPartsList()
@@ -992,9 +968,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + TERM_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getTerm());
     hash = (37 * hash) + NUMBER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getNumber());
@@ -1137,7 +1110,6 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      term_ = 0L;
       number_ = 0L;
       if (partsBuilder_ == null) {
         parts_ = java.util.Collections.emptyList();
@@ -1145,7 +1117,7 @@
         parts_ = null;
         partsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       return this;
     }
 
@@ -1180,9 +1152,9 @@
 
     private void buildPartialRepeatedFields(io.daisyhoist.wire.proto.QuotaLoan result) {
       if (partsBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
+        if (((bitField0_ & 0x00000002) != 0)) {
           parts_ = java.util.Collections.unmodifiableList(parts_);
-          bitField0_ = (bitField0_ & ~0x00000004);
+          bitField0_ = (bitField0_ & ~0x00000002);
         }
         result.parts_ = parts_;
       } else {
@@ -1193,9 +1165,6 @@
     private void buildPartial0(io.daisyhoist.wire.proto.QuotaLoan result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.term_ = term_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
         result.number_ = number_;
       }
     }
@@ -1212,9 +1181,6 @@
 
     public Builder mergeFrom(io.daisyhoist.wire.proto.QuotaLoan other) {
       if (other == io.daisyhoist.wire.proto.QuotaLoan.getDefaultInstance()) return this;
-      if (other.getTerm() != 0L) {
-        setTerm(other.getTerm());
-      }
       if (other.getNumber() != 0L) {
         setNumber(other.getNumber());
       }
@@ -1222,7 +1188,7 @@
         if (!other.parts_.isEmpty()) {
           if (parts_.isEmpty()) {
             parts_ = other.parts_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000002);
           } else {
             ensurePartsIsMutable();
             parts_.addAll(other.parts_);
@@ -1235,7 +1201,7 @@
             partsBuilder_.dispose();
             partsBuilder_ = null;
             parts_ = other.parts_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000002);
             partsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetPartsFieldBuilder() : null;
@@ -1271,16 +1237,11 @@
               done = true;
               break;
             case 8: {
-              term_ = input.readUInt64();
+              number_ = input.readUInt64();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
-            case 16: {
-              number_ = input.readUInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 26: {
+            case 18: {
               io.daisyhoist.wire.proto.QuotaLoan.Part m =
                   input.readMessage(
                       io.daisyhoist.wire.proto.QuotaLoan.Part.parser(),
@@ -1292,7 +1253,7 @@
                 partsBuilder_.addMessage(m);
               }
               break;
-            } // case 26
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1310,53 +1271,9 @@
     }
     private int bitField0_;
 
-    private long term_ ;
-    /**
-     * <pre>
-     * Term of the holder; a daemon ignores loans of an earlier term than it has seen.
-     * </pre>
-     *
-     * <code>uint64 term = 1;</code>
-     * @return The term.
-     */
-    @java.lang.Override
-    public long getTerm() {
-      return term_;
-    }
-    /**
-     * <pre>
-     * Term of the holder; a daemon ignores loans of an earlier term than it has seen.
-     * </pre>
-     *
-     * <code>uint64 term = 1;</code>
-     * @param value The term to set.
-     * @return This builder for chaining.
-     */
-    public Builder setTerm(long value) {
-
-      term_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Term of the holder; a daemon ignores loans of an earlier term than it has seen.
-     * </pre>
-     *
-     * <code>uint64 term = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearTerm() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      term_ = 0L;
-      onChanged();
-      return this;
-    }
-
     private long number_ ;
     /**
-     * <code>uint64 number = 2;</code>
+     * <code>uint64 number = 1;</code>
      * @return The number.
      */
     @java.lang.Override
@@ -1364,23 +1281,23 @@
       return number_;
     }
     /**
-     * <code>uint64 number = 2;</code>
+     * <code>uint64 number = 1;</code>
      * @param value The number to set.
      * @return This builder for chaining.
      */
     public Builder setNumber(long value) {
 
       number_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 number = 2;</code>
+     * <code>uint64 number = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearNumber() {
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000001);
       number_ = 0L;
       onChanged();
       return this;
@@ -1389,9 +1306,9 @@
     private java.util.List<io.daisyhoist.wire.proto.QuotaLoan.Part> parts_ =
       java.util.Collections.emptyList();
     private void ensurePartsIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
+      if (!((bitField0_ & 0x00000002) != 0)) {
         parts_ = new java.util.ArrayList<io.daisyhoist.wire.proto.QuotaLoan.Part>(parts_);
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000002;
        }
     }
 
@@ -1399,7 +1316,7 @@
         io.daisyhoist.wire.proto.QuotaLoan.Part, io.daisyhoist.wire.proto.QuotaLoan.Part.Builder, io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder> partsBuilder_;
 
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public java.util.List<io.daisyhoist.wire.proto.QuotaLoan.Part> getPartsList() {
       if (partsBuilder_ == null) {
@@ -1409,7 +1326,7 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public int getPartsCount() {
       if (partsBuilder_ == null) {
@@ -1419,7 +1336,7 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaLoan.Part getParts(int index) {
       if (partsBuilder_ == null) {
@@ -1429,7 +1346,7 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder setParts(
         int index, io.daisyhoist.wire.proto.QuotaLoan.Part value) {
@@ -1446,7 +1363,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder setParts(
         int index, io.daisyhoist.wire.proto.QuotaLoan.Part.Builder builderForValue) {
@@ -1460,7 +1377,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder addParts(io.daisyhoist.wire.proto.QuotaLoan.Part value) {
       if (partsBuilder_ == null) {
@@ -1476,7 +1393,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder addParts(
         int index, io.daisyhoist.wire.proto.QuotaLoan.Part value) {
@@ -1493,7 +1410,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder addParts(
         io.daisyhoist.wire.proto.QuotaLoan.Part.Builder builderForValue) {
@@ -1507,7 +1424,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder addParts(
         int index, io.daisyhoist.wire.proto.QuotaLoan.Part.Builder builderForValue) {
@@ -1521,7 +1438,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder addAllParts(
         java.lang.Iterable<? extends io.daisyhoist.wire.proto.QuotaLoan.Part> values) {
@@ -1536,12 +1453,12 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder clearParts() {
       if (partsBuilder_ == null) {
         parts_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
       } else {
         partsBuilder_.clear();
@@ -1549,7 +1466,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public Builder removeParts(int index) {
       if (partsBuilder_ == null) {
@@ -1562,14 +1479,14 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaLoan.Part.Builder getPartsBuilder(
         int index) {
       return internalGetPartsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder getPartsOrBuilder(
         int index) {
@@ -1579,7 +1496,7 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public java.util.List<? extends io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder> 
          getPartsOrBuilderList() {
@@ -1590,14 +1507,14 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaLoan.Part.Builder addPartsBuilder() {
       return internalGetPartsFieldBuilder().addBuilder(
           io.daisyhoist.wire.proto.QuotaLoan.Part.getDefaultInstance());
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaLoan.Part.Builder addPartsBuilder(
         int index) {
@@ -1605,7 +1522,7 @@
           index, io.daisyhoist.wire.proto.QuotaLoan.Part.getDefaultInstance());
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+     * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
      */
     public java.util.List<io.daisyhoist.wire.proto.QuotaLoan.Part.Builder> 
          getPartsBuilderList() {
@@ -1618,7 +1535,7 @@
         partsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             io.daisyhoist.wire.proto.QuotaLoan.Part, io.daisyhoist.wire.proto.QuotaLoan.Part.Builder, io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder>(
                 parts_,
-                ((bitField0_ & 0x00000004) != 0),
+                ((bitField0_ & 0x00000002) != 0),
                 getParentForChildren(),
                 isClean());
         parts_ = null;
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoanOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoanOrBuilder.java
@@ -11,41 +11,31 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <pre>
-   * Term of the holder; a daemon ignores loans of an earlier term than it has seen.
-   * </pre>
-   *
-   * <code>uint64 term = 1;</code>
-   * @return The term.
-   */
-  long getTerm();
-
-  /**
-   * <code>uint64 number = 2;</code>
+   * <code>uint64 number = 1;</code>
    * @return The number.
    */
   long getNumber();
 
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   java.util.List<io.daisyhoist.wire.proto.QuotaLoan.Part> 
       getPartsList();
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   io.daisyhoist.wire.proto.QuotaLoan.Part getParts(int index);
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   int getPartsCount();
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   java.util.List<? extends io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder> 
       getPartsOrBuilderList();
   /**
-   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 3;</code>
+   * <code>repeated .daisyhoist.peer.QuotaLoan.Part parts = 2;</code>
    */
   io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder getPartsOrBuilder(
       int index);
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequest.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequest.java
@@ -32,7 +32,6 @@
     super(builder);
   }
   private QuotaRequest() {
-    daemon_ = "";
     demands_ = java.util.Collections.emptyList();
   }
 
@@ -54,6 +53,538 @@
             io.daisyhoist.wire.proto.QuotaRequest.class, io.daisyhoist.wire.proto.QuotaRequest.Builder.class);
   }
 
+  public interface ReturnOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:daisyhoist.peer.QuotaRequest.Return)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Number of the QuotaRequest whose loan is returned in part.
+     * </pre>
+     *
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    int getRequests();
+  }
+  /**
+   * Protobuf type {@code daisyhoist.peer.QuotaRequest.Return}
+   */
+  public static final class Return extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:daisyhoist.peer.QuotaRequest.Return)
+      ReturnOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Return");
+    }
+    // Use Return.newBuilder() to construct.
+    private Return(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Return() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Return_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Return_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Return_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.daisyhoist.wire.proto.QuotaRequest.Return.class, io.daisyhoist.wire.proto.QuotaRequest.Return.Builder.class);
+    }
+
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <pre>
+     * Number of the QuotaRequest whose loan is returned in part.
+     * </pre>
+     *
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    public static final int REQUESTS_FIELD_NUMBER = 2;
+    private int requests_ = 0;
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    @java.lang.Override
+    public int getRequests() {
+      return requests_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (number_ != 0L) {
+        output.writeUInt64(1, number_);
+      }
+      if (requests_ != 0) {
+        output.writeUInt32(2, requests_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, number_);
+      }
+      if (requests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, requests_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.daisyhoist.wire.proto.QuotaRequest.Return)) {
+        return super.equals(obj);
+      }
+      io.daisyhoist.wire.proto.QuotaRequest.Return other = (io.daisyhoist.wire.proto.QuotaRequest.Return) obj;
+
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (getRequests()
+          != other.getRequests()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequests();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.daisyhoist.wire.proto.QuotaRequest.Return prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code daisyhoist.peer.QuotaRequest.Return}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:daisyhoist.peer.QuotaRequest.Return)
+        io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Return_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Return_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.daisyhoist.wire.proto.QuotaRequest.Return.class, io.daisyhoist.wire.proto.QuotaRequest.Return.Builder.class);
+      }
+
+      // Construct using io.daisyhoist.wire.proto.QuotaRequest.Return.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        number_ = 0L;
+        requests_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Return_descriptor;
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.QuotaRequest.Return getDefaultInstanceForType() {
+        return io.daisyhoist.wire.proto.QuotaRequest.Return.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.QuotaRequest.Return build() {
+        io.daisyhoist.wire.proto.QuotaRequest.Return result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.QuotaRequest.Return buildPartial() {
+        io.daisyhoist.wire.proto.QuotaRequest.Return result = new io.daisyhoist.wire.proto.QuotaRequest.Return(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.daisyhoist.wire.proto.QuotaRequest.Return result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.number_ = number_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.requests_ = requests_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.daisyhoist.wire.proto.QuotaRequest.Return) {
+          return mergeFrom((io.daisyhoist.wire.proto.QuotaRequest.Return)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.daisyhoist.wire.proto.QuotaRequest.Return other) {
+        if (other == io.daisyhoist.wire.proto.QuotaRequest.Return.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
+        if (other.getRequests() != 0) {
+          setRequests(other.getRequests());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                number_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                requests_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long number_ ;
+      /**
+       * <pre>
+       * Number of the QuotaRequest whose loan is returned in part.
+       * </pre>
+       *
+       * <code>uint64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <pre>
+       * Number of the QuotaRequest whose loan is returned in part.
+       * </pre>
+       *
+       * <code>uint64 number = 1;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Number of the QuotaRequest whose loan is returned in part.
+       * </pre>
+       *
+       * <code>uint64 number = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int requests_ ;
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @return The requests.
+       */
+      @java.lang.Override
+      public int getRequests() {
+        return requests_;
+      }
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @param value The requests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequests(int value) {
+
+        requests_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequests() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        requests_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:daisyhoist.peer.QuotaRequest.Return)
+    }
+
+    // @@protoc_insertion_point(class_scope:daisyhoist.peer.QuotaRequest.Return)
+    private static final io.daisyhoist.wire.proto.QuotaRequest.Return DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.daisyhoist.wire.proto.QuotaRequest.Return();
+    }
+
+    public static io.daisyhoist.wire.proto.QuotaRequest.Return getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Return>
+        PARSER = new com.google.protobuf.AbstractParser<Return>() {
+      @java.lang.Override
+      public Return parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Return> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Return> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.QuotaRequest.Return getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface DemandOrBuilder extends
       // @@protoc_insertion_point(interface_extends:daisyhoist.peer.QuotaRequest.Demand)
       com.google.protobuf.MessageOrBuilder {
@@ -82,7 +613,7 @@
 
     /**
      * <pre>
-     * Requests that the sender expects until the loan ends.
+     * Requests that the sender expects until the loan ends, including those that wait.
      * </pre>
      *
      * <code>uint32 wanted = 3;</code>
@@ -92,13 +623,47 @@
 
     /**
      * <pre>
-     * Loan that the sender returns unused.
+     * Parts of earlier loans of the same lender that were not used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+     */
+    java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Return> 
+        getReturnsList();
+    /**
+     * <pre>
+     * Parts of earlier loans of the same lender that were not used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+     */
+    io.daisyhoist.wire.proto.QuotaRequest.Return getReturns(int index);
+    /**
+     * <pre>
+     * Parts of earlier loans of the same lender that were not used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+     */
+    int getReturnsCount();
+    /**
+     * <pre>
+     * Parts of earlier loans of the same lender that were not used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+     */
+    java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder> 
+        getReturnsOrBuilderList();
+    /**
+     * <pre>
+     * Parts of earlier loans of the same lender that were not used.
      * </pre>
      *
-     * <code>uint32 returned = 4;</code>
-     * @return The returned.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
      */
-    int getReturned();
+    io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder getReturnsOrBuilder(
+        int index);
   }
   /**
    * Protobuf type {@code daisyhoist.peer.QuotaRequest.Demand}
@@ -123,6 +688,7 @@
     }
     private Demand() {
       customer_ = "";
+      returns_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -201,7 +767,7 @@
     private int wanted_ = 0;
     /**
      * <pre>
-     * Requests that the sender expects until the loan ends.
+     * Requests that the sender expects until the loan ends, including those that wait.
      * </pre>
      *
      * <code>uint32 wanted = 3;</code>
@@ -212,19 +778,65 @@
       return wanted_;
     }
 
-    public static final int RETURNED_FIELD_NUMBER = 4;
-    private int returned_ = 0;
+    public static final int RETURNS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Return> returns_;
+    /**
+     * <pre>
+     * Parts of earlier loans of the same lender that were not used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Return> getReturnsList() {
+      return returns_;
+    }
     /**
      * <pre>
-     * Loan that the sender returns unused.
+     * Parts of earlier loans of the same lender that were not used.
      * </pre>
      *
-     * <code>uint32 returned = 4;</code>
-     * @return The returned.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
      */
     @java.lang.Override
-    public int getReturned() {
-      return returned_;
+    public java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder> 
+        getReturnsOrBuilderList() {
+      return returns_;
+    }
+    /**
+     * <pre>
+     * Parts of earlier loans of the same lender that were not used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+     */
+    @java.lang.Override
+    public int getReturnsCount() {
+      return returns_.size();
+    }
+    /**
+     * <pre>
+     * Parts of earlier loans of the same lender that were not used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.QuotaRequest.Return getReturns(int index) {
+      return returns_.get(index);
+    }
+    /**
+     * <pre>
+     * Parts of earlier loans of the same lender that were not used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+     */
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder getReturnsOrBuilder(
+        int index) {
+      return returns_.get(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -250,8 +862,8 @@
       if (wanted_ != 0) {
         output.writeUInt32(3, wanted_);
       }
-      if (returned_ != 0) {
-        output.writeUInt32(4, returned_);
+      for (int i = 0; i < returns_.size(); i++) {
+        output.writeMessage(4, returns_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -273,10 +885,15 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(3, wanted_);
       }
-      if (returned_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(4, returned_);
-      }
+
+          {
+            final int count = returns_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(returns_.get(i));
+            }
+            size += 1 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -298,8 +915,8 @@
           != other.getUsed()) return false;
       if (getWanted()
           != other.getWanted()) return false;
-      if (getReturned()
-          != other.getReturned()) return false;
+      if (!getReturnsList()
+          .equals(other.getReturnsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -317,8 +934,10 @@
       hash = (53 * hash) + getUsed();
       hash = (37 * hash) + WANTED_FIELD_NUMBER;
       hash = (53 * hash) + getWanted();
-      hash = (37 * hash) + RETURNED_FIELD_NUMBER;
-      hash = (53 * hash) + getReturned();
+      if (getReturnsCount() > 0) {
+        hash = (37 * hash) + RETURNS_FIELD_NUMBER;
+        hash = (53 * hash) + getReturnsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -453,7 +1072,13 @@
         customer_ = "";
         used_ = 0;
         wanted_ = 0;
-        returned_ = 0;
+        if (returnsBuilder_ == null) {
+          returns_ = java.util.Collections.emptyList();
+        } else {
+          returns_ = null;
+          returnsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
         return this;
       }
 
@@ -480,11 +1105,24 @@
       @java.lang.Override
       public io.daisyhoist.wire.proto.QuotaRequest.Demand buildPartial() {
         io.daisyhoist.wire.proto.QuotaRequest.Demand result = new io.daisyhoist.wire.proto.QuotaRequest.Demand(this);
+        buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
+      private void buildPartialRepeatedFields(io.daisyhoist.wire.proto.QuotaRequest.Demand result) {
+        if (returnsBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            returns_ = java.util.Collections.unmodifiableList(returns_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.returns_ = returns_;
+        } else {
+          result.returns_ = returnsBuilder_.build();
+        }
+      }
+
       private void buildPartial0(io.daisyhoist.wire.proto.QuotaRequest.Demand result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -496,9 +1134,6 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.wanted_ = wanted_;
         }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.returned_ = returned_;
-        }
       }
 
       @java.lang.Override
@@ -524,8 +1159,31 @@
         if (other.getWanted() != 0) {
           setWanted(other.getWanted());
         }
-        if (other.getReturned() != 0) {
-          setReturned(other.getReturned());
+        if (returnsBuilder_ == null) {
+          if (!other.returns_.isEmpty()) {
+            if (returns_.isEmpty()) {
+              returns_ = other.returns_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureReturnsIsMutable();
+              returns_.addAll(other.returns_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.returns_.isEmpty()) {
+            if (returnsBuilder_.isEmpty()) {
+              returnsBuilder_.dispose();
+              returnsBuilder_ = null;
+              returns_ = other.returns_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              returnsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetReturnsFieldBuilder() : null;
+            } else {
+              returnsBuilder_.addAllMessages(other.returns_);
+            }
+          }
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -568,11 +1226,19 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
-              case 32: {
-                returned_ = input.readUInt32();
-                bitField0_ |= 0x00000008;
+              case 34: {
+                io.daisyhoist.wire.proto.QuotaRequest.Return m =
+                    input.readMessage(
+                        io.daisyhoist.wire.proto.QuotaRequest.Return.parser(),
+                        extensionRegistry);
+                if (returnsBuilder_ == null) {
+                  ensureReturnsIsMutable();
+                  returns_.add(m);
+                } else {
+                  returnsBuilder_.addMessage(m);
+                }
                 break;
-              } // case 32
+              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -604,194 +1270,462 @@
           customer_ = s;
           return s;
         } else {
-          return (java.lang.String) ref;
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return The bytes for customer.
+       */
+      public com.google.protobuf.ByteString
+          getCustomerBytes() {
+        java.lang.Object ref = customer_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          customer_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomer(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCustomer() {
+        customer_ = getDefaultInstance().getCustomer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string customer = 1;</code>
+       * @param value The bytes for customer to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCustomerBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        customer_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int used_ ;
+      /**
+       * <pre>
+       * Requests that have run since the last report, and that have not been reported yet.
+       * </pre>
+       *
+       * <code>uint32 used = 2;</code>
+       * @return The used.
+       */
+      @java.lang.Override
+      public int getUsed() {
+        return used_;
+      }
+      /**
+       * <pre>
+       * Requests that have run since the last report, and that have not been reported yet.
+       * </pre>
+       *
+       * <code>uint32 used = 2;</code>
+       * @param value The used to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUsed(int value) {
+
+        used_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that have run since the last report, and that have not been reported yet.
+       * </pre>
+       *
+       * <code>uint32 used = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUsed() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        used_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int wanted_ ;
+      /**
+       * <pre>
+       * Requests that the sender expects until the loan ends, including those that wait.
+       * </pre>
+       *
+       * <code>uint32 wanted = 3;</code>
+       * @return The wanted.
+       */
+      @java.lang.Override
+      public int getWanted() {
+        return wanted_;
+      }
+      /**
+       * <pre>
+       * Requests that the sender expects until the loan ends, including those that wait.
+       * </pre>
+       *
+       * <code>uint32 wanted = 3;</code>
+       * @param value The wanted to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWanted(int value) {
+
+        wanted_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that the sender expects until the loan ends, including those that wait.
+       * </pre>
+       *
+       * <code>uint32 wanted = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWanted() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        wanted_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Return> returns_ =
+        java.util.Collections.emptyList();
+      private void ensureReturnsIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          returns_ = new java.util.ArrayList<io.daisyhoist.wire.proto.QuotaRequest.Return>(returns_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.daisyhoist.wire.proto.QuotaRequest.Return, io.daisyhoist.wire.proto.QuotaRequest.Return.Builder, io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder> returnsBuilder_;
+
+      /**
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+       */
+      public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Return> getReturnsList() {
+        if (returnsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(returns_);
+        } else {
+          return returnsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+       */
+      public int getReturnsCount() {
+        if (returnsBuilder_ == null) {
+          return returns_.size();
+        } else {
+          return returnsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+       */
+      public io.daisyhoist.wire.proto.QuotaRequest.Return getReturns(int index) {
+        if (returnsBuilder_ == null) {
+          return returns_.get(index);
+        } else {
+          return returnsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+       */
+      public Builder setReturns(
+          int index, io.daisyhoist.wire.proto.QuotaRequest.Return value) {
+        if (returnsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureReturnsIsMutable();
+          returns_.set(index, value);
+          onChanged();
+        } else {
+          returnsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
+       */
+      public Builder setReturns(
+          int index, io.daisyhoist.wire.proto.QuotaRequest.Return.Builder builderForValue) {
+        if (returnsBuilder_ == null) {
+          ensureReturnsIsMutable();
+          returns_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          returnsBuilder_.setMessage(index, builderForValue.build());
         }
+        return this;
       }
       /**
-       * <code>string customer = 1;</code>
-       * @return The bytes for customer.
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public com.google.protobuf.ByteString
-          getCustomerBytes() {
-        java.lang.Object ref = customer_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          customer_ = b;
-          return b;
+      public Builder addReturns(io.daisyhoist.wire.proto.QuotaRequest.Return value) {
+        if (returnsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureReturnsIsMutable();
+          returns_.add(value);
+          onChanged();
         } else {
-          return (com.google.protobuf.ByteString) ref;
+          returnsBuilder_.addMessage(value);
         }
+        return this;
       }
       /**
-       * <code>string customer = 1;</code>
-       * @param value The customer to set.
-       * @return This builder for chaining.
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder setCustomer(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        customer_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
+      public Builder addReturns(
+          int index, io.daisyhoist.wire.proto.QuotaRequest.Return value) {
+        if (returnsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureReturnsIsMutable();
+          returns_.add(index, value);
+          onChanged();
+        } else {
+          returnsBuilder_.addMessage(index, value);
+        }
         return this;
       }
       /**
-       * <code>string customer = 1;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder clearCustomer() {
-        customer_ = getDefaultInstance().getCustomer();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
+      public Builder addReturns(
+          io.daisyhoist.wire.proto.QuotaRequest.Return.Builder builderForValue) {
+        if (returnsBuilder_ == null) {
+          ensureReturnsIsMutable();
+          returns_.add(builderForValue.build());
+          onChanged();
+        } else {
+          returnsBuilder_.addMessage(builderForValue.build());
+        }
         return this;
       }
       /**
-       * <code>string customer = 1;</code>
-       * @param value The bytes for customer to set.
-       * @return This builder for chaining.
+       * <pre>
+       * Parts of earlier loans of the same lender that were not used.
+       * </pre>
+       *
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder setCustomerBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        customer_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
+      public Builder addReturns(
+          int index, io.daisyhoist.wire.proto.QuotaRequest.Return.Builder builderForValue) {
+        if (returnsBuilder_ == null) {
+          ensureReturnsIsMutable();
+          returns_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          returnsBuilder_.addMessage(index, builderForValue.build());
+        }
         return this;
       }
-
-      private int used_ ;
       /**
        * <pre>
-       * Requests that have run since the last report, and that have not been reported yet.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 used = 2;</code>
-       * @return The used.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      @java.lang.Override
-      public int getUsed() {
-        return used_;
+      public Builder addAllReturns(
+          java.lang.Iterable<? extends io.daisyhoist.wire.proto.QuotaRequest.Return> values) {
+        if (returnsBuilder_ == null) {
+          ensureReturnsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, returns_);
+          onChanged();
+        } else {
+          returnsBuilder_.addAllMessages(values);
+        }
+        return this;
       }
       /**
        * <pre>
-       * Requests that have run since the last report, and that have not been reported yet.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 used = 2;</code>
-       * @param value The used to set.
-       * @return This builder for chaining.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder setUsed(int value) {
-
-        used_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
+      public Builder clearReturns() {
+        if (returnsBuilder_ == null) {
+          returns_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          returnsBuilder_.clear();
+        }
         return this;
       }
       /**
        * <pre>
-       * Requests that have run since the last report, and that have not been reported yet.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 used = 2;</code>
-       * @return This builder for chaining.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder clearUsed() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        used_ = 0;
-        onChanged();
+      public Builder removeReturns(int index) {
+        if (returnsBuilder_ == null) {
+          ensureReturnsIsMutable();
+          returns_.remove(index);
+          onChanged();
+        } else {
+          returnsBuilder_.remove(index);
+        }
         return this;
       }
-
-      private int wanted_ ;
       /**
        * <pre>
-       * Requests that the sender expects until the loan ends.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 wanted = 3;</code>
-       * @return The wanted.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      @java.lang.Override
-      public int getWanted() {
-        return wanted_;
+      public io.daisyhoist.wire.proto.QuotaRequest.Return.Builder getReturnsBuilder(
+          int index) {
+        return internalGetReturnsFieldBuilder().getBuilder(index);
       }
       /**
        * <pre>
-       * Requests that the sender expects until the loan ends.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 wanted = 3;</code>
-       * @param value The wanted to set.
-       * @return This builder for chaining.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder setWanted(int value) {
-
-        wanted_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
+      public io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder getReturnsOrBuilder(
+          int index) {
+        if (returnsBuilder_ == null) {
+          return returns_.get(index);  } else {
+          return returnsBuilder_.getMessageOrBuilder(index);
+        }
       }
       /**
        * <pre>
-       * Requests that the sender expects until the loan ends.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 wanted = 3;</code>
-       * @return This builder for chaining.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder clearWanted() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        wanted_ = 0;
-        onChanged();
-        return this;
+      public java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder> 
+           getReturnsOrBuilderList() {
+        if (returnsBuilder_ != null) {
+          return returnsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(returns_);
+        }
       }
-
-      private int returned_ ;
       /**
        * <pre>
-       * Loan that the sender returns unused.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 returned = 4;</code>
-       * @return The returned.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      @java.lang.Override
-      public int getReturned() {
-        return returned_;
+      public io.daisyhoist.wire.proto.QuotaRequest.Return.Builder addReturnsBuilder() {
+        return internalGetReturnsFieldBuilder().addBuilder(
+            io.daisyhoist.wire.proto.QuotaRequest.Return.getDefaultInstance());
       }
       /**
        * <pre>
-       * Loan that the sender returns unused.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 returned = 4;</code>
-       * @param value The returned to set.
-       * @return This builder for chaining.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder setReturned(int value) {
-
-        returned_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
+      public io.daisyhoist.wire.proto.QuotaRequest.Return.Builder addReturnsBuilder(
+          int index) {
+        return internalGetReturnsFieldBuilder().addBuilder(
+            index, io.daisyhoist.wire.proto.QuotaRequest.Return.getDefaultInstance());
       }
       /**
        * <pre>
-       * Loan that the sender returns unused.
+       * Parts of earlier loans of the same lender that were not used.
        * </pre>
        *
-       * <code>uint32 returned = 4;</code>
-       * @return This builder for chaining.
+       * <code>repeated .daisyhoist.peer.QuotaRequest.Return returns = 4;</code>
        */
-      public Builder clearReturned() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        returned_ = 0;
-        onChanged();
-        return this;
+      public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Return.Builder> 
+           getReturnsBuilderList() {
+        return internalGetReturnsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.daisyhoist.wire.proto.QuotaRequest.Return, io.daisyhoist.wire.proto.QuotaRequest.Return.Builder, io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder> 
+          internalGetReturnsFieldBuilder() {
+        if (returnsBuilder_ == null) {
+          returnsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.daisyhoist.wire.proto.QuotaRequest.Return, io.daisyhoist.wire.proto.QuotaRequest.Return.Builder, io.daisyhoist.wire.proto.QuotaRequest.ReturnOrBuilder>(
+                  returns_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          returns_ = null;
+        }
+        return returnsBuilder_;
       }
 
       // @@protoc_insertion_point(builder_scope:daisyhoist.peer.QuotaRequest.Demand)
@@ -845,60 +1779,14 @@
 
   }
 
-  public static final int DAEMON_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object daemon_ = "";
-  /**
-   * <code>string daemon = 1;</code>
-   * @return The daemon.
-   */
-  @java.lang.Override
-  public java.lang.String getDaemon() {
-    java.lang.Object ref = daemon_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      daemon_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string daemon = 1;</code>
-   * @return The bytes for daemon.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getDaemonBytes() {
-    java.lang.Object ref = daemon_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      daemon_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int INCARNATION_FIELD_NUMBER = 2;
-  private long incarnation_ = 0L;
-  /**
-   * <code>fixed64 incarnation = 2;</code>
-   * @return The incarnation.
-   */
-  @java.lang.Override
-  public long getIncarnation() {
-    return incarnation_;
-  }
-
-  public static final int NUMBER_FIELD_NUMBER = 3;
+  public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_ = 0L;
   /**
-   * <code>uint64 number = 3;</code>
+   * <pre>
+   * Unique among the messages of the sender's process.
+   * </pre>
+   *
+   * <code>uint64 number = 1;</code>
    * @return The number.
    */
   @java.lang.Override
@@ -906,18 +1794,18 @@
     return number_;
   }
 
-  public static final int DEMANDS_FIELD_NUMBER = 4;
+  public static final int DEMANDS_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
   private java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Demand> demands_;
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   @java.lang.Override
   public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Demand> getDemandsList() {
     return demands_;
   }
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   @java.lang.Override
   public java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder> 
@@ -925,21 +1813,21 @@
     return demands_;
   }
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   @java.lang.Override
   public int getDemandsCount() {
     return demands_.size();
   }
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   @java.lang.Override
   public io.daisyhoist.wire.proto.QuotaRequest.Demand getDemands(int index) {
     return demands_.get(index);
   }
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   @java.lang.Override
   public io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder getDemandsOrBuilder(
@@ -961,17 +1849,11 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(daemon_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, daemon_);
-    }
-    if (incarnation_ != 0L) {
-      output.writeFixed64(2, incarnation_);
-    }
     if (number_ != 0L) {
-      output.writeUInt64(3, number_);
+      output.writeUInt64(1, number_);
     }
     for (int i = 0; i < demands_.size(); i++) {
-      output.writeMessage(4, demands_.get(i));
+      output.writeMessage(2, demands_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -982,16 +1864,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(daemon_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, daemon_);
-    }
-    if (incarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(2, incarnation_);
-    }
     if (number_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, number_);
+        .computeUInt64Size(1, number_);
     }
 
         {
@@ -1017,10 +1892,6 @@
     }
     io.daisyhoist.wire.proto.QuotaRequest other = (io.daisyhoist.wire.proto.QuotaRequest) obj;
 
-    if (!getDaemon()
-        .equals(other.getDaemon())) return false;
-    if (getIncarnation()
-        != other.getIncarnation()) return false;
     if (getNumber()
         != other.getNumber()) return false;
     if (!getDemandsList()
@@ -1036,11 +1907,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + DAEMON_FIELD_NUMBER;
-    hash = (53 * hash) + getDaemon().hashCode();
-    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getIncarnation());
     hash = (37 * hash) + NUMBER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getNumber());
@@ -1183,8 +2049,6 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      daemon_ = "";
-      incarnation_ = 0L;
       number_ = 0L;
       if (demandsBuilder_ == null) {
         demands_ = java.util.Collections.emptyList();
@@ -1192,7 +2056,7 @@
         demands_ = null;
         demandsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000002);
       return this;
     }
 
@@ -1227,9 +2091,9 @@
 
     private void buildPartialRepeatedFields(io.daisyhoist.wire.proto.QuotaRequest result) {
       if (demandsBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
+        if (((bitField0_ & 0x00000002) != 0)) {
           demands_ = java.util.Collections.unmodifiableList(demands_);
-          bitField0_ = (bitField0_ & ~0x00000008);
+          bitField0_ = (bitField0_ & ~0x00000002);
         }
         result.demands_ = demands_;
       } else {
@@ -1240,12 +2104,6 @@
     private void buildPartial0(io.daisyhoist.wire.proto.QuotaRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.daemon_ = daemon_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.incarnation_ = incarnation_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
         result.number_ = number_;
       }
     }
@@ -1262,14 +2120,6 @@
 
     public Builder mergeFrom(io.daisyhoist.wire.proto.QuotaRequest other) {
       if (other == io.daisyhoist.wire.proto.QuotaRequest.getDefaultInstance()) return this;
-      if (!other.getDaemon().isEmpty()) {
-        daemon_ = other.daemon_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (other.getIncarnation() != 0L) {
-        setIncarnation(other.getIncarnation());
-      }
       if (other.getNumber() != 0L) {
         setNumber(other.getNumber());
       }
@@ -1277,7 +2127,7 @@
         if (!other.demands_.isEmpty()) {
           if (demands_.isEmpty()) {
             demands_ = other.demands_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000002);
           } else {
             ensureDemandsIsMutable();
             demands_.addAll(other.demands_);
@@ -1290,7 +2140,7 @@
             demandsBuilder_.dispose();
             demandsBuilder_ = null;
             demands_ = other.demands_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000002);
             demandsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetDemandsFieldBuilder() : null;
@@ -1325,22 +2175,12 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              daemon_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 17: {
-              incarnation_ = input.readFixed64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 17
-            case 24: {
+            case 8: {
               number_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000001;
               break;
-            } // case 24
-            case 34: {
+            } // case 8
+            case 18: {
               io.daisyhoist.wire.proto.QuotaRequest.Demand m =
                   input.readMessage(
                       io.daisyhoist.wire.proto.QuotaRequest.Demand.parser(),
@@ -1352,7 +2192,7 @@
                 demandsBuilder_.addMessage(m);
               }
               break;
-            } // case 34
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1370,113 +2210,13 @@
     }
     private int bitField0_;
 
-    private java.lang.Object daemon_ = "";
-    /**
-     * <code>string daemon = 1;</code>
-     * @return The daemon.
-     */
-    public java.lang.String getDaemon() {
-      java.lang.Object ref = daemon_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        daemon_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string daemon = 1;</code>
-     * @return The bytes for daemon.
-     */
-    public com.google.protobuf.ByteString
-        getDaemonBytes() {
-      java.lang.Object ref = daemon_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        daemon_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string daemon = 1;</code>
-     * @param value The daemon to set.
-     * @return This builder for chaining.
-     */
-    public Builder setDaemon(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      daemon_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string daemon = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearDaemon() {
-      daemon_ = getDefaultInstance().getDaemon();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string daemon = 1;</code>
-     * @param value The bytes for daemon to set.
-     * @return This builder for chaining.
-     */
-    public Builder setDaemonBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      daemon_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-
-    private long incarnation_ ;
-    /**
-     * <code>fixed64 incarnation = 2;</code>
-     * @return The incarnation.
-     */
-    @java.lang.Override
-    public long getIncarnation() {
-      return incarnation_;
-    }
-    /**
-     * <code>fixed64 incarnation = 2;</code>
-     * @param value The incarnation to set.
-     * @return This builder for chaining.
-     */
-    public Builder setIncarnation(long value) {
-
-      incarnation_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>fixed64 incarnation = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearIncarnation() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      incarnation_ = 0L;
-      onChanged();
-      return this;
-    }
-
     private long number_ ;
     /**
-     * <code>uint64 number = 3;</code>
+     * <pre>
+     * Unique among the messages of the sender's process.
+     * </pre>
+     *
+     * <code>uint64 number = 1;</code>
      * @return The number.
      */
     @java.lang.Override
@@ -1484,23 +2224,31 @@
       return number_;
     }
     /**
-     * <code>uint64 number = 3;</code>
+     * <pre>
+     * Unique among the messages of the sender's process.
+     * </pre>
+     *
+     * <code>uint64 number = 1;</code>
      * @param value The number to set.
      * @return This builder for chaining.
      */
     public Builder setNumber(long value) {
 
       number_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 number = 3;</code>
+     * <pre>
+     * Unique among the messages of the sender's process.
+     * </pre>
+     *
+     * <code>uint64 number = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearNumber() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000001);
       number_ = 0L;
       onChanged();
       return this;
@@ -1509,9 +2257,9 @@
     private java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Demand> demands_ =
       java.util.Collections.emptyList();
     private void ensureDemandsIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
+      if (!((bitField0_ & 0x00000002) != 0)) {
         demands_ = new java.util.ArrayList<io.daisyhoist.wire.proto.QuotaRequest.Demand>(demands_);
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000002;
        }
     }
 
@@ -1519,7 +2267,7 @@
         io.daisyhoist.wire.proto.QuotaRequest.Demand, io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder, io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder> demandsBuilder_;
 
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Demand> getDemandsList() {
       if (demandsBuilder_ == null) {
@@ -1529,7 +2277,7 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public int getDemandsCount() {
       if (demandsBuilder_ == null) {
@@ -1539,7 +2287,7 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaRequest.Demand getDemands(int index) {
       if (demandsBuilder_ == null) {
@@ -1549,7 +2297,7 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder setDemands(
         int index, io.daisyhoist.wire.proto.QuotaRequest.Demand value) {
@@ -1566,7 +2314,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder setDemands(
         int index, io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder builderForValue) {
@@ -1580,7 +2328,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder addDemands(io.daisyhoist.wire.proto.QuotaRequest.Demand value) {
       if (demandsBuilder_ == null) {
@@ -1596,7 +2344,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder addDemands(
         int index, io.daisyhoist.wire.proto.QuotaRequest.Demand value) {
@@ -1613,7 +2361,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder addDemands(
         io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder builderForValue) {
@@ -1627,7 +2375,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder addDemands(
         int index, io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder builderForValue) {
@@ -1641,7 +2389,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder addAllDemands(
         java.lang.Iterable<? extends io.daisyhoist.wire.proto.QuotaRequest.Demand> values) {
@@ -1656,12 +2404,12 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder clearDemands() {
       if (demandsBuilder_ == null) {
         demands_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
       } else {
         demandsBuilder_.clear();
@@ -1669,7 +2417,7 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public Builder removeDemands(int index) {
       if (demandsBuilder_ == null) {
@@ -1682,14 +2430,14 @@
       return this;
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder getDemandsBuilder(
         int index) {
       return internalGetDemandsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder getDemandsOrBuilder(
         int index) {
@@ -1699,7 +2447,7 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder> 
          getDemandsOrBuilderList() {
@@ -1710,14 +2458,14 @@
       }
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder addDemandsBuilder() {
       return internalGetDemandsFieldBuilder().addBuilder(
           io.daisyhoist.wire.proto.QuotaRequest.Demand.getDefaultInstance());
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder addDemandsBuilder(
         int index) {
@@ -1725,7 +2473,7 @@
           index, io.daisyhoist.wire.proto.QuotaRequest.Demand.getDefaultInstance());
     }
     /**
-     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
      */
     public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder> 
          getDemandsBuilderList() {
@@ -1738,7 +2486,7 @@
         demandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             io.daisyhoist.wire.proto.QuotaRequest.Demand, io.daisyhoist.wire.proto.QuotaRequest.Demand.Builder, io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder>(
                 demands_,
-                ((bitField0_ & 0x00000008) != 0),
+                ((bitField0_ & 0x00000002) != 0),
                 getParentForChildren(),
                 isClean());
         demands_ = null;
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequestOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequestOrBuilder.java
@@ -11,49 +11,35 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string daemon = 1;</code>
-   * @return The daemon.
-   */
-  java.lang.String getDaemon();
-  /**
-   * <code>string daemon = 1;</code>
-   * @return The bytes for daemon.
-   */
-  com.google.protobuf.ByteString
-      getDaemonBytes();
-
-  /**
-   * <code>fixed64 incarnation = 2;</code>
-   * @return The incarnation.
-   */
-  long getIncarnation();
-
-  /**
-   * <code>uint64 number = 3;</code>
+   * <pre>
+   * Unique among the messages of the sender's process.
+   * </pre>
+   *
+   * <code>uint64 number = 1;</code>
    * @return The number.
    */
   long getNumber();
 
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Demand> 
       getDemandsList();
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   io.daisyhoist.wire.proto.QuotaRequest.Demand getDemands(int index);
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   int getDemandsCount();
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder> 
       getDemandsOrBuilderList();
   /**
-   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 4;</code>
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Demand demands = 2;</code>
    */
   io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder getDemandsOrBuilder(
       int index);
