--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -8,7 +8,9 @@
 import java.util.OptionalInt;
 
 import com.google.common.flogger.FluentLogger;
-import io.daisyhoist.core.customer.CustomerName;
+import io.daisyhoist.core.customer.ApiKeyCheck;
+import io.daisyhoist.core.customer.ConfigConfirmation;
+import io.daisyhoist.core.customer.CustomerCredential;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.route.FleetConfig;
@@ -18,6 +20,7 @@
 import io.daisyhoist.daemon.connection.BoundedBody;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.mesh.connection.CustomerHeaders;
 import io.daisyhoist.mesh.connection.HeaderNames;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -47,6 +50,7 @@
 
     private final RequestContext context;
     private final HeaderNames headerNames;
+    private final CustomerAuthenticator authenticator;
     private final QuotaCheck quotaCheck;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final HttpServer server;
@@ -55,16 +59,25 @@
     private Optional<Deadline> plannedExit = Optional.empty();
     private boolean refusing;
 
-    /** Creates a server that is not listening and applies no quotas. */
+    /** Creates a server of a fleet without a revocation limit and quotas, which is not listening. */
     public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames) {
-        this(vertx, context, headerNames, QuotaCheck.unlimited());
+        this(
+                vertx,
+                context,
+                headerNames,
+                new ApiKeyCheck(
+                        new ConfigConfirmation(context.time(), Optional.empty()),
+                        () -> context.fleet().get().config().map(FleetConfig::customers)),
+                QuotaCheck.unlimited());
     }
 
     /** Creates a server that is not listening. */
-    public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames, QuotaCheck quotaCheck) {
+    public ClientServer(
+            Vertx vertx, RequestContext context, HeaderNames headerNames, ApiKeyCheck keyCheck, QuotaCheck quotaCheck) {
         this.context = context;
         this.quotaCheck = quotaCheck;
         this.headerNames = headerNames;
+        this.authenticator = new CustomerAuthenticator(keyCheck, headerNames);
         this.pollBarrier = new PollBarrier(vertx);
         this.server = vertx.createHttpServer(new HttpServerOptions()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
@@ -167,6 +180,13 @@
         if (route.isEmpty()) {
             return refuse(http, "no_route version=" + config.get().version(), ClientResponse.noRoute());
         }
+        CustomerAuthenticator.Result authenticated =
+                authenticator.authenticate(config.get(), route.get(), http.headers());
+        if (authenticated instanceof CustomerAuthenticator.Refused refused) {
+            context.metrics().onRefusal(refused.reason());
+            return refuse(http, refused.reason(), refused.response());
+        }
+        CustomerAuthenticator.Accepted accepted = (CustomerAuthenticator.Accepted) authenticated;
         Deadline deadline = deadline(http, route.get(), arrivedNanos);
         boolean mayBeInterrupted =
                 plannedExit.filter(exit -> exit.isBefore(deadline)).isPresent();
@@ -175,20 +195,21 @@
         }
         ClientRequest request = new ClientRequest(
                 id,
-                route.get(),
+                accepted.priority().isPresent()
+                        ? route.get().withPriority(accepted.priority().getAsInt())
+                        : route.get(),
                 config.get().version(),
                 key(http),
                 http.method().name(),
                 http.uri(),
-                headers(http),
+                headers(http, !config.get().customers().isEmpty()),
                 body,
                 arrivedNanos,
                 deadline,
-                clientClosed);
-        // Filled in when requests have API keys.
-        Optional<CustomerName> customer = Optional.empty();
+                clientClosed,
+                accepted.customer());
         return quotaCheck.run(
-                customer,
+                accepted.customer().map(CustomerCredential::customer),
                 id,
                 clientClosed,
                 () -> new RequestDispatch(
@@ -231,10 +252,11 @@
         }
     }
 
-    private List<HttpField> headers(HttpServerRequest http) {
+    private List<HttpField> headers(HttpServerRequest http, boolean fleetHasCustomers) {
         List<HttpField> forwardedHeaders = new ArrayList<>();
         for (HttpField field : HopByHopHeaders.endToEnd(http.headers())) {
-            if (!isReplaced(field.name())) {
+            boolean ofCustomer = fleetHasCustomers && CustomerHeaders.isReplaced(headerNames, field.name());
+            if (!isReplaced(field.name()) && !ofCustomer) {
                 forwardedHeaders.add(field);
             }
         }
