--- a/core/src/main/java/io/daisyhoist/core/quota/LoanLedger.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/LoanLedger.java
@@ -22,7 +22,15 @@
     /** Rooms of up to this size are lent to one borrower; of a larger one it gets half, so that others get some, too. */
     private static final double UNDIVIDED_ROOM = 4;
 
+    /** More refusals would make the borrowers ask less often. */
+    private static final double MAX_REFUSALS_PER_SECOND = 10;
+
+    private static final double MIN_RETRY_MILLIS = 200;
+    private static final double MAX_RETRY_MILLIS = 2_000;
+
     private final long windowNanos;
+    private final DemandRate refusals;
+    private double retryMillis = MIN_RETRY_MILLIS;
     private final PriorityQueue<Loan> loans =
             new PriorityQueue<>(Comparator.comparingLong((Loan loan) -> loan.countsUntilNanos));
     private double lent;
@@ -46,6 +54,7 @@
 
     LoanLedger(Duration window, QuotaPlan plan, long nowNanos) {
         this.windowNanos = window.toNanos();
+        this.refusals = new DemandRate(nowNanos);
         this.scaledAllowance = plan.seatAllowance();
         this.paceLevel = Double.MAX_VALUE;
         this.pacedAtNanos = nowNanos;
@@ -123,6 +132,17 @@
         return Duration.ofNanos(Math.max(paced, counted));
     }
 
+    /**
+     * Returns the time for which a borrower that gets nothing should not ask again. It grows while refusals are frequent, so
+     * that the messages of a customer over its quota do not grow with the number of daemons.
+     */
+    Duration onRefusal(long nowNanos) {
+        refusals.record(nowNanos);
+        double factor = refusals.perSecond(nowNanos) > MAX_REFUSALS_PER_SECOND ? 1.1 : 0.9;
+        retryMillis = Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, retryMillis * factor));
+        return Duration.ofMillis((long) retryMillis);
+    }
+
     /** Records a loan. */
     void lend(ProcessId borrower, long number, int requests, Duration validity, long nowNanos) {
         loans.add(new Loan(borrower, number, nowNanos + validity.toNanos() + windowNanos, requests));
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
@@ -30,7 +30,7 @@
 
     private static final double AMPLE_SHARE = 0.5;
 
-    /** Bounds the messages of a daemon that finds no quota. */
+    /** Time for which a borrower that got less than it wanted asks others first. */
     private static final Duration MIN_MORE_AFTER = Duration.ofMillis(200);
 
     private static final Duration MAX_MORE_AFTER = Duration.ofMillis(2_000);
@@ -105,12 +105,13 @@
         LoanLedger.Pace pace = LoanLedger.Pace.of(plan.get(), allowance);
         int requests = ledger.room(pace, demand.wanted(), now);
         if (requests == 0) {
-            return refusal(customer, bounded(ledger.timeUntilRoom(pace, now)));
+            return refusal(customer, longer(ledger.onRefusal(now), ledger.timeUntilRoom(pace, now)));
         }
         boolean ample = ledger.lent(now) + requests <= allowance * AMPLE_SHARE;
         Duration validity = ample && demand.wanted() > 1 ? LONG_LOAN : SHORT_LOAN;
         ledger.lend(borrower, number, requests, validity, now);
-        Duration moreAfter = requests < demand.wanted() ? bounded(ledger.timeUntilRoom(pace, now)) : Duration.ZERO;
+        Duration moreAfter =
+                requests < demand.wanted() ? longer(MIN_MORE_AFTER, ledger.timeUntilRoom(pace, now)) : Duration.ZERO;
         return new QuotaPart(customer, requests, validity, moreAfter);
     }
 
@@ -118,9 +119,9 @@
         return new QuotaPart(customer, 0, Duration.ZERO, moreAfter);
     }
 
-    private static Duration bounded(Duration moreAfter) {
-        if (moreAfter.compareTo(MIN_MORE_AFTER) < 0) {
-            return MIN_MORE_AFTER;
+    private static Duration longer(Duration minimum, Duration moreAfter) {
+        if (moreAfter.compareTo(minimum) < 0) {
+            return minimum;
         }
         return moreAfter.compareTo(MAX_MORE_AFTER) > 0 ? MAX_MORE_AFTER : moreAfter;
     }
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaPlan.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaPlan.java
@@ -30,9 +30,9 @@
     private static final double REQUESTS_PER_SEAT = 25;
 
     /** Part of its allowance, or number of requests if that is more, that a seat can always lend at once. */
-    private static final double MIN_BURST_SHARE = 0.2;
+    private static final double MIN_BURST_SHARE = 0.3;
 
-    private static final double MIN_BURST = 5;
+    private static final double MIN_BURST = 10;
 
     /** Divides the allowance of a customer with the given quota. */
     public static QuotaPlan of(CustomerQuota quota, CustomerBounds bounds) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
@@ -117,11 +117,14 @@
     }
 
     private void sendAsks() {
-        for (QuotaAsk ask : gate.nextAsks()) {
-            if (ask.lender().equals(self.daemon())) {
-                gate.onReply(ask.number(), lend(self, ask.number(), ask.demands()));
-            } else {
-                send(ask);
+        // A reply of the local lender may lead to a demand for another one at once.
+        for (List<QuotaAsk> asks = gate.nextAsks(); !asks.isEmpty(); asks = gate.nextAsks()) {
+            for (QuotaAsk ask : asks) {
+                if (ask.lender().equals(self.daemon())) {
+                    gate.onReply(ask.number(), lend(self, ask.number(), ask.demands()));
+                } else {
+                    send(ask);
+                }
             }
         }
     }
