Lend without restriction at once when a fleet starts

A new holder of a seat asks the eight daemons that come next in the order of that seat. If none of them may have lent from it, the seat is not restricted.

--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
@@ -115,6 +115,21 @@
         return new QuotaPart(customer, requests, validity, moreAfter);
     }
 
+    /** Tells another daemon that has become the holder of a seat whether loans of this one from the seat may count. */
+    public SeatVouch vouch(int seat) {
+        if (seat < 0 || seat >= QuotaSeats.SEATS) {
+            return SeatVouch.UNKNOWN;
+        }
+        tenure.update(seats.get(), registered.getAsBoolean());
+        long now = time.monotonicNanos();
+        boolean lent = ledgers.entrySet().stream()
+                .filter(entry -> !entry.getValue().isEmpty(now))
+                .anyMatch(entry -> plans.apply(entry.getKey())
+                        .filter(plan -> !QuotaSeats.isSeatOf(entry.getKey(), plan.seats(), seat))
+                        .isEmpty());
+        return tenure.vouch(seat, lent);
+    }
+
     private static QuotaPart refusal(CustomerName customer, Duration moreAfter) {
         return new QuotaPart(customer, 0, Duration.ZERO, moreAfter);
     }
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaSeats.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaSeats.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -25,10 +26,12 @@
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
+    private final List<DaemonId> members;
     private final List<DaemonId> holders = new ArrayList<>(SEATS);
 
     /** Assigns all seats to the given members. */
     public QuotaSeats(Collection<DaemonId> members) {
+        this.members = List.copyOf(members);
         for (int seat = 0; seat < SEATS && !members.isEmpty(); seat++) {
             holders.add(holder(seat, members));
         }
@@ -38,7 +41,7 @@
         DaemonId best = null;
         long bestWeight = 0;
         for (DaemonId member : members) {
-            long weight = mix(hash(member.name()) + seat * FNV_PRIME);
+            long weight = weight(seat, member);
             boolean better = best == null || weight > bestWeight || weight == bestWeight && member.compareTo(best) < 0;
             if (better) {
                 best = member;
@@ -48,6 +51,20 @@
         return best;
     }
 
+    private static long weight(int seat, DaemonId member) {
+        return mix(hash(member.name()) + seat * FNV_PRIME);
+    }
+
+    /** Returns the daemons, at most the given number, that would hold a seat next if others were not members. */
+    List<DaemonId> runnersUp(int seat, DaemonId holder, int count) {
+        return members.stream()
+                .filter(member -> !member.equals(holder))
+                .sorted(Comparator.comparingLong((DaemonId member) -> weight(seat, member))
+                        .reversed())
+                .limit(count)
+                .toList();
+    }
+
     /** Returns the holder of a seat; empty if the fleet has no members. */
     public Optional<DaemonId> holder(int seat) {
         return holders.isEmpty() ? Optional.empty() : Optional.of(holders.get(seat));
@@ -62,6 +79,11 @@
         return (int) Math.floorMod(mix(hash(customer.name())) + index, (long) SEATS);
     }
 
+    /** Returns whether a seat is one of those of a customer. */
+    static boolean isSeatOf(CustomerName customer, int seats, int seat) {
+        return Math.floorMod(seat - seatOf(customer, 0), SEATS) < seats;
+    }
+
     /** Returns the index of the seat that a daemon asks first, which spreads the daemons over the seats. */
     static int firstIndex(CustomerName customer, DaemonId daemon, int seats) {
         return (int) Math.floorMod(mix(hash(customer.name()) ^ mix(hash(daemon.name()))), (long) seats);
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaServiceTest.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaServiceTest.java
@@ -85,6 +85,7 @@
         play("even at 0.3", START, 0.3, 0.3, 1, 0.99);
         play("even at 0.9", START, 0.9, 0.9, 1, 0.99);
         play("skewed at 0.9", START, 0.9, 0.9, 4, 0.99);
+        play("start at 0.5", Duration.ofMillis(500), 0.5, 0.5, 1, 0.99);
     }
 
     @Test
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaSimulation.java
@@ -164,6 +164,13 @@
         return allowed;
     }
 
+    private Daemon daemon(DaemonId id) {
+        return daemons.stream()
+                .filter(daemon -> daemon.id.equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Counts of requests. */
     static final class Tally {
         long sent;
@@ -180,6 +187,8 @@
         final Map<CustomerName, QuotaPlan> plans = new HashMap<>();
         QuotaGate gate;
         QuotaLender lender;
+        private SeatClaims claims;
+        private boolean first;
         private final Map<DaemonId, Long> absentSince = new HashMap<>();
         private final Set<DaemonId> members = new HashSet<>();
         private QuotaSeats seats = QuotaSeats.EMPTY;
@@ -207,12 +216,14 @@
         void start() {
             alive = true;
             generation++;
+            first = generation == 1;
             members.clear();
             absentSince.clear();
             confirmed = Optional.empty();
             seats = QuotaSeats.EMPTY;
             Duration window = BOUNDS.quotaWindow();
-            SeatTenure tenure = new SeatTenure(id, this, window);
+            SeatTenure tenure = new SeatTenure(id, this, window, () -> first);
+            claims = new SeatClaims(id, this, tenure);
             lender = new QuotaLender(
                     this,
                     window,
@@ -289,6 +300,7 @@
             lender.refresh();
             gate.tick();
             send();
+            sendClaims();
             later((40 + random.nextInt(20)) * MILLI, this::tick);
         }
 
@@ -311,10 +323,7 @@
 
         private void send() {
             for (QuotaAsk ask : gate.nextAsks()) {
-                Daemon target = daemons.stream()
-                        .filter(other -> other.id.equals(ask.lender()))
-                        .findFirst()
-                        .orElseThrow();
+                Daemon target = daemon(ask.lender());
                 messages++;
                 later(CALL_TIMEOUT, () -> {
                     gate.onFailure(ask.number());
@@ -328,6 +337,23 @@
             }
         }
 
+        private void sendClaims() {
+            int process = generation;
+            for (SeatClaims.Claim claim : claims.next(seats)) {
+                messages++;
+                Daemon target = daemon(claim.daemon());
+                deliver(target, () -> {
+                    Map<Integer, SeatVouch> vouches = new HashMap<>();
+                    claim.seats().forEach(seat -> vouches.put(seat, target.lender.vouch(seat)));
+                    target.deliver(this, () -> {
+                        if (process == generation) {
+                            vouches.forEach((seat, vouch) -> claims.onReply(target.id, seat, vouch));
+                        }
+                    });
+                });
+            }
+        }
+
         private void deliver(Daemon target, Runnable action) {
             if (cutFromPeers || target.cutFromPeers || !target.alive || random.nextDouble() < lossShare) {
                 return;
