--- a/core/src/main/java/io/daisyhoist/core/quota/PendingReturns.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/PendingReturns.java
@@ -20,7 +20,7 @@
  */
 final class PendingReturns {
     /** Time for which a part waits for a demand to the same lender. */
-    private static final long MAX_DELAY_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long MAX_DELAY_NANOS = Duration.ofMillis(200).toNanos();
 
     private static final int MAX_PARTS_PER_LENDER = 1_000;
 
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
@@ -23,7 +23,7 @@
  */
 public final class QuotaLender {
     /** Validity of a loan while quota is scarce; unused parts become available soon. */
-    static final Duration SHORT_LOAN = Duration.ofMillis(400);
+    static final Duration SHORT_LOAN = Duration.ofMillis(300);
 
     /** Validity of a loan while less than half of the allowance is lent, so that steady demand causes few messages. */
     static final Duration LONG_LOAN = Duration.ofMillis(2_000);
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaPlan.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaPlan.java
@@ -24,7 +24,7 @@
     private static final int MIN_SEATS = 2;
 
     /** With more seats, a daemon that finds no quota would ask many lenders; with fewer, too much would be set aside. */
-    private static final int MAX_SEATS = 12;
+    private static final int MAX_SEATS = 24;
 
     /** A seat with a smaller part would often be short of one request while others have several left. */
     private static final double REQUESTS_PER_SEAT = 25;
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaHistoriesTest.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaHistoriesTest.java
@@ -18,7 +18,6 @@
 /** Checks the rule of the quota in every window of seeded histories of a fleet, over all daemons together. */
 class QuotaHistoriesTest {
     private static final int HISTORIES = Integer.getInteger("quota.histories", 1_000);
-    private static final Duration START = Duration.ofSeconds(8);
     private static final Duration DURATION = Duration.ofSeconds(30);
     private static final double[] RATES = {0.5, 1, 2, 5, 20, 100};
     private static final double[] LOADS = {0.3, 0.9, 1.5, 5};
@@ -91,49 +90,55 @@
         }
     }
 
-    private static String kind(boolean faults, Customer customer) {
-        return (faults ? "faults" : "steady") + " load=" + customer.load() + " small="
-                + (customer.quota().requestsPerSecond() <= 5);
+    private static String kind(boolean faults, boolean changes, Customer customer) {
+        return (faults ? "faults" : "steady") + (changes ? " changed" : "") + " load=" + customer.load() + " notRun="
+                + customer.notRunShare() + " small=" + (customer.quota().requestsPerSecond() <= 5);
     }
 
     /** Guards against windows over the quota after kills, cuts, suspensions, restarts and changes of the quota. */
     @Test
     void histories_anyFaults_noWindowOverQuota() {
         List<String> violations = new ArrayList<>();
+        double largestShare = 0;
         Map<String, double[]> served = new TreeMap<>();
         for (long seed = 1; seed <= HISTORIES; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             boolean faults = random.nextInt(4) > 0;
+            boolean changes = false;
             QuotaSimulation fleet = new QuotaSimulation(seed, 3 + random.nextInt(28));
+            Duration start = Duration.ofMillis(500 + random.nextInt(10_000));
             List<Customer> customers = List.of(customer(0, random), customer(1, random));
             List<QuotaSimulation.Tally> tallies = new ArrayList<>();
             for (Customer customer : customers) {
                 fleet.setQuota(customer.name(), customer.quota());
                 QuotaSimulation.Tally tally = new QuotaSimulation.Tally();
-                load(fleet, customer, START, START.plus(DURATION), tally);
+                load(fleet, customer, start, start.plus(DURATION), tally);
                 tallies.add(tally);
             }
             if (faults) {
-                addFaults(fleet, START.plus(DURATION));
+                addFaults(fleet, start.plus(DURATION));
             }
             if (random.nextInt(3) == 0) {
+                changes = true;
                 Customer changed = customers.get(0);
                 double factor = random.nextBoolean() ? 0.2 : 3;
                 fleet.at(
-                        START.plusSeconds(10).toNanos(),
+                        start.plusSeconds(10).toNanos(),
                         () -> fleet.setQuota(
                                 changed.name(),
                                 new CustomerQuota(
                                         changed.quota().requestsPerSecond() * factor,
                                         changed.quota().burst() * factor)));
             }
-            fleet.run(START.plus(DURATION).plusSeconds(1));
+            fleet.run(start.plus(DURATION).plusSeconds(1));
             for (int i = 0; i < customers.size(); i++) {
                 Customer customer = customers.get(i);
                 Optional<String> violation = fleet.violation(customer.name());
                 String description = "seed " + seed + " " + customer + ": ";
+                largestShare = Math.max(largestShare, fleet.largestShare());
                 violation.ifPresent(text -> violations.add(description + text));
-                double[] sums = served.computeIfAbsent(kind(faults, customer), any -> new double[2]);
+                double[] sums =
+                        served.computeIfAbsent(kind(faults || fleet.joins, changes, customer), any -> new double[2]);
                 QuotaSimulation.Tally tally = tallies.get(i);
                 sums[0] += tally.ran;
                 sums[1] += Math.min(
@@ -142,6 +147,7 @@
                                 + customer.quota().burst());
             }
         }
+        System.out.printf("largest share of the allowance in a window: %.3f%n", largestShare);
         served.forEach((kind, sums) ->
                 System.out.printf("%s: served %.0f of %.0f = %.3f%n", kind, sums[0], sums[1], sums[0] / sums[1]));
         assertEquals(List.of(), violations);
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaSimulation.java
@@ -30,11 +30,15 @@
     private static final Duration REGISTRATION_VALIDITY = Duration.ofSeconds(9);
     private static final long MEMBER_EXPIRY = 9_900 * MILLI;
     private static final long LEASE_TTL = 3_000 * MILLI;
+    private static final long EARLIEST_JOIN = 400 * MILLI;
+    private static final long LATEST_JOIN = 20_000 * MILLI;
     private static final long CALL_TIMEOUT = 300 * MILLI;
 
     final SplittableRandom random;
     final List<Daemon> daemons = new ArrayList<>();
     double lossShare;
+    private double largestShare;
+    final boolean joins;
     long messages;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::order));
@@ -61,11 +65,17 @@
     }
 
     QuotaSimulation(long seed, int daemonCount) {
-        random = new SplittableRandom(seed);
+        random = new SplittableRandom(~seed);
         for (int i = 0; i < daemonCount; i++) {
             daemons.add(new Daemon(new DaemonId("side-" + i)));
         }
-        daemons.forEach(Daemon::start);
+        int late = random.nextInt(4) == 0 ? random.nextInt(daemonCount) : 0;
+        joins = late > 0;
+        for (Daemon daemon : daemons) {
+            boolean joinsLater = daemons.indexOf(daemon) < late;
+            long delay = joinsLater ? random.nextLong(LATEST_JOIN) : random.nextLong(EARLIEST_JOIN);
+            at(delay, daemon::start);
+        }
     }
 
     long now() {
@@ -126,6 +136,11 @@
         daemon.whenRunning(daemon::send);
     }
 
+    /** Returns the largest share of what was allowed that ran in a window. */
+    double largestShare() {
+        return largestShare;
+    }
+
     /** Returns a description of the window in which most requests exceed what was allowed; empty if there is none. */
     Optional<String> violation(CustomerName customer) {
         List<Admission> ran = admissions.getOrDefault(customer, List.of()).stream()
@@ -140,6 +155,7 @@
             }
             int count = last - first + 1;
             double allowed = allowed(customer, ran.get(last).atNanos - window, ran.get(last).atNanos);
+            largestShare = Math.max(largestShare, count / allowed);
             if (count > allowed) {
                 return Optional.of(customer + " ran " + count + " of " + allowed + " until "
                         + ran.get(last).atNanos / MILLI + " ms");
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -151,7 +151,7 @@
                 settings.bounds().customers(),
                 new SplittableRandom(incarnation),
                 fleetControl::fleet,
-                fleetControl::isRegistrationConfirmed,
+                new FleetQuota.Standing(fleetControl::isRegistrationConfirmed, fleetControl::isFirstProcess),
                 new FleetQuota.QuotaIo(new PeerQuotaTransport(context, peerClient), metrics));
         ForwardReceiver forwardReceiver = new ForwardReceiver(
                 context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent);
--- a/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
@@ -1,6 +1,8 @@
 package io.daisyhoist.mesh.quota;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -23,11 +25,14 @@
 import io.daisyhoist.core.quota.QuotaPart;
 import io.daisyhoist.core.quota.QuotaPlan;
 import io.daisyhoist.core.quota.QuotaSeats;
+import io.daisyhoist.core.quota.SeatClaims;
 import io.daisyhoist.core.quota.SeatTenure;
+import io.daisyhoist.core.quota.SeatVouch;
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.wire.proto.Envelope;
+import io.daisyhoist.wire.proto.QuotaLoan;
 import io.daisyhoist.wire.proto.QuotaRequest;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -50,6 +55,7 @@
     private final QuotaReport report;
     private final QuotaGate gate;
     private final QuotaLender lender;
+    private final SeatClaims claims;
     private Set<DaemonId> seatedMembers = Set.of();
     private QuotaSeats seats = QuotaSeats.EMPTY;
 
@@ -57,7 +63,6 @@
      * Creates a daemon's part in the quotas without loans.
      *
      * @param fleet newest known state of the fleet
-     * @param registered whether no other daemon may have taken this one for lost
      */
     public FleetQuota(
             ProcessId self,
@@ -65,18 +70,28 @@
             CustomerBounds bounds,
             RandomGenerator random,
             Supplier<FleetSnapshot> fleet,
-            BooleanSupplier registered,
+            Standing standing,
             QuotaIo io) {
         this.self = self;
         this.fleet = fleet;
         this.bounds = bounds;
         this.transport = io.transport();
-        SeatTenure tenure = new SeatTenure(self.daemon(), time, bounds.quotaWindow());
+        SeatTenure tenure = new SeatTenure(self.daemon(), time, bounds.quotaWindow(), standing.firstProcess());
+        this.claims = new SeatClaims(self.daemon(), time, tenure);
         this.gate = new QuotaGate(self.daemon(), time, bounds.quotaWindow(), random, this::seats, this::plan);
-        this.lender = new QuotaLender(time, bounds.quotaWindow(), tenure, this::seats, registered, this::plan);
+        this.lender =
+                new QuotaLender(time, bounds.quotaWindow(), tenure, this::seats, standing.registered(), this::plan);
         this.report = new QuotaReport(io.metrics());
     }
 
+    /**
+     * What the daemon knows about its own registration. Immutable; the suppliers are thread-safe.
+     *
+     * @param registered whether no other daemon may have taken this one for lost
+     * @param firstProcess whether this daemon certainly has no earlier process whose loans may count
+     */
+    public record Standing(BooleanSupplier registered, BooleanSupplier firstProcess) {}
+
     /**
      * Connections of a daemon's quotas with the outside. Immutable.
      *
@@ -109,6 +124,21 @@
         lender.refresh();
         gate.tick();
         sendAsks();
+        claims.next(seats()).forEach(this::sendClaim);
+    }
+
+    private void sendClaim(SeatClaims.Claim claim) {
+        Optional<FleetMember> member = Optional.ofNullable(fleet.get().members().get(claim.daemon()));
+        member.ifPresent(daemon -> transport
+                .call(daemon, QuotaCodec.encode(claim))
+                .onFailure(failure -> LOGGER.atInfo().log(
+                        "event=quota_claim_failed peer=%s reason=\"%s\"", claim.daemon(), failure.getMessage()))
+                .onSuccess(reply -> onVouches(claim, reply.getQuotaLoan())));
+    }
+
+    private void onVouches(SeatClaims.Claim claim, QuotaLoan reply) {
+        reply.getUnusedSeatsList().forEach(seat -> claims.onReply(claim.daemon(), seat, SeatVouch.UNUSED));
+        reply.getNewSeatsList().forEach(seat -> claims.onReply(claim.daemon(), seat, SeatVouch.NEW));
     }
 
     /** Writes the lines and metrics of an interval; to be called every {@link QuotaReport#INTERVAL_MILLIS}. */
@@ -161,7 +191,10 @@
     Optional<Envelope> handle(ProcessId from, QuotaRequest message) {
         try {
             List<QuotaDemand> demands = QuotaCodec.decode(message);
-            return Optional.of(QuotaCodec.encode(message.getNumber(), lend(from, message.getNumber(), demands)));
+            List<QuotaPart> parts = lend(from, message.getNumber(), demands);
+            Map<Integer, SeatVouch> vouches = new HashMap<>();
+            message.getClaimedSeatsList().forEach(seat -> vouches.put(seat, lender.vouch(seat)));
+            return Optional.of(QuotaCodec.encode(message.getNumber(), parts, vouches));
         } catch (IllegalArgumentException e) {
             LOGGER.atWarning().log("event=quota_request_invalid peer=%s reason=\"%s\"", from, e.getMessage());
             return Optional.empty();
--- a/mesh/src/main/java/io/daisyhoist/mesh/quota/QuotaCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/QuotaCodec.java
@@ -3,11 +3,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 import io.daisyhoist.core.customer.CustomerName;
 import io.daisyhoist.core.quota.QuotaAsk;
 import io.daisyhoist.core.quota.QuotaDemand;
 import io.daisyhoist.core.quota.QuotaPart;
+import io.daisyhoist.core.quota.SeatClaims;
+import io.daisyhoist.core.quota.SeatVouch;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.QuotaLoan;
 import io.daisyhoist.wire.proto.QuotaRequest;
@@ -35,6 +38,12 @@
         return Envelope.newBuilder().setQuotaRequest(message).build();
     }
 
+    static Envelope encode(SeatClaims.Claim claim) {
+        return Envelope.newBuilder()
+                .setQuotaRequest(QuotaRequest.newBuilder().addAllClaimedSeats(claim.seats()))
+                .build();
+    }
+
     /**
      * Decodes demands.
      *
@@ -52,7 +61,12 @@
         return demands;
     }
 
-    static Envelope encode(long number, List<QuotaPart> parts) {
+    /**
+     * Encodes the reply to a message.
+     *
+     * @param vouches what the sender knows about each of the claimed seats
+     */
+    static Envelope encode(long number, List<QuotaPart> parts, Map<Integer, SeatVouch> vouches) {
         QuotaLoan.Builder message = QuotaLoan.newBuilder().setNumber(number);
         for (QuotaPart part : parts) {
             message.addParts(QuotaLoan.Part.newBuilder()
@@ -61,6 +75,13 @@
                     .setValidMs((int) part.validity().toMillis())
                     .setMoreAfterMs((int) part.moreAfter().toMillis()));
         }
+        vouches.forEach((seat, vouch) -> {
+            if (vouch == SeatVouch.UNUSED) {
+                message.addUnusedSeats(seat);
+            } else if (vouch == SeatVouch.NEW) {
+                message.addNewSeats(seat);
+            }
+        });
         return Envelope.newBuilder().setQuotaLoan(message).build();
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/quota/QuotaFleet.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/quota/QuotaFleet.java
@@ -63,7 +63,7 @@
                     CustomerBounds.DEFAULT,
                     new SplittableRandom(1),
                     () -> snapshot,
-                    () -> true,
+                    new FleetQuota.Standing(() -> true, () -> true),
                     new FleetQuota.QuotaIo(
                             (lender, message) -> call(process, lender.daemon(), message),
                             (customer, decision, requests) ->
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoan.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoan.java
@@ -33,6 +33,8 @@
   }
   private QuotaLoan() {
     parts_ = java.util.Collections.emptyList();
+    unusedSeats_ = emptyIntList();
+    newSeats_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -896,6 +898,90 @@
     return parts_.get(index);
   }
 
+  public static final int UNUSED_SEATS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList unusedSeats_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * </pre>
+   *
+   * <code>repeated uint32 unused_seats = 3;</code>
+   * @return A list containing the unusedSeats.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getUnusedSeatsList() {
+    return unusedSeats_;
+  }
+  /**
+   * <pre>
+   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * </pre>
+   *
+   * <code>repeated uint32 unused_seats = 3;</code>
+   * @return The count of unusedSeats.
+   */
+  public int getUnusedSeatsCount() {
+    return unusedSeats_.size();
+  }
+  /**
+   * <pre>
+   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * </pre>
+   *
+   * <code>repeated uint32 unused_seats = 3;</code>
+   * @param index The index of the element to return.
+   * @return The unusedSeats at the given index.
+   */
+  public int getUnusedSeats(int index) {
+    return unusedSeats_.getInt(index);
+  }
+  private int unusedSeatsMemoizedSerializedSize = -1;
+
+  public static final int NEW_SEATS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList newSeats_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+   * </pre>
+   *
+   * <code>repeated uint32 new_seats = 4;</code>
+   * @return A list containing the newSeats.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getNewSeatsList() {
+    return newSeats_;
+  }
+  /**
+   * <pre>
+   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+   * </pre>
+   *
+   * <code>repeated uint32 new_seats = 4;</code>
+   * @return The count of newSeats.
+   */
+  public int getNewSeatsCount() {
+    return newSeats_.size();
+  }
+  /**
+   * <pre>
+   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+   * </pre>
+   *
+   * <code>repeated uint32 new_seats = 4;</code>
+   * @param index The index of the element to return.
+   * @return The newSeats at the given index.
+   */
+  public int getNewSeats(int index) {
+    return newSeats_.getInt(index);
+  }
+  private int newSeatsMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -910,12 +996,27 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (number_ != 0L) {
       output.writeUInt64(1, number_);
     }
     for (int i = 0; i < parts_.size(); i++) {
       output.writeMessage(2, parts_.get(i));
     }
+    if (getUnusedSeatsList().size() > 0) {
+      output.writeUInt32NoTag(26);
+      output.writeUInt32NoTag(unusedSeatsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < unusedSeats_.size(); i++) {
+      output.writeUInt32NoTag(unusedSeats_.getInt(i));
+    }
+    if (getNewSeatsList().size() > 0) {
+      output.writeUInt32NoTag(34);
+      output.writeUInt32NoTag(newSeatsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < newSeats_.size(); i++) {
+      output.writeUInt32NoTag(newSeats_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -938,6 +1039,34 @@
           }
           size += 1 * count;
         }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < unusedSeats_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(unusedSeats_.getInt(i));
+      }
+      size += dataSize;
+      if (!getUnusedSeatsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      unusedSeatsMemoizedSerializedSize = dataSize;
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < newSeats_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(newSeats_.getInt(i));
+      }
+      size += dataSize;
+      if (!getNewSeatsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      newSeatsMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -957,6 +1086,10 @@
         != other.getNumber()) return false;
     if (!getPartsList()
         .equals(other.getPartsList())) return false;
+    if (!getUnusedSeatsList()
+        .equals(other.getUnusedSeatsList())) return false;
+    if (!getNewSeatsList()
+        .equals(other.getNewSeatsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -975,6 +1108,14 @@
       hash = (37 * hash) + PARTS_FIELD_NUMBER;
       hash = (53 * hash) + getPartsList().hashCode();
     }
+    if (getUnusedSeatsCount() > 0) {
+      hash = (37 * hash) + UNUSED_SEATS_FIELD_NUMBER;
+      hash = (53 * hash) + getUnusedSeatsList().hashCode();
+    }
+    if (getNewSeatsCount() > 0) {
+      hash = (37 * hash) + NEW_SEATS_FIELD_NUMBER;
+      hash = (53 * hash) + getNewSeatsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1118,6 +1259,8 @@
         partsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      unusedSeats_ = emptyIntList();
+      newSeats_ = emptyIntList();
       return this;
     }
 
@@ -1167,6 +1310,14 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.number_ = number_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        unusedSeats_.makeImmutable();
+        result.unusedSeats_ = unusedSeats_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        newSeats_.makeImmutable();
+        result.newSeats_ = newSeats_;
+      }
     }
 
     @java.lang.Override
@@ -1210,6 +1361,28 @@
           }
         }
       }
+      if (!other.unusedSeats_.isEmpty()) {
+        if (unusedSeats_.isEmpty()) {
+          unusedSeats_ = other.unusedSeats_;
+          unusedSeats_.makeImmutable();
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureUnusedSeatsIsMutable();
+          unusedSeats_.addAll(other.unusedSeats_);
+        }
+        onChanged();
+      }
+      if (!other.newSeats_.isEmpty()) {
+        if (newSeats_.isEmpty()) {
+          newSeats_ = other.newSeats_;
+          newSeats_.makeImmutable();
+          bitField0_ |= 0x00000008;
+        } else {
+          ensureNewSeatsIsMutable();
+          newSeats_.addAll(other.newSeats_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1254,6 +1427,38 @@
               }
               break;
             } // case 18
+            case 24: {
+              int v = input.readUInt32();
+              ensureUnusedSeatsIsMutable();
+              unusedSeats_.addInt(v);
+              break;
+            } // case 24
+            case 26: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureUnusedSeatsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                unusedSeats_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 26
+            case 32: {
+              int v = input.readUInt32();
+              ensureNewSeatsIsMutable();
+              newSeats_.addInt(v);
+              break;
+            } // case 32
+            case 34: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureNewSeatsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                newSeats_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1543,6 +1748,230 @@
       return partsBuilder_;
     }
 
+    private com.google.protobuf.Internal.IntList unusedSeats_ = emptyIntList();
+    private void ensureUnusedSeatsIsMutable() {
+      if (!unusedSeats_.isModifiable()) {
+        unusedSeats_ = makeMutableCopy(unusedSeats_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * </pre>
+     *
+     * <code>repeated uint32 unused_seats = 3;</code>
+     * @return A list containing the unusedSeats.
+     */
+    public java.util.List<java.lang.Integer>
+        getUnusedSeatsList() {
+      unusedSeats_.makeImmutable();
+      return unusedSeats_;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * </pre>
+     *
+     * <code>repeated uint32 unused_seats = 3;</code>
+     * @return The count of unusedSeats.
+     */
+    public int getUnusedSeatsCount() {
+      return unusedSeats_.size();
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * </pre>
+     *
+     * <code>repeated uint32 unused_seats = 3;</code>
+     * @param index The index of the element to return.
+     * @return The unusedSeats at the given index.
+     */
+    public int getUnusedSeats(int index) {
+      return unusedSeats_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * </pre>
+     *
+     * <code>repeated uint32 unused_seats = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The unusedSeats to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnusedSeats(
+        int index, int value) {
+
+      ensureUnusedSeatsIsMutable();
+      unusedSeats_.setInt(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * </pre>
+     *
+     * <code>repeated uint32 unused_seats = 3;</code>
+     * @param value The unusedSeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addUnusedSeats(int value) {
+
+      ensureUnusedSeatsIsMutable();
+      unusedSeats_.addInt(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * </pre>
+     *
+     * <code>repeated uint32 unused_seats = 3;</code>
+     * @param values The unusedSeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllUnusedSeats(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureUnusedSeatsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, unusedSeats_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * </pre>
+     *
+     * <code>repeated uint32 unused_seats = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnusedSeats() {
+      unusedSeats_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.IntList newSeats_ = emptyIntList();
+    private void ensureNewSeatsIsMutable() {
+      if (!newSeats_.isModifiable()) {
+        newSeats_ = makeMutableCopy(newSeats_);
+      }
+      bitField0_ |= 0x00000008;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+     * </pre>
+     *
+     * <code>repeated uint32 new_seats = 4;</code>
+     * @return A list containing the newSeats.
+     */
+    public java.util.List<java.lang.Integer>
+        getNewSeatsList() {
+      newSeats_.makeImmutable();
+      return newSeats_;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+     * </pre>
+     *
+     * <code>repeated uint32 new_seats = 4;</code>
+     * @return The count of newSeats.
+     */
+    public int getNewSeatsCount() {
+      return newSeats_.size();
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+     * </pre>
+     *
+     * <code>repeated uint32 new_seats = 4;</code>
+     * @param index The index of the element to return.
+     * @return The newSeats at the given index.
+     */
+    public int getNewSeats(int index) {
+      return newSeats_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+     * </pre>
+     *
+     * <code>repeated uint32 new_seats = 4;</code>
+     * @param index The index to set the value at.
+     * @param value The newSeats to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNewSeats(
+        int index, int value) {
+
+      ensureNewSeatsIsMutable();
+      newSeats_.setInt(index, value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+     * </pre>
+     *
+     * <code>repeated uint32 new_seats = 4;</code>
+     * @param value The newSeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addNewSeats(int value) {
+
+      ensureNewSeatsIsMutable();
+      newSeats_.addInt(value);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+     * </pre>
+     *
+     * <code>repeated uint32 new_seats = 4;</code>
+     * @param values The newSeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllNewSeats(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureNewSeatsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, newSeats_);
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+     * </pre>
+     *
+     * <code>repeated uint32 new_seats = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNewSeats() {
+      newSeats_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.QuotaLoan)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoanOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoanOrBuilder.java
@@ -39,4 +39,62 @@
    */
   io.daisyhoist.wire.proto.QuotaLoan.PartOrBuilder getPartsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * </pre>
+   *
+   * <code>repeated uint32 unused_seats = 3;</code>
+   * @return A list containing the unusedSeats.
+   */
+  java.util.List<java.lang.Integer> getUnusedSeatsList();
+  /**
+   * <pre>
+   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * </pre>
+   *
+   * <code>repeated uint32 unused_seats = 3;</code>
+   * @return The count of unusedSeats.
+   */
+  int getUnusedSeatsCount();
+  /**
+   * <pre>
+   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * </pre>
+   *
+   * <code>repeated uint32 unused_seats = 3;</code>
+   * @param index The index of the element to return.
+   * @return The unusedSeats at the given index.
+   */
+  int getUnusedSeats(int index);
+
+  /**
+   * <pre>
+   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+   * </pre>
+   *
+   * <code>repeated uint32 new_seats = 4;</code>
+   * @return A list containing the newSeats.
+   */
+  java.util.List<java.lang.Integer> getNewSeatsList();
+  /**
+   * <pre>
+   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+   * </pre>
+   *
+   * <code>repeated uint32 new_seats = 4;</code>
+   * @return The count of newSeats.
+   */
+  int getNewSeatsCount();
+  /**
+   * <pre>
+   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
+   * </pre>
+   *
+   * <code>repeated uint32 new_seats = 4;</code>
+   * @param index The index of the element to return.
+   * @return The newSeats at the given index.
+   */
+  int getNewSeats(int index);
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequest.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequest.java
@@ -33,6 +33,7 @@
   }
   private QuotaRequest() {
     demands_ = java.util.Collections.emptyList();
+    claimedSeats_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -1835,6 +1836,48 @@
     return demands_.get(index);
   }
 
+  public static final int CLAIMED_SEATS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList claimedSeats_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * Seats that the sender has become the holder of, and about which it asks.
+   * </pre>
+   *
+   * <code>repeated uint32 claimed_seats = 3;</code>
+   * @return A list containing the claimedSeats.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getClaimedSeatsList() {
+    return claimedSeats_;
+  }
+  /**
+   * <pre>
+   * Seats that the sender has become the holder of, and about which it asks.
+   * </pre>
+   *
+   * <code>repeated uint32 claimed_seats = 3;</code>
+   * @return The count of claimedSeats.
+   */
+  public int getClaimedSeatsCount() {
+    return claimedSeats_.size();
+  }
+  /**
+   * <pre>
+   * Seats that the sender has become the holder of, and about which it asks.
+   * </pre>
+   *
+   * <code>repeated uint32 claimed_seats = 3;</code>
+   * @param index The index of the element to return.
+   * @return The claimedSeats at the given index.
+   */
+  public int getClaimedSeats(int index) {
+    return claimedSeats_.getInt(index);
+  }
+  private int claimedSeatsMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1849,12 +1892,20 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (number_ != 0L) {
       output.writeUInt64(1, number_);
     }
     for (int i = 0; i < demands_.size(); i++) {
       output.writeMessage(2, demands_.get(i));
     }
+    if (getClaimedSeatsList().size() > 0) {
+      output.writeUInt32NoTag(26);
+      output.writeUInt32NoTag(claimedSeatsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < claimedSeats_.size(); i++) {
+      output.writeUInt32NoTag(claimedSeats_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1877,6 +1928,20 @@
           }
           size += 1 * count;
         }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < claimedSeats_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(claimedSeats_.getInt(i));
+      }
+      size += dataSize;
+      if (!getClaimedSeatsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      claimedSeatsMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1896,6 +1961,8 @@
         != other.getNumber()) return false;
     if (!getDemandsList()
         .equals(other.getDemandsList())) return false;
+    if (!getClaimedSeatsList()
+        .equals(other.getClaimedSeatsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1914,6 +1981,10 @@
       hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
       hash = (53 * hash) + getDemandsList().hashCode();
     }
+    if (getClaimedSeatsCount() > 0) {
+      hash = (37 * hash) + CLAIMED_SEATS_FIELD_NUMBER;
+      hash = (53 * hash) + getClaimedSeatsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -2057,6 +2128,7 @@
         demandsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      claimedSeats_ = emptyIntList();
       return this;
     }
 
@@ -2106,6 +2178,10 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.number_ = number_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        claimedSeats_.makeImmutable();
+        result.claimedSeats_ = claimedSeats_;
+      }
     }
 
     @java.lang.Override
@@ -2149,6 +2225,17 @@
           }
         }
       }
+      if (!other.claimedSeats_.isEmpty()) {
+        if (claimedSeats_.isEmpty()) {
+          claimedSeats_ = other.claimedSeats_;
+          claimedSeats_.makeImmutable();
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureClaimedSeatsIsMutable();
+          claimedSeats_.addAll(other.claimedSeats_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2193,6 +2280,22 @@
               }
               break;
             } // case 18
+            case 24: {
+              int v = input.readUInt32();
+              ensureClaimedSeatsIsMutable();
+              claimedSeats_.addInt(v);
+              break;
+            } // case 24
+            case 26: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureClaimedSeatsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                claimedSeats_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2494,6 +2597,118 @@
       return demandsBuilder_;
     }
 
+    private com.google.protobuf.Internal.IntList claimedSeats_ = emptyIntList();
+    private void ensureClaimedSeatsIsMutable() {
+      if (!claimedSeats_.isModifiable()) {
+        claimedSeats_ = makeMutableCopy(claimedSeats_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * Seats that the sender has become the holder of, and about which it asks.
+     * </pre>
+     *
+     * <code>repeated uint32 claimed_seats = 3;</code>
+     * @return A list containing the claimedSeats.
+     */
+    public java.util.List<java.lang.Integer>
+        getClaimedSeatsList() {
+      claimedSeats_.makeImmutable();
+      return claimedSeats_;
+    }
+    /**
+     * <pre>
+     * Seats that the sender has become the holder of, and about which it asks.
+     * </pre>
+     *
+     * <code>repeated uint32 claimed_seats = 3;</code>
+     * @return The count of claimedSeats.
+     */
+    public int getClaimedSeatsCount() {
+      return claimedSeats_.size();
+    }
+    /**
+     * <pre>
+     * Seats that the sender has become the holder of, and about which it asks.
+     * </pre>
+     *
+     * <code>repeated uint32 claimed_seats = 3;</code>
+     * @param index The index of the element to return.
+     * @return The claimedSeats at the given index.
+     */
+    public int getClaimedSeats(int index) {
+      return claimedSeats_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Seats that the sender has become the holder of, and about which it asks.
+     * </pre>
+     *
+     * <code>repeated uint32 claimed_seats = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The claimedSeats to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClaimedSeats(
+        int index, int value) {
+
+      ensureClaimedSeatsIsMutable();
+      claimedSeats_.setInt(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Seats that the sender has become the holder of, and about which it asks.
+     * </pre>
+     *
+     * <code>repeated uint32 claimed_seats = 3;</code>
+     * @param value The claimedSeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addClaimedSeats(int value) {
+
+      ensureClaimedSeatsIsMutable();
+      claimedSeats_.addInt(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Seats that the sender has become the holder of, and about which it asks.
+     * </pre>
+     *
+     * <code>repeated uint32 claimed_seats = 3;</code>
+     * @param values The claimedSeats to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllClaimedSeats(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureClaimedSeatsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, claimedSeats_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Seats that the sender has become the holder of, and about which it asks.
+     * </pre>
+     *
+     * <code>repeated uint32 claimed_seats = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClaimedSeats() {
+      claimedSeats_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.QuotaRequest)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequestOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequestOrBuilder.java
@@ -43,4 +43,33 @@
    */
   io.daisyhoist.wire.proto.QuotaRequest.DemandOrBuilder getDemandsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Seats that the sender has become the holder of, and about which it asks.
+   * </pre>
+   *
+   * <code>repeated uint32 claimed_seats = 3;</code>
+   * @return A list containing the claimedSeats.
+   */
+  java.util.List<java.lang.Integer> getClaimedSeatsList();
+  /**
+   * <pre>
+   * Seats that the sender has become the holder of, and about which it asks.
+   * </pre>
+   *
+   * <code>repeated uint32 claimed_seats = 3;</code>
+   * @return The count of claimedSeats.
+   */
+  int getClaimedSeatsCount();
+  /**
+   * <pre>
+   * Seats that the sender has become the holder of, and about which it asks.
+   * </pre>
+   *
+   * <code>repeated uint32 claimed_seats = 3;</code>
+   * @param index The index of the element to return.
+   * @return The claimedSeats at the given index.
+   */
+  int getClaimedSeats(int index);
 }
