--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 
 import io.daisyhoist.core.customer.CustomerName;
+import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.time.TimeSource;
 
@@ -115,10 +116,15 @@
         return new QuotaPart(customer, requests, validity, moreAfter);
     }
 
-    /** Tells another daemon that has become the holder of a seat whether loans of this one from the seat may count. */
-    public SeatVouch vouch(int seat) {
+    /**
+     * Returns whether certainly no loans of this daemon from a seat count.
+     *
+     * @param holder daemon that has become the holder of the seat
+     * @param runnerUp daemon that would hold it otherwise, according to the holder
+     */
+    public boolean isUnused(int seat, DaemonId holder, DaemonId runnerUp) {
         if (seat < 0 || seat >= QuotaSeats.SEATS) {
-            return SeatVouch.UNKNOWN;
+            return false;
         }
         tenure.update(seats.get(), registered.getAsBoolean());
         long now = time.monotonicNanos();
@@ -127,7 +133,7 @@
                 .anyMatch(entry -> plans.apply(entry.getKey())
                         .filter(plan -> !QuotaSeats.isSeatOf(entry.getKey(), plan.seats(), seat))
                         .isEmpty());
-        return tenure.vouch(seat, lent);
+        return tenure.isUnused(seat, holder, runnerUp, lent);
     }
 
     private static QuotaPart refusal(CustomerName customer, Duration moreAfter) {
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaSeats.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaSeats.java
@@ -65,6 +65,11 @@
                 .toList();
     }
 
+    /** Returns whether a daemon is a member. */
+    boolean isMember(DaemonId daemon) {
+        return members.contains(daemon);
+    }
+
     /** Returns the holder of a seat; empty if the fleet has no members. */
     public Optional<DaemonId> holder(int seat) {
         return holders.isEmpty() ? Optional.empty() : Optional.of(holders.get(seat));
--- a/core/src/main/java/io/daisyhoist/core/quota/SeatClaims.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/SeatClaims.java
@@ -14,11 +14,11 @@
 
 /**
  * Asks the daemons that may have held a seat before whether loans from it still count; if not, the seat need not stay
- * restricted. Without this, no customer would have its quota while a fleet starts.
+ * restricted. Without this, no customer would have its whole quota while a fleet starts and after an outage of the store.
  *
- * <p>Invariant: a restriction ends early only if all daemons asked have replied, and none of them may have lent from the
- * seat. The daemons that hold a seat before its holder joins are, in most orders of joining, those with the next highest
- * weights; if that many have all been started just now, so has the fleet. Confined to one thread.
+ * <p>Invariant: a restriction ends early only if all daemons asked have replied, none of them has loans that count, and they
+ * agree on which daemon would hold the seat otherwise. The daemons that held a seat before its holder joined are those that
+ * come next in the order of that seat. Confined to one thread.
  */
 public final class SeatClaims {
     /** Number of daemons asked about each seat. */
@@ -35,11 +35,11 @@
      * Question to one daemon. Immutable.
      *
      * @param daemon the daemon
-     * @param seats seats that the sender holds
+     * @param runnersUp seats that the sender holds, with the daemon that would hold each of them otherwise
      */
-    public record Claim(DaemonId daemon, List<Integer> seats) {
+    public record Claim(DaemonId daemon, Map<Integer, DaemonId> runnersUp) {
         public Claim {
-            seats = List.copyOf(seats);
+            runnersUp = Map.copyOf(runnersUp);
         }
     }
 
@@ -57,7 +57,7 @@
         long now = time.monotonicNanos();
         Set<Integer> claimable = new HashSet<>(tenure.claimableSeats());
         rounds.keySet().retainAll(claimable);
-        Map<DaemonId, List<Integer>> questions = new LinkedHashMap<>();
+        Map<DaemonId, Map<Integer, DaemonId>> questions = new LinkedHashMap<>();
         for (int seat : claimable) {
             Round known = rounds.get(seat);
             if (known != null && known.seats() == seats && now - known.startedNanos() < RETRY_NANOS) {
@@ -66,7 +66,7 @@
             List<DaemonId> others = seats.runnersUp(seat, self, ASKED_DAEMONS);
             rounds.put(seat, new Round(seats, now, new HashSet<>(others)));
             others.forEach(daemon ->
-                    questions.computeIfAbsent(daemon, any -> new ArrayList<>()).add(seat));
+                    questions.computeIfAbsent(daemon, any -> new HashMap<>()).put(seat, others.get(0)));
             if (others.isEmpty()) {
                 tenure.endRestriction(seat);
             }
@@ -76,10 +76,10 @@
         return claims;
     }
 
-    /** Handles the reply of a daemon about a seat. */
-    public void onReply(DaemonId daemon, int seat, SeatVouch vouch) {
+    /** Handles that certainly no loans of a daemon from a seat count. */
+    public void onUnused(DaemonId daemon, int seat) {
         Round round = rounds.get(seat);
-        if (round == null || vouch == SeatVouch.UNKNOWN) {
+        if (round == null) {
             return;
         }
         boolean last = round.unanswered().remove(daemon) && round.unanswered().isEmpty();
--- a/core/src/main/java/io/daisyhoist/core/quota/SeatTenure.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/SeatTenure.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
@@ -20,8 +21,13 @@
     /** Time for which another daemon may take itself for the holder after this one has become it. */
     private static final Duration VIEW_LAG = Duration.ofMillis(500);
 
-    /** Time in which the next holder of a lost seat asks about it. */
-    private static final long RECENT_LOSS_NANOS = Duration.ofSeconds(2).toNanos();
+    /**
+     * Time after the departure of its holder in which a seat stays restricted: a daemon that the store turns away lends for
+     * this long after others may have dropped it, less the time for which it was missing in the store.
+     */
+    private static final long DEPARTURE_NANOS = Duration.ofMillis(3_500).toNanos();
+
+    private static final long NEVER = Long.MIN_VALUE;
 
     private final DaemonId self;
     private final TimeSource time;
@@ -31,7 +37,7 @@
     private QuotaSeats seats = QuotaSeats.EMPTY;
     private final long[] lostNanos = new long[QuotaSeats.SEATS];
     private final boolean[] restrictionEnded = new boolean[QuotaSeats.SEATS];
-    private final boolean[] lostUnrestricted = new boolean[QuotaSeats.SEATS];
+    private final long[] claimableNanos = new long[QuotaSeats.SEATS];
     private final BooleanSupplier firstProcess;
     private final long startedNanos;
     private boolean registered;
@@ -45,6 +51,7 @@
     public SeatTenure(DaemonId self, TimeSource time, Duration window, BooleanSupplier firstProcess) {
         this.firstProcess = firstProcess;
         this.startedNanos = time.monotonicNanos();
+        Arrays.fill(lostNanos, NEVER);
         this.self = self;
         this.time = time;
         this.restrictionNanos =
@@ -66,20 +73,23 @@
             boolean lost =
                     held[seat] && current.holder(seat).filter(self::equals).isEmpty();
             if (lost) {
-                lostUnrestricted[seat] = !isRestricted(seat);
                 lostNanos[seat] = time.monotonicNanos();
             }
         }
         boolean registeredAgain = confirmed && !registered;
-        seats = current;
         registered = confirmed;
         for (int seat = 0; seat < QuotaSeats.SEATS; seat++) {
             boolean holds = current.holder(seat).filter(self::equals).isPresent();
             if (holds && (!held[seat] || registeredAgain)) {
+                boolean departed = seats.holder(seat)
+                        .filter(previous -> !current.isMember(previous))
+                        .isPresent();
+                claimableNanos[seat] = time.monotonicNanos() + (departed ? DEPARTURE_NANOS : 0);
                 restrict(seat);
             }
             held[seat] = holds;
         }
+        seats = current;
     }
 
     /** Returns the requests that this daemon may lend to a customer for any window, over all seats that it holds. */
@@ -135,7 +145,8 @@
     List<Integer> claimableSeats() {
         List<Integer> claimable = new ArrayList<>();
         for (int seat = 0; seat < QuotaSeats.SEATS; seat++) {
-            if (held[seat] && registered && isRestricted(seat) && firstProcess.getAsBoolean()) {
+            boolean claims = held[seat] && registered && isRestricted(seat);
+            if (claims && knowsOwnLoans() && claimableNanos[seat] - time.monotonicNanos() <= 0) {
                 claimable.add(seat);
             }
         }
@@ -148,27 +159,29 @@
     }
 
     /**
-     * Vouches for a seat that another daemon has become the holder of, and restricts it here in case this daemon does not
-     * know that daemon yet.
+     * Returns whether certainly no loans of this daemon from a seat count, and restricts the seat here in case this daemon
+     * does not know its new holder yet.
      *
-     * @param lent whether loans of this daemon from the seat may count
+     * @param holder daemon that has become the holder of the seat
+     * @param runnerUp daemon that would hold it otherwise, according to the holder; loans of a daemon that only this one
+     *     knows could not be excluded
+     * @param lent whether this daemon has loans that count to customers of the seat
      */
-    SeatVouch vouch(int seat, boolean lent) {
-        boolean heldAlone = held[seat] ? !isRestricted(seat) : lostUnrestricted[seat] && hasLostRecently(seat);
+    boolean isUnused(int seat, DaemonId holder, DaemonId runnerUp, boolean lent) {
+        boolean mayHaveLent = lent && (held[seat] || hasLostRecently(seat));
         if (held[seat]) {
             restrict(seat);
         }
-        if (lent) {
-            return SeatVouch.UNKNOWN;
-        }
-        if (heldAlone) {
-            return SeatVouch.UNUSED;
-        }
-        boolean started = time.monotonicNanos() - startedNanos < restrictionNanos;
-        return started && firstProcess.getAsBoolean() ? SeatVouch.NEW : SeatVouch.UNKNOWN;
+        boolean sameView = seats.runnersUp(seat, holder, 1).equals(List.of(runnerUp));
+        return knowsOwnLoans() && sameView && !mayHaveLent;
+    }
+
+    /** Returns whether no loans of an earlier process of this daemon can count. */
+    private boolean knowsOwnLoans() {
+        return firstProcess.getAsBoolean() || time.monotonicNanos() - startedNanos >= restrictionNanos;
     }
 
     private boolean hasLostRecently(int seat) {
-        return time.monotonicNanos() - lostNanos[seat] < RECENT_LOSS_NANOS;
+        return lostNanos[seat] != NEVER && time.monotonicNanos() - lostNanos[seat] < restrictionNanos;
     }
 }
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaHistoriesTest.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaHistoriesTest.java
@@ -59,7 +59,13 @@
             Duration length = Duration.ofMillis(200 + random.nextInt(15_000));
             Duration at = Duration.ofMillis(random.nextLong(until.toMillis()));
             int kind = random.nextInt(6);
-            fleet.at(at.toNanos(), () -> begin(fleet, daemon, kind, length));
+            boolean many = random.nextInt(4) == 0;
+            int share = 1 + random.nextInt(3);
+            for (QuotaSimulation.Daemon affected : fleet.daemons) {
+                if (affected == daemon || many && fleet.daemons.indexOf(affected) % share == 0) {
+                    fleet.at(at.toNanos(), () -> begin(fleet, affected, kind, length));
+                }
+            }
         }
     }
 
@@ -105,7 +111,9 @@
             SplittableRandom random = new SplittableRandom(seed);
             boolean faults = random.nextInt(4) > 0;
             boolean changes = false;
-            QuotaSimulation fleet = new QuotaSimulation(seed, 3 + random.nextInt(28));
+            int size = 3 + random.nextInt(28);
+            int lateDaemons = random.nextInt(4) == 0 ? random.nextInt(size) : 0;
+            QuotaSimulation fleet = new QuotaSimulation(seed, size, lateDaemons);
             Duration start = Duration.ofMillis(500 + random.nextInt(10_000));
             List<Customer> customers = List.of(customer(0, random), customer(1, random));
             List<QuotaSimulation.Tally> tallies = new ArrayList<>();
@@ -137,8 +145,8 @@
                 String description = "seed " + seed + " " + customer + ": ";
                 largestShare = Math.max(largestShare, fleet.largestShare());
                 violation.ifPresent(text -> violations.add(description + text));
-                double[] sums =
-                        served.computeIfAbsent(kind(faults || fleet.joins, changes, customer), any -> new double[2]);
+                double[] sums = served.computeIfAbsent(
+                        kind(faults || lateDaemons > 0, changes, customer), any -> new double[2]);
                 QuotaSimulation.Tally tally = tallies.get(i);
                 sums[0] += tally.ran;
                 sums[1] += Math.min(
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaServiceTest.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaServiceTest.java
@@ -37,7 +37,7 @@
 
     /** Plays steady demand of all customers at a multiple of their rates, and of the hot one at another multiple. */
     private static void play(String title, Duration start, double load, double hotLoad, double skew, double minimum) {
-        QuotaSimulation fleet = new QuotaSimulation(1, DAEMONS);
+        QuotaSimulation fleet = new QuotaSimulation(1, DAEMONS, 0);
         List<QuotaSimulation.Tally> tallies = new ArrayList<>();
         for (int i = 0; i < CUSTOMERS; i++) {
             fleet.setQuota(name(i), quota(i));
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaSimulation.java
@@ -38,7 +38,6 @@
     final List<Daemon> daemons = new ArrayList<>();
     double lossShare;
     private double largestShare;
-    final boolean joins;
     long messages;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::order));
@@ -64,15 +63,13 @@
         }
     }
 
-    QuotaSimulation(long seed, int daemonCount) {
+    QuotaSimulation(long seed, int daemonCount, int lateDaemons) {
         random = new SplittableRandom(~seed);
         for (int i = 0; i < daemonCount; i++) {
             daemons.add(new Daemon(new DaemonId("side-" + i)));
         }
-        int late = random.nextInt(4) == 0 ? random.nextInt(daemonCount) : 0;
-        joins = late > 0;
         for (Daemon daemon : daemons) {
-            boolean joinsLater = daemons.indexOf(daemon) < late;
+            boolean joinsLater = daemons.indexOf(daemon) < lateDaemons;
             long delay = joinsLater ? random.nextLong(LATEST_JOIN) : random.nextLong(EARLIEST_JOIN);
             at(delay, daemon::start);
         }
@@ -359,11 +356,13 @@
                 messages++;
                 Daemon target = daemon(claim.daemon());
                 deliver(target, () -> {
-                    Map<Integer, SeatVouch> vouches = new HashMap<>();
-                    claim.seats().forEach(seat -> vouches.put(seat, target.lender.vouch(seat)));
+                    List<Integer> unused = claim.runnersUp().entrySet().stream()
+                            .filter(seat -> target.lender.isUnused(seat.getKey(), id, seat.getValue()))
+                            .map(Map.Entry::getKey)
+                            .toList();
                     target.deliver(this, () -> {
                         if (process == generation) {
-                            vouches.forEach((seat, vouch) -> claims.onReply(target.id, seat, vouch));
+                            unused.forEach(seat -> claims.onUnused(target.id, seat));
                         }
                     });
                 });
--- a/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
@@ -1,8 +1,6 @@
 package io.daisyhoist.mesh.quota;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -27,12 +25,10 @@
 import io.daisyhoist.core.quota.QuotaSeats;
 import io.daisyhoist.core.quota.SeatClaims;
 import io.daisyhoist.core.quota.SeatTenure;
-import io.daisyhoist.core.quota.SeatVouch;
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.wire.proto.Envelope;
-import io.daisyhoist.wire.proto.QuotaLoan;
 import io.daisyhoist.wire.proto.QuotaRequest;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -133,12 +129,9 @@
                 .call(daemon, QuotaCodec.encode(claim))
                 .onFailure(failure -> LOGGER.atInfo().log(
                         "event=quota_claim_failed peer=%s reason=\"%s\"", claim.daemon(), failure.getMessage()))
-                .onSuccess(reply -> onVouches(claim, reply.getQuotaLoan())));
-    }
-
-    private void onVouches(SeatClaims.Claim claim, QuotaLoan reply) {
-        reply.getUnusedSeatsList().forEach(seat -> claims.onReply(claim.daemon(), seat, SeatVouch.UNUSED));
-        reply.getNewSeatsList().forEach(seat -> claims.onReply(claim.daemon(), seat, SeatVouch.NEW));
+                .onSuccess(reply -> reply.getQuotaLoan()
+                        .getUnusedSeatsList()
+                        .forEach(seat -> claims.onUnused(claim.daemon(), seat))));
     }
 
     /** Writes the lines and metrics of an interval; to be called every {@link QuotaReport#INTERVAL_MILLIS}. */
@@ -192,9 +185,11 @@
         try {
             List<QuotaDemand> demands = QuotaCodec.decode(message);
             List<QuotaPart> parts = lend(from, message.getNumber(), demands);
-            Map<Integer, SeatVouch> vouches = new HashMap<>();
-            message.getClaimedSeatsList().forEach(seat -> vouches.put(seat, lender.vouch(seat)));
-            return Optional.of(QuotaCodec.encode(message.getNumber(), parts, vouches));
+            List<Integer> unusedSeats = message.getClaimsList().stream()
+                    .filter(claim -> lender.isUnused(claim.getSeat(), from.daemon(), new DaemonId(claim.getRunnerUp())))
+                    .map(QuotaRequest.Claim::getSeat)
+                    .toList();
+            return Optional.of(QuotaCodec.encode(message.getNumber(), parts, unusedSeats));
         } catch (IllegalArgumentException e) {
             LOGGER.atWarning().log("event=quota_request_invalid peer=%s reason=\"%s\"", from, e.getMessage());
             return Optional.empty();
--- a/mesh/src/main/java/io/daisyhoist/mesh/quota/QuotaCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/QuotaCodec.java
@@ -3,14 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 
 import io.daisyhoist.core.customer.CustomerName;
 import io.daisyhoist.core.quota.QuotaAsk;
 import io.daisyhoist.core.quota.QuotaDemand;
 import io.daisyhoist.core.quota.QuotaPart;
 import io.daisyhoist.core.quota.SeatClaims;
-import io.daisyhoist.core.quota.SeatVouch;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.QuotaLoan;
 import io.daisyhoist.wire.proto.QuotaRequest;
@@ -39,9 +37,11 @@
     }
 
     static Envelope encode(SeatClaims.Claim claim) {
-        return Envelope.newBuilder()
-                .setQuotaRequest(QuotaRequest.newBuilder().addAllClaimedSeats(claim.seats()))
-                .build();
+        QuotaRequest.Builder message = QuotaRequest.newBuilder();
+        claim.runnersUp()
+                .forEach((seat, runnerUp) -> message.addClaims(
+                        QuotaRequest.Claim.newBuilder().setSeat(seat).setRunnerUp(runnerUp.name())));
+        return Envelope.newBuilder().setQuotaRequest(message).build();
     }
 
     /**
@@ -64,9 +64,9 @@
     /**
      * Encodes the reply to a message.
      *
-     * @param vouches what the sender knows about each of the claimed seats
+     * @param unusedSeats claimed seats from which the sender has no loans that count
      */
-    static Envelope encode(long number, List<QuotaPart> parts, Map<Integer, SeatVouch> vouches) {
+    static Envelope encode(long number, List<QuotaPart> parts, List<Integer> unusedSeats) {
         QuotaLoan.Builder message = QuotaLoan.newBuilder().setNumber(number);
         for (QuotaPart part : parts) {
             message.addParts(QuotaLoan.Part.newBuilder()
@@ -75,13 +75,7 @@
                     .setValidMs((int) part.validity().toMillis())
                     .setMoreAfterMs((int) part.moreAfter().toMillis()));
         }
-        vouches.forEach((seat, vouch) -> {
-            if (vouch == SeatVouch.UNUSED) {
-                message.addUnusedSeats(seat);
-            } else if (vouch == SeatVouch.NEW) {
-                message.addNewSeats(seat);
-            }
-        });
+        message.addAllUnusedSeats(unusedSeats);
         return Envelope.newBuilder().setQuotaLoan(message).build();
     }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/Peer.java
@@ -206,6 +206,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_daisyhoist_peer_QuotaRequest_Demand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_daisyhoist_peer_QuotaRequest_Claim_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_daisyhoist_peer_QuotaRequest_Claim_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_daisyhoist_peer_QuotaLoan_descriptor;
   static final 
@@ -371,22 +376,24 @@
       "\"\225\001\n\rOperatorItems\0222\n\005items\030\001 \003(\0132#.dais" +
       "yhoist.peer.OperatorItems.Item\022\r\n\005as_of\030" +
       "\002 \001(\004\022\013\n\003era\030\003 \001(\004\0324\n\004Item\022\013\n\003key\030\001 \001(\t\022" +
-      "\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004\"\211\002\n\014Quo" +
+      "\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\004\"\321\002\n\014Quo" +
       "taRequest\022\016\n\006number\030\001 \001(\004\0225\n\007demands\030\002 \003" +
       "(\0132$.daisyhoist.peer.QuotaRequest.Demand" +
-      "\022\025\n\rclaimed_seats\030\003 \003(\r\032*\n\006Return\022\016\n\006num" +
-      "ber\030\001 \001(\004\022\020\n\010requests\030\002 \001(\r\032o\n\006Demand\022\020\n" +
-      "\010customer\030\001 \001(\t\022\014\n\004used\030\002 \001(\r\022\016\n\006wanted\030" +
-      "\003 \001(\r\0225\n\007returns\030\004 \003(\0132$.daisyhoist.peer" +
-      ".QuotaRequest.Return\"\311\001\n\tQuotaLoan\022\016\n\006nu" +
-      "mber\030\001 \001(\004\022.\n\005parts\030\002 \003(\0132\037.daisyhoist.p" +
-      "eer.QuotaLoan.Part\022\024\n\014unused_seats\030\003 \003(\r" +
-      "\022\021\n\tnew_seats\030\004 \003(\r\032S\n\004Part\022\020\n\010customer\030" +
-      "\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\020\n\010valid_ms\030\003 \001(" +
-      "\r\022\025\n\rmore_after_ms\030\004 \001(\r\"8\n\tBodyChunk\022\014\n" +
-      "\004data\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\022\017\n\007aborted\030\003 \001" +
-      "(\010\"\033\n\nBodyCredit\022\r\n\005bytes\030\001 \001(\rB\034\n\030io.da" +
-      "isyhoist.wire.protoP\001b\006proto3"
+      "\0223\n\006claims\030\003 \003(\0132#.daisyhoist.peer.Quota" +
+      "Request.Claim\032*\n\006Return\022\016\n\006number\030\001 \001(\004\022" +
+      "\020\n\010requests\030\002 \001(\r\032o\n\006Demand\022\020\n\010customer\030" +
+      "\001 \001(\t\022\014\n\004used\030\002 \001(\r\022\016\n\006wanted\030\003 \001(\r\0225\n\007r" +
+      "eturns\030\004 \003(\0132$.daisyhoist.peer.QuotaRequ" +
+      "est.Return\032(\n\005Claim\022\014\n\004seat\030\001 \001(\r\022\021\n\trun" +
+      "ner_up\030\002 \001(\t\"\266\001\n\tQuotaLoan\022\016\n\006number\030\001 \001" +
+      "(\004\022.\n\005parts\030\002 \003(\0132\037.daisyhoist.peer.Quot" +
+      "aLoan.Part\022\024\n\014unused_seats\030\003 \003(\r\032S\n\004Part" +
+      "\022\020\n\010customer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\020\n\010" +
+      "valid_ms\030\003 \001(\r\022\025\n\rmore_after_ms\030\004 \001(\r\"8\n" +
+      "\tBodyChunk\022\014\n\004data\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\022\017" +
+      "\n\007aborted\030\003 \001(\010\"\033\n\nBodyCredit\022\r\n\005bytes\030\001" +
+      " \001(\rB\034\n\030io.daisyhoist.wire.protoP\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -595,7 +602,7 @@
     internal_static_daisyhoist_peer_QuotaRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_QuotaRequest_descriptor,
-        new java.lang.String[] { "Number", "Demands", "ClaimedSeats", });
+        new java.lang.String[] { "Number", "Demands", "Claims", });
     internal_static_daisyhoist_peer_QuotaRequest_Return_descriptor =
       internal_static_daisyhoist_peer_QuotaRequest_descriptor.getNestedType(0);
     internal_static_daisyhoist_peer_QuotaRequest_Return_fieldAccessorTable = new
@@ -608,12 +615,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_QuotaRequest_Demand_descriptor,
         new java.lang.String[] { "Customer", "Used", "Wanted", "Returns", });
+    internal_static_daisyhoist_peer_QuotaRequest_Claim_descriptor =
+      internal_static_daisyhoist_peer_QuotaRequest_descriptor.getNestedType(2);
+    internal_static_daisyhoist_peer_QuotaRequest_Claim_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_daisyhoist_peer_QuotaRequest_Claim_descriptor,
+        new java.lang.String[] { "Seat", "RunnerUp", });
     internal_static_daisyhoist_peer_QuotaLoan_descriptor =
       getDescriptor().getMessageType(30);
     internal_static_daisyhoist_peer_QuotaLoan_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_daisyhoist_peer_QuotaLoan_descriptor,
-        new java.lang.String[] { "Number", "Parts", "UnusedSeats", "NewSeats", });
+        new java.lang.String[] { "Number", "Parts", "UnusedSeats", });
     internal_static_daisyhoist_peer_QuotaLoan_Part_descriptor =
       internal_static_daisyhoist_peer_QuotaLoan_descriptor.getNestedType(0);
     internal_static_daisyhoist_peer_QuotaLoan_Part_fieldAccessorTable = new
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoan.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoan.java
@@ -34,7 +34,6 @@
   private QuotaLoan() {
     parts_ = java.util.Collections.emptyList();
     unusedSeats_ = emptyIntList();
-    newSeats_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -904,7 +903,7 @@
       emptyIntList();
   /**
    * <pre>
-   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * Claimed seats from which the sender certainly has no loans that count.
    * </pre>
    *
    * <code>repeated uint32 unused_seats = 3;</code>
@@ -917,7 +916,7 @@
   }
   /**
    * <pre>
-   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * Claimed seats from which the sender certainly has no loans that count.
    * </pre>
    *
    * <code>repeated uint32 unused_seats = 3;</code>
@@ -928,7 +927,7 @@
   }
   /**
    * <pre>
-   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * Claimed seats from which the sender certainly has no loans that count.
    * </pre>
    *
    * <code>repeated uint32 unused_seats = 3;</code>
@@ -940,48 +939,6 @@
   }
   private int unusedSeatsMemoizedSerializedSize = -1;
 
-  public static final int NEW_SEATS_FIELD_NUMBER = 4;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.IntList newSeats_ =
-      emptyIntList();
-  /**
-   * <pre>
-   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-   * </pre>
-   *
-   * <code>repeated uint32 new_seats = 4;</code>
-   * @return A list containing the newSeats.
-   */
-  @java.lang.Override
-  public java.util.List<java.lang.Integer>
-      getNewSeatsList() {
-    return newSeats_;
-  }
-  /**
-   * <pre>
-   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-   * </pre>
-   *
-   * <code>repeated uint32 new_seats = 4;</code>
-   * @return The count of newSeats.
-   */
-  public int getNewSeatsCount() {
-    return newSeats_.size();
-  }
-  /**
-   * <pre>
-   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-   * </pre>
-   *
-   * <code>repeated uint32 new_seats = 4;</code>
-   * @param index The index of the element to return.
-   * @return The newSeats at the given index.
-   */
-  public int getNewSeats(int index) {
-    return newSeats_.getInt(index);
-  }
-  private int newSeatsMemoizedSerializedSize = -1;
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1010,13 +967,6 @@
     for (int i = 0; i < unusedSeats_.size(); i++) {
       output.writeUInt32NoTag(unusedSeats_.getInt(i));
     }
-    if (getNewSeatsList().size() > 0) {
-      output.writeUInt32NoTag(34);
-      output.writeUInt32NoTag(newSeatsMemoizedSerializedSize);
-    }
-    for (int i = 0; i < newSeats_.size(); i++) {
-      output.writeUInt32NoTag(newSeats_.getInt(i));
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1053,20 +1003,6 @@
       }
       unusedSeatsMemoizedSerializedSize = dataSize;
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < newSeats_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt32SizeNoTag(newSeats_.getInt(i));
-      }
-      size += dataSize;
-      if (!getNewSeatsList().isEmpty()) {
-        size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
-      }
-      newSeatsMemoizedSerializedSize = dataSize;
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1088,8 +1024,6 @@
         .equals(other.getPartsList())) return false;
     if (!getUnusedSeatsList()
         .equals(other.getUnusedSeatsList())) return false;
-    if (!getNewSeatsList()
-        .equals(other.getNewSeatsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1112,10 +1046,6 @@
       hash = (37 * hash) + UNUSED_SEATS_FIELD_NUMBER;
       hash = (53 * hash) + getUnusedSeatsList().hashCode();
     }
-    if (getNewSeatsCount() > 0) {
-      hash = (37 * hash) + NEW_SEATS_FIELD_NUMBER;
-      hash = (53 * hash) + getNewSeatsList().hashCode();
-    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1260,7 +1190,6 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       unusedSeats_ = emptyIntList();
-      newSeats_ = emptyIntList();
       return this;
     }
 
@@ -1314,10 +1243,6 @@
         unusedSeats_.makeImmutable();
         result.unusedSeats_ = unusedSeats_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        newSeats_.makeImmutable();
-        result.newSeats_ = newSeats_;
-      }
     }
 
     @java.lang.Override
@@ -1372,17 +1297,6 @@
         }
         onChanged();
       }
-      if (!other.newSeats_.isEmpty()) {
-        if (newSeats_.isEmpty()) {
-          newSeats_ = other.newSeats_;
-          newSeats_.makeImmutable();
-          bitField0_ |= 0x00000008;
-        } else {
-          ensureNewSeatsIsMutable();
-          newSeats_.addAll(other.newSeats_);
-        }
-        onChanged();
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1443,22 +1357,6 @@
               input.popLimit(limit);
               break;
             } // case 26
-            case 32: {
-              int v = input.readUInt32();
-              ensureNewSeatsIsMutable();
-              newSeats_.addInt(v);
-              break;
-            } // case 32
-            case 34: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureNewSeatsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                newSeats_.addInt(input.readUInt32());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1757,7 +1655,7 @@
     }
     /**
      * <pre>
-     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * Claimed seats from which the sender certainly has no loans that count.
      * </pre>
      *
      * <code>repeated uint32 unused_seats = 3;</code>
@@ -1770,7 +1668,7 @@
     }
     /**
      * <pre>
-     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * Claimed seats from which the sender certainly has no loans that count.
      * </pre>
      *
      * <code>repeated uint32 unused_seats = 3;</code>
@@ -1781,7 +1679,7 @@
     }
     /**
      * <pre>
-     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * Claimed seats from which the sender certainly has no loans that count.
      * </pre>
      *
      * <code>repeated uint32 unused_seats = 3;</code>
@@ -1793,7 +1691,7 @@
     }
     /**
      * <pre>
-     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * Claimed seats from which the sender certainly has no loans that count.
      * </pre>
      *
      * <code>repeated uint32 unused_seats = 3;</code>
@@ -1812,7 +1710,7 @@
     }
     /**
      * <pre>
-     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * Claimed seats from which the sender certainly has no loans that count.
      * </pre>
      *
      * <code>repeated uint32 unused_seats = 3;</code>
@@ -1829,7 +1727,7 @@
     }
     /**
      * <pre>
-     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * Claimed seats from which the sender certainly has no loans that count.
      * </pre>
      *
      * <code>repeated uint32 unused_seats = 3;</code>
@@ -1847,7 +1745,7 @@
     }
     /**
      * <pre>
-     * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+     * Claimed seats from which the sender certainly has no loans that count.
      * </pre>
      *
      * <code>repeated uint32 unused_seats = 3;</code>
@@ -1860,118 +1758,6 @@
       return this;
     }
 
-    private com.google.protobuf.Internal.IntList newSeats_ = emptyIntList();
-    private void ensureNewSeatsIsMutable() {
-      if (!newSeats_.isModifiable()) {
-        newSeats_ = makeMutableCopy(newSeats_);
-      }
-      bitField0_ |= 0x00000008;
-    }
-    /**
-     * <pre>
-     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-     * </pre>
-     *
-     * <code>repeated uint32 new_seats = 4;</code>
-     * @return A list containing the newSeats.
-     */
-    public java.util.List<java.lang.Integer>
-        getNewSeatsList() {
-      newSeats_.makeImmutable();
-      return newSeats_;
-    }
-    /**
-     * <pre>
-     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-     * </pre>
-     *
-     * <code>repeated uint32 new_seats = 4;</code>
-     * @return The count of newSeats.
-     */
-    public int getNewSeatsCount() {
-      return newSeats_.size();
-    }
-    /**
-     * <pre>
-     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-     * </pre>
-     *
-     * <code>repeated uint32 new_seats = 4;</code>
-     * @param index The index of the element to return.
-     * @return The newSeats at the given index.
-     */
-    public int getNewSeats(int index) {
-      return newSeats_.getInt(index);
-    }
-    /**
-     * <pre>
-     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-     * </pre>
-     *
-     * <code>repeated uint32 new_seats = 4;</code>
-     * @param index The index to set the value at.
-     * @param value The newSeats to set.
-     * @return This builder for chaining.
-     */
-    public Builder setNewSeats(
-        int index, int value) {
-
-      ensureNewSeatsIsMutable();
-      newSeats_.setInt(index, value);
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-     * </pre>
-     *
-     * <code>repeated uint32 new_seats = 4;</code>
-     * @param value The newSeats to add.
-     * @return This builder for chaining.
-     */
-    public Builder addNewSeats(int value) {
-
-      ensureNewSeatsIsMutable();
-      newSeats_.addInt(value);
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-     * </pre>
-     *
-     * <code>repeated uint32 new_seats = 4;</code>
-     * @param values The newSeats to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllNewSeats(
-        java.lang.Iterable<? extends java.lang.Integer> values) {
-      ensureNewSeatsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, newSeats_);
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-     * </pre>
-     *
-     * <code>repeated uint32 new_seats = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearNewSeats() {
-      newSeats_ = emptyIntList();
-      bitField0_ = (bitField0_ & ~0x00000008);
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.QuotaLoan)
   }
 
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoanOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaLoanOrBuilder.java
@@ -42,7 +42,7 @@
 
   /**
    * <pre>
-   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * Claimed seats from which the sender certainly has no loans that count.
    * </pre>
    *
    * <code>repeated uint32 unused_seats = 3;</code>
@@ -51,7 +51,7 @@
   java.util.List<java.lang.Integer> getUnusedSeatsList();
   /**
    * <pre>
-   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * Claimed seats from which the sender certainly has no loans that count.
    * </pre>
    *
    * <code>repeated uint32 unused_seats = 3;</code>
@@ -60,7 +60,7 @@
   int getUnusedSeatsCount();
   /**
    * <pre>
-   * Claimed seats of which the receiver's predecessor is the sender, and from which no loans count.
+   * Claimed seats from which the sender certainly has no loans that count.
    * </pre>
    *
    * <code>repeated uint32 unused_seats = 3;</code>
@@ -68,33 +68,4 @@
    * @return The unusedSeats at the given index.
    */
   int getUnusedSeats(int index);
-
-  /**
-   * <pre>
-   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-   * </pre>
-   *
-   * <code>repeated uint32 new_seats = 4;</code>
-   * @return A list containing the newSeats.
-   */
-  java.util.List<java.lang.Integer> getNewSeatsList();
-  /**
-   * <pre>
-   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-   * </pre>
-   *
-   * <code>repeated uint32 new_seats = 4;</code>
-   * @return The count of newSeats.
-   */
-  int getNewSeatsCount();
-  /**
-   * <pre>
-   * Claimed seats of which the sender knows nothing because it has just been started for the first time.
-   * </pre>
-   *
-   * <code>repeated uint32 new_seats = 4;</code>
-   * @param index The index of the element to return.
-   * @return The newSeats at the given index.
-   */
-  int getNewSeats(int index);
 }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequest.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequest.java
@@ -33,7 +33,7 @@
   }
   private QuotaRequest() {
     demands_ = java.util.Collections.emptyList();
-    claimedSeats_ = emptyIntList();
+    claims_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -1780,6 +1780,649 @@
 
   }
 
+  public interface ClaimOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:daisyhoist.peer.QuotaRequest.Claim)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Seat that the sender has become the holder of.
+     * </pre>
+     *
+     * <code>uint32 seat = 1;</code>
+     * @return The seat.
+     */
+    int getSeat();
+
+    /**
+     * <pre>
+     * Daemon that would hold the seat otherwise, as far as the sender knows.
+     * </pre>
+     *
+     * <code>string runner_up = 2;</code>
+     * @return The runnerUp.
+     */
+    java.lang.String getRunnerUp();
+    /**
+     * <pre>
+     * Daemon that would hold the seat otherwise, as far as the sender knows.
+     * </pre>
+     *
+     * <code>string runner_up = 2;</code>
+     * @return The bytes for runnerUp.
+     */
+    com.google.protobuf.ByteString
+        getRunnerUpBytes();
+  }
+  /**
+   * Protobuf type {@code daisyhoist.peer.QuotaRequest.Claim}
+   */
+  public static final class Claim extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:daisyhoist.peer.QuotaRequest.Claim)
+      ClaimOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Claim");
+    }
+    // Use Claim.newBuilder() to construct.
+    private Claim(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Claim() {
+      runnerUp_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Claim_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Claim_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Claim_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.daisyhoist.wire.proto.QuotaRequest.Claim.class, io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder.class);
+    }
+
+    public static final int SEAT_FIELD_NUMBER = 1;
+    private int seat_ = 0;
+    /**
+     * <pre>
+     * Seat that the sender has become the holder of.
+     * </pre>
+     *
+     * <code>uint32 seat = 1;</code>
+     * @return The seat.
+     */
+    @java.lang.Override
+    public int getSeat() {
+      return seat_;
+    }
+
+    public static final int RUNNER_UP_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object runnerUp_ = "";
+    /**
+     * <pre>
+     * Daemon that would hold the seat otherwise, as far as the sender knows.
+     * </pre>
+     *
+     * <code>string runner_up = 2;</code>
+     * @return The runnerUp.
+     */
+    @java.lang.Override
+    public java.lang.String getRunnerUp() {
+      java.lang.Object ref = runnerUp_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        runnerUp_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Daemon that would hold the seat otherwise, as far as the sender knows.
+     * </pre>
+     *
+     * <code>string runner_up = 2;</code>
+     * @return The bytes for runnerUp.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getRunnerUpBytes() {
+      java.lang.Object ref = runnerUp_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        runnerUp_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (seat_ != 0) {
+        output.writeUInt32(1, seat_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(runnerUp_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, runnerUp_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (seat_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, seat_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(runnerUp_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, runnerUp_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.daisyhoist.wire.proto.QuotaRequest.Claim)) {
+        return super.equals(obj);
+      }
+      io.daisyhoist.wire.proto.QuotaRequest.Claim other = (io.daisyhoist.wire.proto.QuotaRequest.Claim) obj;
+
+      if (getSeat()
+          != other.getSeat()) return false;
+      if (!getRunnerUp()
+          .equals(other.getRunnerUp())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SEAT_FIELD_NUMBER;
+      hash = (53 * hash) + getSeat();
+      hash = (37 * hash) + RUNNER_UP_FIELD_NUMBER;
+      hash = (53 * hash) + getRunnerUp().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.daisyhoist.wire.proto.QuotaRequest.Claim prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code daisyhoist.peer.QuotaRequest.Claim}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:daisyhoist.peer.QuotaRequest.Claim)
+        io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Claim_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Claim_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.daisyhoist.wire.proto.QuotaRequest.Claim.class, io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder.class);
+      }
+
+      // Construct using io.daisyhoist.wire.proto.QuotaRequest.Claim.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        seat_ = 0;
+        runnerUp_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.daisyhoist.wire.proto.Peer.internal_static_daisyhoist_peer_QuotaRequest_Claim_descriptor;
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.QuotaRequest.Claim getDefaultInstanceForType() {
+        return io.daisyhoist.wire.proto.QuotaRequest.Claim.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.QuotaRequest.Claim build() {
+        io.daisyhoist.wire.proto.QuotaRequest.Claim result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.daisyhoist.wire.proto.QuotaRequest.Claim buildPartial() {
+        io.daisyhoist.wire.proto.QuotaRequest.Claim result = new io.daisyhoist.wire.proto.QuotaRequest.Claim(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.daisyhoist.wire.proto.QuotaRequest.Claim result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.seat_ = seat_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.runnerUp_ = runnerUp_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.daisyhoist.wire.proto.QuotaRequest.Claim) {
+          return mergeFrom((io.daisyhoist.wire.proto.QuotaRequest.Claim)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.daisyhoist.wire.proto.QuotaRequest.Claim other) {
+        if (other == io.daisyhoist.wire.proto.QuotaRequest.Claim.getDefaultInstance()) return this;
+        if (other.getSeat() != 0) {
+          setSeat(other.getSeat());
+        }
+        if (!other.getRunnerUp().isEmpty()) {
+          runnerUp_ = other.runnerUp_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                seat_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                runnerUp_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int seat_ ;
+      /**
+       * <pre>
+       * Seat that the sender has become the holder of.
+       * </pre>
+       *
+       * <code>uint32 seat = 1;</code>
+       * @return The seat.
+       */
+      @java.lang.Override
+      public int getSeat() {
+        return seat_;
+      }
+      /**
+       * <pre>
+       * Seat that the sender has become the holder of.
+       * </pre>
+       *
+       * <code>uint32 seat = 1;</code>
+       * @param value The seat to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSeat(int value) {
+
+        seat_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Seat that the sender has become the holder of.
+       * </pre>
+       *
+       * <code>uint32 seat = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSeat() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        seat_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object runnerUp_ = "";
+      /**
+       * <pre>
+       * Daemon that would hold the seat otherwise, as far as the sender knows.
+       * </pre>
+       *
+       * <code>string runner_up = 2;</code>
+       * @return The runnerUp.
+       */
+      public java.lang.String getRunnerUp() {
+        java.lang.Object ref = runnerUp_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          runnerUp_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Daemon that would hold the seat otherwise, as far as the sender knows.
+       * </pre>
+       *
+       * <code>string runner_up = 2;</code>
+       * @return The bytes for runnerUp.
+       */
+      public com.google.protobuf.ByteString
+          getRunnerUpBytes() {
+        java.lang.Object ref = runnerUp_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          runnerUp_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Daemon that would hold the seat otherwise, as far as the sender knows.
+       * </pre>
+       *
+       * <code>string runner_up = 2;</code>
+       * @param value The runnerUp to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRunnerUp(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        runnerUp_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Daemon that would hold the seat otherwise, as far as the sender knows.
+       * </pre>
+       *
+       * <code>string runner_up = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRunnerUp() {
+        runnerUp_ = getDefaultInstance().getRunnerUp();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Daemon that would hold the seat otherwise, as far as the sender knows.
+       * </pre>
+       *
+       * <code>string runner_up = 2;</code>
+       * @param value The bytes for runnerUp to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRunnerUpBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        runnerUp_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:daisyhoist.peer.QuotaRequest.Claim)
+    }
+
+    // @@protoc_insertion_point(class_scope:daisyhoist.peer.QuotaRequest.Claim)
+    private static final io.daisyhoist.wire.proto.QuotaRequest.Claim DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.daisyhoist.wire.proto.QuotaRequest.Claim();
+    }
+
+    public static io.daisyhoist.wire.proto.QuotaRequest.Claim getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Claim>
+        PARSER = new com.google.protobuf.AbstractParser<Claim>() {
+      @java.lang.Override
+      public Claim parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Claim> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Claim> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.daisyhoist.wire.proto.QuotaRequest.Claim getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public static final int NUMBER_FIELD_NUMBER = 1;
   private long number_ = 0L;
   /**
@@ -1836,47 +2479,66 @@
     return demands_.get(index);
   }
 
-  public static final int CLAIMED_SEATS_FIELD_NUMBER = 3;
+  public static final int CLAIMS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.IntList claimedSeats_ =
-      emptyIntList();
+  private java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Claim> claims_;
+  /**
+   * <pre>
+   * Asks whether loans of the receiver from these seats may still be used.
+   * </pre>
+   *
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Claim> getClaimsList() {
+    return claims_;
+  }
   /**
    * <pre>
-   * Seats that the sender has become the holder of, and about which it asks.
+   * Asks whether loans of the receiver from these seats may still be used.
    * </pre>
    *
-   * <code>repeated uint32 claimed_seats = 3;</code>
-   * @return A list containing the claimedSeats.
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
    */
   @java.lang.Override
-  public java.util.List<java.lang.Integer>
-      getClaimedSeatsList() {
-    return claimedSeats_;
+  public java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder> 
+      getClaimsOrBuilderList() {
+    return claims_;
   }
   /**
    * <pre>
-   * Seats that the sender has become the holder of, and about which it asks.
+   * Asks whether loans of the receiver from these seats may still be used.
    * </pre>
    *
-   * <code>repeated uint32 claimed_seats = 3;</code>
-   * @return The count of claimedSeats.
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
    */
-  public int getClaimedSeatsCount() {
-    return claimedSeats_.size();
+  @java.lang.Override
+  public int getClaimsCount() {
+    return claims_.size();
+  }
+  /**
+   * <pre>
+   * Asks whether loans of the receiver from these seats may still be used.
+   * </pre>
+   *
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+   */
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.QuotaRequest.Claim getClaims(int index) {
+    return claims_.get(index);
   }
   /**
    * <pre>
-   * Seats that the sender has become the holder of, and about which it asks.
+   * Asks whether loans of the receiver from these seats may still be used.
    * </pre>
    *
-   * <code>repeated uint32 claimed_seats = 3;</code>
-   * @param index The index of the element to return.
-   * @return The claimedSeats at the given index.
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
    */
-  public int getClaimedSeats(int index) {
-    return claimedSeats_.getInt(index);
+  @java.lang.Override
+  public io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder getClaimsOrBuilder(
+      int index) {
+    return claims_.get(index);
   }
-  private int claimedSeatsMemoizedSerializedSize = -1;
 
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
@@ -1892,19 +2554,14 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    getSerializedSize();
     if (number_ != 0L) {
       output.writeUInt64(1, number_);
     }
     for (int i = 0; i < demands_.size(); i++) {
       output.writeMessage(2, demands_.get(i));
     }
-    if (getClaimedSeatsList().size() > 0) {
-      output.writeUInt32NoTag(26);
-      output.writeUInt32NoTag(claimedSeatsMemoizedSerializedSize);
-    }
-    for (int i = 0; i < claimedSeats_.size(); i++) {
-      output.writeUInt32NoTag(claimedSeats_.getInt(i));
+    for (int i = 0; i < claims_.size(); i++) {
+      output.writeMessage(3, claims_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -1928,20 +2585,15 @@
           }
           size += 1 * count;
         }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < claimedSeats_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeUInt32SizeNoTag(claimedSeats_.getInt(i));
-      }
-      size += dataSize;
-      if (!getClaimedSeatsList().isEmpty()) {
-        size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
-      }
-      claimedSeatsMemoizedSerializedSize = dataSize;
-    }
+
+        {
+          final int count = claims_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(claims_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1961,8 +2613,8 @@
         != other.getNumber()) return false;
     if (!getDemandsList()
         .equals(other.getDemandsList())) return false;
-    if (!getClaimedSeatsList()
-        .equals(other.getClaimedSeatsList())) return false;
+    if (!getClaimsList()
+        .equals(other.getClaimsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1981,9 +2633,9 @@
       hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
       hash = (53 * hash) + getDemandsList().hashCode();
     }
-    if (getClaimedSeatsCount() > 0) {
-      hash = (37 * hash) + CLAIMED_SEATS_FIELD_NUMBER;
-      hash = (53 * hash) + getClaimedSeatsList().hashCode();
+    if (getClaimsCount() > 0) {
+      hash = (37 * hash) + CLAIMS_FIELD_NUMBER;
+      hash = (53 * hash) + getClaimsList().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
@@ -2128,7 +2780,13 @@
         demandsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
-      claimedSeats_ = emptyIntList();
+      if (claimsBuilder_ == null) {
+        claims_ = java.util.Collections.emptyList();
+      } else {
+        claims_ = null;
+        claimsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000004);
       return this;
     }
 
@@ -2171,6 +2829,15 @@
       } else {
         result.demands_ = demandsBuilder_.build();
       }
+      if (claimsBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          claims_ = java.util.Collections.unmodifiableList(claims_);
+          bitField0_ = (bitField0_ & ~0x00000004);
+        }
+        result.claims_ = claims_;
+      } else {
+        result.claims_ = claimsBuilder_.build();
+      }
     }
 
     private void buildPartial0(io.daisyhoist.wire.proto.QuotaRequest result) {
@@ -2178,10 +2845,6 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.number_ = number_;
       }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        claimedSeats_.makeImmutable();
-        result.claimedSeats_ = claimedSeats_;
-      }
     }
 
     @java.lang.Override
@@ -2225,16 +2888,31 @@
           }
         }
       }
-      if (!other.claimedSeats_.isEmpty()) {
-        if (claimedSeats_.isEmpty()) {
-          claimedSeats_ = other.claimedSeats_;
-          claimedSeats_.makeImmutable();
-          bitField0_ |= 0x00000004;
-        } else {
-          ensureClaimedSeatsIsMutable();
-          claimedSeats_.addAll(other.claimedSeats_);
+      if (claimsBuilder_ == null) {
+        if (!other.claims_.isEmpty()) {
+          if (claims_.isEmpty()) {
+            claims_ = other.claims_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+          } else {
+            ensureClaimsIsMutable();
+            claims_.addAll(other.claims_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.claims_.isEmpty()) {
+          if (claimsBuilder_.isEmpty()) {
+            claimsBuilder_.dispose();
+            claimsBuilder_ = null;
+            claims_ = other.claims_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+            claimsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetClaimsFieldBuilder() : null;
+          } else {
+            claimsBuilder_.addAllMessages(other.claims_);
+          }
         }
-        onChanged();
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -2280,20 +2958,17 @@
               }
               break;
             } // case 18
-            case 24: {
-              int v = input.readUInt32();
-              ensureClaimedSeatsIsMutable();
-              claimedSeats_.addInt(v);
-              break;
-            } // case 24
             case 26: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              ensureClaimedSeatsIsMutable();
-              while (input.getBytesUntilLimit() > 0) {
-                claimedSeats_.addInt(input.readUInt32());
+              io.daisyhoist.wire.proto.QuotaRequest.Claim m =
+                  input.readMessage(
+                      io.daisyhoist.wire.proto.QuotaRequest.Claim.parser(),
+                      extensionRegistry);
+              if (claimsBuilder_ == null) {
+                ensureClaimsIsMutable();
+                claims_.add(m);
+              } else {
+                claimsBuilder_.addMessage(m);
               }
-              input.popLimit(limit);
               break;
             } // case 26
             default: {
@@ -2597,117 +3272,317 @@
       return demandsBuilder_;
     }
 
-    private com.google.protobuf.Internal.IntList claimedSeats_ = emptyIntList();
-    private void ensureClaimedSeatsIsMutable() {
-      if (!claimedSeats_.isModifiable()) {
-        claimedSeats_ = makeMutableCopy(claimedSeats_);
+    private java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Claim> claims_ =
+      java.util.Collections.emptyList();
+    private void ensureClaimsIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        claims_ = new java.util.ArrayList<io.daisyhoist.wire.proto.QuotaRequest.Claim>(claims_);
+        bitField0_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.daisyhoist.wire.proto.QuotaRequest.Claim, io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder, io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder> claimsBuilder_;
+
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Claim> getClaimsList() {
+      if (claimsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(claims_);
+      } else {
+        return claimsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public int getClaimsCount() {
+      if (claimsBuilder_ == null) {
+        return claims_.size();
+      } else {
+        return claimsBuilder_.getCount();
       }
-      bitField0_ |= 0x00000004;
     }
     /**
      * <pre>
-     * Seats that the sender has become the holder of, and about which it asks.
+     * Asks whether loans of the receiver from these seats may still be used.
      * </pre>
      *
-     * <code>repeated uint32 claimed_seats = 3;</code>
-     * @return A list containing the claimedSeats.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
      */
-    public java.util.List<java.lang.Integer>
-        getClaimedSeatsList() {
-      claimedSeats_.makeImmutable();
-      return claimedSeats_;
+    public io.daisyhoist.wire.proto.QuotaRequest.Claim getClaims(int index) {
+      if (claimsBuilder_ == null) {
+        return claims_.get(index);
+      } else {
+        return claimsBuilder_.getMessage(index);
+      }
     }
     /**
      * <pre>
-     * Seats that the sender has become the holder of, and about which it asks.
+     * Asks whether loans of the receiver from these seats may still be used.
      * </pre>
      *
-     * <code>repeated uint32 claimed_seats = 3;</code>
-     * @return The count of claimedSeats.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
      */
-    public int getClaimedSeatsCount() {
-      return claimedSeats_.size();
+    public Builder setClaims(
+        int index, io.daisyhoist.wire.proto.QuotaRequest.Claim value) {
+      if (claimsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClaimsIsMutable();
+        claims_.set(index, value);
+        onChanged();
+      } else {
+        claimsBuilder_.setMessage(index, value);
+      }
+      return this;
     }
     /**
      * <pre>
-     * Seats that the sender has become the holder of, and about which it asks.
+     * Asks whether loans of the receiver from these seats may still be used.
      * </pre>
      *
-     * <code>repeated uint32 claimed_seats = 3;</code>
-     * @param index The index of the element to return.
-     * @return The claimedSeats at the given index.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
      */
-    public int getClaimedSeats(int index) {
-      return claimedSeats_.getInt(index);
+    public Builder setClaims(
+        int index, io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder builderForValue) {
+      if (claimsBuilder_ == null) {
+        ensureClaimsIsMutable();
+        claims_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        claimsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
     }
     /**
      * <pre>
-     * Seats that the sender has become the holder of, and about which it asks.
+     * Asks whether loans of the receiver from these seats may still be used.
      * </pre>
      *
-     * <code>repeated uint32 claimed_seats = 3;</code>
-     * @param index The index to set the value at.
-     * @param value The claimedSeats to set.
-     * @return This builder for chaining.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
      */
-    public Builder setClaimedSeats(
-        int index, int value) {
-
-      ensureClaimedSeatsIsMutable();
-      claimedSeats_.setInt(index, value);
-      bitField0_ |= 0x00000004;
-      onChanged();
+    public Builder addClaims(io.daisyhoist.wire.proto.QuotaRequest.Claim value) {
+      if (claimsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClaimsIsMutable();
+        claims_.add(value);
+        onChanged();
+      } else {
+        claimsBuilder_.addMessage(value);
+      }
       return this;
     }
     /**
      * <pre>
-     * Seats that the sender has become the holder of, and about which it asks.
+     * Asks whether loans of the receiver from these seats may still be used.
      * </pre>
      *
-     * <code>repeated uint32 claimed_seats = 3;</code>
-     * @param value The claimedSeats to add.
-     * @return This builder for chaining.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
      */
-    public Builder addClaimedSeats(int value) {
-
-      ensureClaimedSeatsIsMutable();
-      claimedSeats_.addInt(value);
-      bitField0_ |= 0x00000004;
-      onChanged();
+    public Builder addClaims(
+        int index, io.daisyhoist.wire.proto.QuotaRequest.Claim value) {
+      if (claimsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureClaimsIsMutable();
+        claims_.add(index, value);
+        onChanged();
+      } else {
+        claimsBuilder_.addMessage(index, value);
+      }
       return this;
     }
     /**
      * <pre>
-     * Seats that the sender has become the holder of, and about which it asks.
+     * Asks whether loans of the receiver from these seats may still be used.
      * </pre>
      *
-     * <code>repeated uint32 claimed_seats = 3;</code>
-     * @param values The claimedSeats to add.
-     * @return This builder for chaining.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
      */
-    public Builder addAllClaimedSeats(
-        java.lang.Iterable<? extends java.lang.Integer> values) {
-      ensureClaimedSeatsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, claimedSeats_);
-      bitField0_ |= 0x00000004;
-      onChanged();
+    public Builder addClaims(
+        io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder builderForValue) {
+      if (claimsBuilder_ == null) {
+        ensureClaimsIsMutable();
+        claims_.add(builderForValue.build());
+        onChanged();
+      } else {
+        claimsBuilder_.addMessage(builderForValue.build());
+      }
       return this;
     }
     /**
      * <pre>
-     * Seats that the sender has become the holder of, and about which it asks.
+     * Asks whether loans of the receiver from these seats may still be used.
      * </pre>
      *
-     * <code>repeated uint32 claimed_seats = 3;</code>
-     * @return This builder for chaining.
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
      */
-    public Builder clearClaimedSeats() {
-      claimedSeats_ = emptyIntList();
-      bitField0_ = (bitField0_ & ~0x00000004);
-      onChanged();
+    public Builder addClaims(
+        int index, io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder builderForValue) {
+      if (claimsBuilder_ == null) {
+        ensureClaimsIsMutable();
+        claims_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        claimsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public Builder addAllClaims(
+        java.lang.Iterable<? extends io.daisyhoist.wire.proto.QuotaRequest.Claim> values) {
+      if (claimsBuilder_ == null) {
+        ensureClaimsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, claims_);
+        onChanged();
+      } else {
+        claimsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public Builder clearClaims() {
+      if (claimsBuilder_ == null) {
+        claims_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+      } else {
+        claimsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public Builder removeClaims(int index) {
+      if (claimsBuilder_ == null) {
+        ensureClaimsIsMutable();
+        claims_.remove(index);
+        onChanged();
+      } else {
+        claimsBuilder_.remove(index);
+      }
       return this;
     }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder getClaimsBuilder(
+        int index) {
+      return internalGetClaimsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder getClaimsOrBuilder(
+        int index) {
+      if (claimsBuilder_ == null) {
+        return claims_.get(index);  } else {
+        return claimsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder> 
+         getClaimsOrBuilderList() {
+      if (claimsBuilder_ != null) {
+        return claimsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(claims_);
+      }
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder addClaimsBuilder() {
+      return internalGetClaimsFieldBuilder().addBuilder(
+          io.daisyhoist.wire.proto.QuotaRequest.Claim.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder addClaimsBuilder(
+        int index) {
+      return internalGetClaimsFieldBuilder().addBuilder(
+          index, io.daisyhoist.wire.proto.QuotaRequest.Claim.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Asks whether loans of the receiver from these seats may still be used.
+     * </pre>
+     *
+     * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+     */
+    public java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder> 
+         getClaimsBuilderList() {
+      return internalGetClaimsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.daisyhoist.wire.proto.QuotaRequest.Claim, io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder, io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder> 
+        internalGetClaimsFieldBuilder() {
+      if (claimsBuilder_ == null) {
+        claimsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.daisyhoist.wire.proto.QuotaRequest.Claim, io.daisyhoist.wire.proto.QuotaRequest.Claim.Builder, io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder>(
+                claims_,
+                ((bitField0_ & 0x00000004) != 0),
+                getParentForChildren(),
+                isClean());
+        claims_ = null;
+      }
+      return claimsBuilder_;
+    }
 
     // @@protoc_insertion_point(builder_scope:daisyhoist.peer.QuotaRequest)
   }
--- a/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequestOrBuilder.java
+++ b/wire/src/main/java/io/daisyhoist/wire/proto/QuotaRequestOrBuilder.java
@@ -46,30 +46,45 @@
 
   /**
    * <pre>
-   * Seats that the sender has become the holder of, and about which it asks.
+   * Asks whether loans of the receiver from these seats may still be used.
    * </pre>
    *
-   * <code>repeated uint32 claimed_seats = 3;</code>
-   * @return A list containing the claimedSeats.
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
    */
-  java.util.List<java.lang.Integer> getClaimedSeatsList();
+  java.util.List<io.daisyhoist.wire.proto.QuotaRequest.Claim> 
+      getClaimsList();
   /**
    * <pre>
-   * Seats that the sender has become the holder of, and about which it asks.
+   * Asks whether loans of the receiver from these seats may still be used.
    * </pre>
    *
-   * <code>repeated uint32 claimed_seats = 3;</code>
-   * @return The count of claimedSeats.
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
    */
-  int getClaimedSeatsCount();
+  io.daisyhoist.wire.proto.QuotaRequest.Claim getClaims(int index);
   /**
    * <pre>
-   * Seats that the sender has become the holder of, and about which it asks.
+   * Asks whether loans of the receiver from these seats may still be used.
    * </pre>
    *
-   * <code>repeated uint32 claimed_seats = 3;</code>
-   * @param index The index of the element to return.
-   * @return The claimedSeats at the given index.
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
    */
-  int getClaimedSeats(int index);
+  int getClaimsCount();
+  /**
+   * <pre>
+   * Asks whether loans of the receiver from these seats may still be used.
+   * </pre>
+   *
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+   */
+  java.util.List<? extends io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder> 
+      getClaimsOrBuilderList();
+  /**
+   * <pre>
+   * Asks whether loans of the receiver from these seats may still be used.
+   * </pre>
+   *
+   * <code>repeated .daisyhoist.peer.QuotaRequest.Claim claims = 3;</code>
+   */
+  io.daisyhoist.wire.proto.QuotaRequest.ClaimOrBuilder getClaimsOrBuilder(
+      int index);
 }
