--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -131,6 +131,32 @@
         assertFalse(control.localBackend().mayGrant());
     }
 
+    @Test
+    void isFirstProcess_unknownToTheStore_isTrue() {
+        assertTrue(control.isFirstProcess());
+        simulation.runFor(Duration.ofSeconds(2));
+        assertTrue(control.isRegistrationConfirmed());
+    }
+
+    /** Guards against a restarted daemon that lends what its earlier process has lent already, also after its entry ended. */
+    @Test
+    void isFirstProcess_afterRestart_isFalse() {
+        simulation.runFor(Duration.ofSeconds(2));
+        restartAfter(Duration.ofSeconds(1));
+        assertFalse(control.isFirstProcess());
+        simulation.runFor(Duration.ofSeconds(2));
+        restartAfter(Duration.ofSeconds(5));
+        assertFalse(control.isFirstProcess());
+    }
+
+    @Test
+    void isRegistrationConfirmed_storeAwayForLong_isFalse() {
+        simulation.runFor(Duration.ofSeconds(2));
+        client.setDisconnected(true);
+        simulation.runFor(Duration.ofSeconds(12));
+        assertFalse(control.isRegistrationConfirmed());
+    }
+
     /** A heartbeat that was sent before the shutdown notice may arrive after a restart of the daemon. */
     @Nested
     class LateHeartbeatAfterRestart {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/CustomerRequestTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/CustomerRequestTest.java
@@ -96,7 +96,8 @@
     @BeforeEach
     void start() {
         logger.addHandler(capture);
-        ClientServer server = new ClientServer(fixture.vertx, context(), TestHeaderNames.NAMES, fixture.keyCheck);
+        ClientServer server = new ClientServer(
+                fixture.vertx, context(), TestHeaderNames.NAMES, fixture.keyCheck, QuotaCheck.unlimited());
         port = AdmissionFixture.result(server.listenOnFreePort("127.0.0.1")).actualPort();
         configure(CUSTOMERS);
         fixture.confirmation.onConfirmed(fixture.confirmation.ask(), Duration.ZERO);
