Know from the first write of the registration whether a daemon had an earlier process

The first write of a process is conditional on the absence of the creation record. The listing of the fleet, which was used before, is read after the registration, so every daemon seemed to have an earlier process (FleetControlTest.isFirstProcess_unknownToTheStore_isTrue was red); a separate read was one call too many for FleetScaleTest.calmDay_callsOfADaemon_areFew. No further call of the store for a daemon that starts for the first time.

--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -25,7 +25,6 @@
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoreDelta;
 import io.daisyhoist.mesh.store.StoredItem;
-import io.daisyhoist.mesh.store.Transaction;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 import io.daisyhoist.mesh.version.LocalBackendSnapshot;
@@ -82,7 +81,6 @@
     private volatile FleetSnapshot fleet = FleetSnapshot.EMPTY;
     private volatile LocalBackendSnapshot localBackend = LocalBackendSnapshot.EMPTY;
     private volatile boolean ready;
-    private volatile boolean firstProcess;
 
     /** Sends messages to other daemons. */
     public interface PeerSender {
@@ -225,9 +223,9 @@
         return registrationLease.isConfirmedWithin(REGISTRATION_LEASE_DURATION);
     }
 
-    /** Returns whether the store had neither an entry nor a creation record of this daemon when the process started. */
+    /** Returns whether this daemon certainly has no earlier process that has ended recently. */
     public boolean isFirstProcess() {
-        return firstProcess;
+        return registration.isFirstOfDaemon();
     }
 
     /** Returns whether this daemon watches the store itself instead of following another daemon. */
@@ -449,10 +447,6 @@
 
         @Override
         public void onSynchronized(ElapsedTimer sentAt) {
-            if (!fleetSynchronized && !registrationStarted) {
-                firstProcess = state.isAbsent(settings.daemon())
-                        && state.creationRevision(settings.daemon()) == Transaction.ABSENT;
-            }
             fleetSynchronized = true;
             // The entry may have ended after the write that the listing follows.
             if (registration.isRegistered() && !state.isAbsent(settings.daemon())) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -53,6 +53,10 @@
     private FleetMember member;
     private long lease;
     private long revision;
+    /** Whether the first write is still to be done, under the condition that there is no creation record. */
+    private boolean mayBeFirst = true;
+
+    private volatile boolean firstOfDaemon;
     private boolean registered;
     private boolean dirty;
     private boolean needsVerification;
@@ -106,6 +110,14 @@
         return firstRevision;
     }
 
+    /**
+     * Returns whether there was no creation record when this process registered, so that no earlier process of this daemon
+     * can have ended shortly before; false until it is registered. Any thread may call this method.
+     */
+    boolean isFirstOfDaemon() {
+        return firstOfDaemon;
+    }
+
     FleetMember member() {
         return member;
     }
@@ -221,13 +233,20 @@
         if (revision == Transaction.ABSENT) {
             writes.add(new Transaction.Write(creationKey, NO_VALUE, Transaction.NO_LEASE));
         }
-        Transaction entry = new Transaction(List.of(new Transaction.Condition(key, revision)), writes, List.of());
+        List<Transaction.Condition> conditions = new ArrayList<>();
+        conditions.add(new Transaction.Condition(key, revision));
+        if (mayBeFirst) {
+            conditions.add(new Transaction.Condition(creationKey, Transaction.ABSENT));
+        }
+        Transaction entry = new Transaction(conditions, writes, List.of());
         onResponse("entry_write", store.commit(entry), result -> onWritten(writtenMember, result));
     }
 
     private void onWritten(FleetMember writtenMember, TransactionResult result) {
         if (result instanceof TransactionResult.Committed committed) {
             revision = committed.revision();
+            firstOfDaemon |= mayBeFirst;
+            mayBeFirst = false;
             if (firstRevision.isEmpty()) {
                 firstRevision = OptionalLong.of(revision);
             }
@@ -246,6 +265,7 @@
             scheduleStep(Duration.ZERO);
             return;
         }
+        mayBeFirst = false;
         readRevision();
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -133,8 +133,8 @@
 
     @Test
     void isFirstProcess_unknownToTheStore_isTrue() {
-        assertTrue(control.isFirstProcess());
         simulation.runFor(Duration.ofSeconds(2));
+        assertTrue(control.isFirstProcess());
         assertTrue(control.isRegistrationConfirmed());
     }
 
@@ -143,9 +143,10 @@
     void isFirstProcess_afterRestart_isFalse() {
         simulation.runFor(Duration.ofSeconds(2));
         restartAfter(Duration.ofSeconds(1));
-        assertFalse(control.isFirstProcess());
         simulation.runFor(Duration.ofSeconds(2));
+        assertFalse(control.isFirstProcess());
         restartAfter(Duration.ofSeconds(5));
+        simulation.runFor(Duration.ofSeconds(2));
         assertFalse(control.isFirstProcess());
     }
 
