--- a/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/ConfirmationLoop.java
@@ -24,14 +24,18 @@
  *
  * <p>A daemon that watches the store asks the store; its followers ask that daemon, whose answer has the age of its own
  * proof. A follower dates the proof by the time of its own question, so that time in transit counts. A follower whose proof
- * becomes old asks the store itself, and another daemon if the store does not answer it. Invariants: a proof is recorded only while this daemon knows a configuration at least
- * as new as the proven one; at most one question is in progress. Confined to the control thread.
+ * becomes old asks the store itself, and another daemon if the store does not answer it. Invariants: a proof is recorded
+ * only while this daemon knows a configuration at least as new as the proven one; at most one question is in progress.
+ * Confined to the control thread.
  */
 final class ConfirmationLoop {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** Short, because requests with keys are refused from a step of a clock to the next proof. */
+    static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+
     /** Two intervals and two round trips, the age at a follower, stay below {@link #MIN_OWN_QUESTION_AGE}. */
-    private static final Duration INTERVAL = Duration.ofMillis(500);
+    private static final Duration INTERVAL = Duration.ofMillis(600);
 
     /** Age of a proof at which a follower asks the store itself; random, so that followers do not ask together. */
     private static final Duration MIN_OWN_QUESTION_AGE = Duration.ofMillis(1_600);
@@ -96,7 +100,7 @@
         this.lastQuestion = ElapsedTimer.start(time);
     }
 
-    /** Asks again if it is time; to be called several times per second. */
+    /** Asks again if it is time; to be called each {@link #TICK_INTERVAL}. */
     void tick() {
         confirmation.detectClockStep();
         if (!hasCustomers()) {
