--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -13,6 +13,7 @@
 import io.daisyhoist.core.client.CloseReason;
 import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.customer.ApiKeyCheck;
+import io.daisyhoist.core.customer.CustomerCredential;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.route.FleetConfig;
@@ -58,6 +59,7 @@
     private final HeaderNames headerNames;
     private final CustomerAuthenticator authenticator;
     private final ClientGuard guard;
+    private final QuotaCheck quotaCheck;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final IngressAdmission ingress;
     private final HttpServer server;
@@ -66,7 +68,7 @@
     private Optional<Deadline> plannedExit = Optional.empty();
     private boolean refusing;
 
-    /** Creates a server of a fleet without a revocation limit, which is not listening. */
+    /** Creates a server of a fleet without a revocation limit and quotas, which is not listening. */
     public ClientServer(Vertx vertx, RequestContext context, HeaderNames headerNames) {
         this(
                 vertx,
@@ -74,7 +76,8 @@
                 headerNames,
                 ApiKeyCheck.withoutRevocationLimit(
                         context.time(), () -> context.fleet().get().config().map(FleetConfig::customers)),
-                ConnectionBounds.DEFAULT);
+                ConnectionBounds.DEFAULT,
+                QuotaCheck.unlimited());
     }
 
     /** Creates a server that is not listening. */
@@ -83,8 +86,10 @@
             RequestContext context,
             HeaderNames headerNames,
             ApiKeyCheck keyCheck,
-            ConnectionBounds bounds) {
+            ConnectionBounds bounds,
+            QuotaCheck quotaCheck) {
         this.context = context;
+        this.quotaCheck = quotaCheck;
         this.headerNames = headerNames;
         this.authenticator = new CustomerAuthenticator(keyCheck, headerNames);
         this.guard = new ClientGuard(vertx, context.time(), this::limits, bounds, context.memory(), context.metrics());
@@ -247,10 +252,17 @@
                 clientClosed,
                 accepted.customer(),
                 isFromOwnInstance(http));
-        return new RequestDispatch(
-                        context, request, serviceSelector.next(config.get().version(), route.get()), ingress)
-                .start()
-                .map(clientResponse -> requireOwn(id, clientResponse));
+        return quotaCheck.run(
+                accepted.customer().map(CustomerCredential::customer),
+                id,
+                clientClosed,
+                () -> new RequestDispatch(
+                                context,
+                                request,
+                                serviceSelector.next(config.get().version(), route.get()),
+                                ingress)
+                        .start()
+                        .map(clientResponse -> requireOwn(id, clientResponse)));
     }
 
     /** Only the local backend server calls from the instance of the daemon. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetControlTest.java
@@ -134,6 +134,33 @@
         assertFalse(control.localBackend().mayGrant());
     }
 
+    @Test
+    void isFirstProcess_unknownToTheStore_isTrue() {
+        simulation.runFor(Duration.ofSeconds(2));
+        assertTrue(control.isFirstProcess());
+        assertTrue(control.isRegistrationConfirmed());
+    }
+
+    /** Guards against a restarted daemon that lends what its earlier process has lent already, also after its entry ended. */
+    @Test
+    void isFirstProcess_afterRestart_isFalse() {
+        simulation.runFor(Duration.ofSeconds(2));
+        restartAfter(Duration.ofSeconds(1));
+        simulation.runFor(Duration.ofSeconds(2));
+        assertFalse(control.isFirstProcess());
+        restartAfter(Duration.ofSeconds(5));
+        simulation.runFor(Duration.ofSeconds(2));
+        assertFalse(control.isFirstProcess());
+    }
+
+    @Test
+    void isRegistrationConfirmed_storeAwayForLong_isFalse() {
+        simulation.runFor(Duration.ofSeconds(2));
+        client.setDisconnected(true);
+        simulation.runFor(Duration.ofSeconds(12));
+        assertFalse(control.isRegistrationConfirmed());
+    }
+
     /** Another writer may send a heartbeat of a service that no configuration has. */
     @Nested
     class HeartbeatOfUnknownService {
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/CustomerRequestTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/CustomerRequestTest.java
@@ -99,7 +99,12 @@
     void start() {
         logger.addHandler(capture);
         ClientServer server = new ClientServer(
-                fixture.vertx, context(), TestHeaderNames.NAMES, fixture.keyCheck, ConnectionBounds.DEFAULT);
+                fixture.vertx,
+                context(),
+                TestHeaderNames.NAMES,
+                fixture.keyCheck,
+                ConnectionBounds.DEFAULT,
+                QuotaCheck.unlimited());
         port = AdmissionFixture.result(server.listenOnFreePort("127.0.0.1")).actualPort();
         configure(CUSTOMERS);
         fixture.confirmation.onConfirmed(fixture.confirmation.ask(), Duration.ZERO);
