--- a/core/src/main/java/io/daisyhoist/core/keyrange/KeyLeases.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/KeyLeases.java
@@ -151,6 +151,14 @@
         return parts;
     }
 
+    /** Returns the parts of assignments for which no move is pending. */
+    public List<RangeAssignment> withoutPendingMoves(List<RangeAssignment> assignments) {
+        List<RangeAssignment> result = new ArrayList<>();
+        assignments.forEach(assignment ->
+                withoutPendingMoves(assignment.range()).forEach(part -> result.add(assignment.within(part))));
+        return result;
+    }
+
     /** Starts to revoke the keys of a move; ignored if it overlaps a pending move. */
     public void startMove(RangeMove move) {
         if (pendingMoves.stream().noneMatch(pending -> pending.move.range().overlaps(move.range()))) {
--- a/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
@@ -137,7 +137,7 @@
     }
 
     /** Merges adjacent ranges that belong to the same grant. */
-    private static List<RangeAssignment> mergeAdjacent(List<RangeAssignment> assignments) {
+    static List<RangeAssignment> mergeAdjacent(List<RangeAssignment> assignments) {
         List<RangeAssignment> sorted = new ArrayList<>(assignments);
         sorted.sort(Comparator.comparingInt(RangeAssignment::from));
         List<RangeAssignment> result = new ArrayList<>();
@@ -155,6 +155,26 @@
         return result;
     }
 
+    /** Issues new fencing tokens for assignments whose keys may have been held under higher ones since. */
+    public static RangeTable renewFences(RangeTable table, Predicate<RangeAssignment> outdated) {
+        long fence = table.lastFence();
+        List<RangeAssignment> newAssignments = new ArrayList<>();
+        for (RangeAssignment assignment : table.assignments()) {
+            boolean renewed = outdated.test(assignment);
+            fence += renewed ? 1 : 0;
+            newAssignments.add(
+                    renewed
+                            ? RangeAssignment.of(
+                                    assignment.range(),
+                                    assignment.daemon(),
+                                    assignment.process(),
+                                    fence,
+                                    assignment.handoverToken())
+                            : assignment);
+        }
+        return new RangeTable(table.service(), fence, newAssignments);
+    }
+
     /** Plans moves of all keys of a daemon to others, for a backend server that is draining. */
     public static List<RangeMove> evacuate(RangeTable table, DaemonId self, List<RangeOwner> others) {
         if (others.isEmpty()) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/DepartureRecord.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/DepartureRecord.java
@@ -92,6 +92,11 @@
         }
     }
 
+    /** Writes the recorded process again after the store has come back from an older copy. */
+    void onEra() {
+        departed.ifPresent(process -> write(process, written));
+    }
+
     /** Returns a future that completes when the store has a process; completed if the process has announced no shutdown. */
     CompletableFuture<Void> recorded(BackendProcessId process) {
         return contains(process) ? written : CompletableFuture.completedFuture(null);
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -23,6 +23,7 @@
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.OperatorDocuments;
 import io.daisyhoist.mesh.store.StoreDelta;
+import io.daisyhoist.mesh.store.StoreEra;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.daisyhoist.mesh.version.FleetSnapshot;
@@ -65,12 +66,14 @@
     private final KeyLeases keyLeases;
     private final KeyLoad keyLoad;
     private final RangeAssigner rangeAssigner;
+    private final TableRecovery tableRecovery;
     private final FleetGossip gossip;
     private final HeartbeatResponder heartbeatResponder;
     private final DepartureRecord departures;
     private final LocalBackendTracker tracker;
     private final StoreFollower follower;
     private final PeerMessageHandler peerMessageHandler;
+    private boolean eraKnown;
     private boolean operatorSynchronized;
     private boolean fleetSynchronized;
     private boolean registrationStarted;
@@ -138,6 +141,7 @@
         this.keyLeases = new KeyLeases(
                 time, settings.daemon(), registrationLease, settings.bounds().maxKeyLease());
         this.keyLoad = new KeyLoad(time);
+        this.tableRecovery = new TableRecovery(settings.daemon(), state, keyLeases, registrationLease, time);
         this.rangeAssigner = new RangeAssigner(
                 settings.daemon(),
                 state,
@@ -149,16 +153,41 @@
                         time,
                         settings.bounds().heartbeatInterval(),
                         registration::firstRevision,
-                        registrationLease),
+                        registrationLease,
+                        tableRecovery),
                 gossip);
         this.heartbeatResponder = new HeartbeatResponder(
                 time,
                 control,
                 keyLeases,
                 registrationLease,
-                service -> state.table(service).filter(table -> isKeyed(service)),
+                service -> tableRecovery.grantable(service).filter(table -> isKeyed(service)),
                 rangeAssigner,
                 this::publishLocal);
+        store.setEraListener(era -> control.execute(() -> onEra(era, metrics)));
+    }
+
+    /** Handles the first era of the store and each later one, in which the store has come back from an older copy. */
+    private void onEra(StoreEra era, FleetMetrics metrics) {
+        StoreEra earlier = state.era();
+        boolean first = !eraKnown;
+        eraKnown = true;
+        tableRecovery.onEra(era, tracker.member().service(), rangeAssigner::isPredecessorFenced);
+        if (first) {
+            return;
+        }
+        LOGGER.atWarning().log(
+                "event=store_era_changed era=%d earlier=%d operator_as_of=%d fleet_as_of=%d outcome=read_and_write_again",
+                era.number(),
+                earlier.number(),
+                StoreEra.withoutEra(operatorCache.asOf()),
+                StoreEra.withoutEra(fleetCache.asOf()));
+        metrics.onStoreEraChange();
+        fleetSynchronized = false;
+        operatorCache.reload();
+        fleetCache.reload();
+        registration.onEra();
+        departures.onEra();
     }
 
     /** Starts reading the store and registers this daemon. */
@@ -324,7 +353,7 @@
     }
 
     private void tick() {
-        state.removeExpiredMembers();
+        state.removeExpired();
         follower.update(fleet.members().values(), state::isAbsent, registrationLease.confirmationAge());
         follower.report(this::localReport);
         rangeAssigner.tick(tracker.member().service(), tracker.backend());
@@ -339,6 +368,14 @@
         gossip.report(member -> isKeyed(service) && member.service().equals(service));
     }
 
+    private void onRegistrationConfirmed(ElapsedTimer sentAt) {
+        ServiceName service = tracker.member().service();
+        if (!isKeyed(service) || tableRecovery.mayConfirm(service)) {
+            registrationLease.onConfirmed(sentAt);
+            heartbeatResponder.onChange();
+        }
+    }
+
     private void publishFleet(FleetSnapshot snapshot) {
         fleet = snapshot;
         heartbeatResponder.onChange();
@@ -371,6 +408,11 @@
             state.onOperatorDeleted(key);
         }
 
+        @Override
+        public void onLost(String key) {
+            state.onOperatorItemLost(key);
+        }
+
         @Override
         public void onSynchronized(ElapsedTimer sentAt) {
             operatorSynchronized = true;
@@ -405,10 +447,10 @@
         @Override
         public void onSynchronized(ElapsedTimer sentAt) {
             fleetSynchronized = true;
+            tableRecovery.onListed();
             // The entry may have ended after the write that the listing follows.
             if (registration.isRegistered() && !state.isAbsent(settings.daemon())) {
-                registrationLease.onConfirmed(sentAt);
-                heartbeatResponder.onChange();
+                onRegistrationConfirmed(sentAt);
             }
         }
 
@@ -423,8 +465,7 @@
         @Override
         public void onConfirmed(ElapsedTimer sentAt) {
             if (fleetSynchronized) {
-                registrationLease.onConfirmed(sentAt);
-                heartbeatResponder.onChange();
+                onRegistrationConfirmed(sentAt);
             }
         }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
@@ -1,5 +1,6 @@
 package io.daisyhoist.mesh.process;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,6 +21,7 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.store.StoreEra;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.store.Transaction;
 import io.daisyhoist.mesh.version.FleetSnapshot;
@@ -40,6 +42,9 @@
     static final String MEMBER_PREFIX = "daisyhoist/members/";
     static final String RANGE_PREFIX = "daisyhoist/ranges/";
 
+    /** Time in which operators write again what the store has lost. */
+    private static final Duration LOST_EVACUATION_GRACE = Duration.ofSeconds(5);
+
     private final TimeSource time;
     private final OperatorDocuments documents;
     private final Duration memberExpiry;
@@ -48,15 +53,27 @@
     private Optional<FleetConfig> config = Optional.empty();
     private final Set<AvailabilityZone> evacuatedZones = new HashSet<>();
     private final Map<DaemonId, MemberEntry> members = new TreeMap<>();
-    private final Map<String, Long> creationRevisions = new HashMap<>();
+    private final Map<String, Creation> creations = new HashMap<>();
+    private final EraMarkers eraMarkers = new EraMarkers();
+    private final Map<String, Long> lostOperatorKeys = new HashMap<>();
     private final Map<ServiceName, StoredTable> tables = new HashMap<>();
     private Optional<FleetSnapshot> currentSnapshot = Optional.empty();
+    private StoreEra era = StoreEra.NONE;
     private boolean inBatch;
     private boolean changedInBatch;
 
+    /**
+     * Creation record of a daemon.
+     *
+     * @param revision store revision
+     * @param era era in which the daemon has created its entry; an older one if the record is from a copy of the store
+     */
+    private record Creation(long revision, long era) {}
+
     private static final class MemberEntry {
         private final FleetMember member;
         private Optional<Long> absentSinceNanos = Optional.empty();
+        private Optional<IgnoredEntry> ignored = Optional.empty();
         private boolean replaced;
 
         private MemberEntry(FleetMember member) {
@@ -64,6 +81,9 @@
         }
     }
 
+    /** Entry of a member under which the store has no creation record of the present era. */
+    private record IgnoredEntry(FleetMember member, long revision) {}
+
     /**
      * Assignment table with its revision in the store.
      *
@@ -92,8 +112,24 @@
         this.onRejectedItem = onRejectedItem;
     }
 
+    /** Handles a new era of the store: what was read before is kept until the store shows something newer. */
+    void onEra(StoreEra newEra) {
+        era = newEra;
+    }
+
+    /** Returns the era of the store. */
+    StoreEra era() {
+        return era;
+    }
+
+    /** Returns how far the tables have been restored in each era. */
+    EraMarkers eraMarkers() {
+        return eraMarkers;
+    }
+
     /** Handles a changed operator item. */
     void onOperatorItem(StoredItem item) {
+        lostOperatorKeys.remove(item.key());
         accept(item, documents.read(item), document -> {
             if (document instanceof OperatorDocuments.Configuration configuration) {
                 onConfig(configuration.config());
@@ -125,8 +161,15 @@
         publish();
     }
 
+    /** Handles an operator item that the store has lost; its effect stays until operators had time to write it again. */
+    void onOperatorItemLost(String key) {
+        lostOperatorKeys.put(key, time.monotonicNanos());
+        LOGGER.atInfo().log("event=operator_item_lost key=%s era=%d outcome=kept", key, era.number());
+    }
+
     /** Handles the deletion of an operator item. */
     void onOperatorDeleted(String key) {
+        lostOperatorKeys.remove(key);
         documents.evacuatedZone(key).filter(evacuatedZones::remove).ifPresent(zone -> {
             LOGGER.atInfo().log("event=zone_restored zone=%s", zone);
             publish();
@@ -137,7 +180,10 @@
     void onFleetItem(StoredItem item) {
         if (item.key().startsWith(MEMBER_PREFIX)) {
             Decoded<FleetMember> decoded = FleetJson.read(item.value(), FleetMember.class);
-            accept(item, requireKey(item, decoded, member -> memberKey(member.daemon())), this::onMember);
+            accept(
+                    item,
+                    requireKey(item, decoded, member -> memberKey(member.daemon())),
+                    member -> onMember(member, item.revision()));
         } else if (item.key().startsWith(RANGE_PREFIX)) {
             Decoded<RangeTable> decoded = FleetJson.read(item.value(), RangeTable.class);
             accept(
@@ -145,10 +191,28 @@
                     requireKey(item, decoded, table -> rangeKey(table.service())),
                     table -> onTable(table, item.revision()));
         } else if (item.key().startsWith(CREATION_PREFIX)) {
-            creationRevisions.put(item.key(), item.revision());
+            creations.put(item.key(), new Creation(item.revision(), creationEra(item)));
+            members.values().stream()
+                    .filter(entry -> item.key().equals(creationKey(entry.member.daemon())))
+                    .flatMap(entry -> entry.ignored.stream())
+                    .filter(ignored -> ignored.revision() >= item.revision())
+                    .findFirst()
+                    .ifPresent(ignored -> onMember(ignored.member(), ignored.revision()));
+        } else if (item.key().startsWith(EraMarkers.PREFIX)) {
+            eraMarkers.onItem(item);
         }
     }
 
+    /** Returns the value of a creation record for an era. */
+    static byte[] creationValue(long eraNumber) {
+        return eraNumber == 0 ? new byte[0] : Long.toString(eraNumber).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static long creationEra(StoredItem item) {
+        String text = new String(item.value(), StandardCharsets.US_ASCII);
+        return text.matches("[0-9]{1,18}") ? Long.parseLong(text) : 0;
+    }
+
     /** Rejects a value under the key of another one, which it would replace. */
     private static <T> Decoded<T> requireKey(StoredItem item, Decoded<T> decoded, Function<T, String> expectedKey) {
         boolean misplaced = decoded instanceof Decoded.Valid<T> valid
@@ -156,7 +220,12 @@
         return misplaced ? Decoded.rejected("the value belongs to another key") : decoded;
     }
 
-    private void onMember(FleetMember member) {
+    private void onMember(FleetMember member, long revision) {
+        if (members.containsKey(member.daemon()) && isFromCopy(member.daemon())) {
+            // What is known is newer than a copy of the store, unless the creation record of the same write follows.
+            members.get(member.daemon()).ignored = Optional.of(new IgnoredEntry(member, revision));
+            return;
+        }
         markReplaced(member);
         MemberEntry previous = members.put(member.daemon(), new MemberEntry(member));
         if (previous == null || !previous.member.equals(member) || previous.absentSinceNanos.isPresent()) {
@@ -205,7 +274,11 @@
 
     /** Handles the deletion of an item that a daemon wrote. */
     void onFleetDeleted(String key) {
-        if (creationRevisions.remove(key) != null) {
+        if (creations.remove(key) != null) {
+            return;
+        }
+        if (key.startsWith(EraMarkers.PREFIX)) {
+            eraMarkers.onDeleted(key);
             return;
         }
         if (!key.startsWith(MEMBER_PREFIX)) {
@@ -221,8 +294,13 @@
                 });
     }
 
-    /** Removes the members whose entry has been absent for longer than the limit. */
-    void removeExpiredMembers() {
+    /** Removes the members whose entry has been absent, and the operator items that have been lost, for too long. */
+    void removeExpired() {
+        lostOperatorKeys.entrySet().stream()
+                .filter(lost -> time.monotonicNanos() - lost.getValue() > LOST_EVACUATION_GRACE.toNanos())
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::onOperatorDeleted);
         boolean removed = members.values().removeIf(this::isExpired);
         if (removed) {
             publish();
@@ -240,15 +318,28 @@
         return expired;
     }
 
-    /** Returns whether the store has no entry of a daemon at present. */
+    /** Returns whether the store has no entry of a daemon at present, or one from a copy of an earlier era only. */
     boolean isAbsent(DaemonId daemon) {
         MemberEntry entry = members.get(daemon);
-        return entry == null || entry.absentSinceNanos.isPresent();
+        return entry == null || entry.absentSinceNanos.isPresent() || isFromCopy(daemon);
+    }
+
+    private boolean isFromCopy(DaemonId daemon) {
+        return Optional.ofNullable(creations.get(creationKey(daemon)))
+                        .map(Creation::era)
+                        .orElse(0L)
+                < era.number();
+    }
+
+    /** Returns whether the store has records of daemons of an earlier era, so that it may have had other items as well. */
+    boolean isRestored() {
+        return creations.values().stream().anyMatch(creation -> creation.era() < era.number());
     }
 
     /** Returns the store revision at which a daemon last created its entry, or {@link Transaction#ABSENT}. */
     long creationRevision(DaemonId daemon) {
-        return creationRevisions.getOrDefault(creationKey(daemon), Transaction.ABSENT);
+        Creation creation = creations.get(creationKey(daemon));
+        return creation == null ? Transaction.ABSENT : creation.revision();
     }
 
     Optional<StoredTable> table(ServiceName service) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/PeerMessages.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/PeerMessages.java
@@ -10,8 +10,10 @@
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.StoreDelta;
+import io.daisyhoist.mesh.store.StoreEra;
 import io.daisyhoist.mesh.store.StoreEvent;
 import io.daisyhoist.mesh.store.StoredItem;
+import io.daisyhoist.mesh.store.WatchResult;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.FleetLoad;
 import io.daisyhoist.wire.proto.OperatorItems;
@@ -25,25 +27,37 @@
     private PeerMessages() {}
 
     static Envelope loadReport(LoadReport report) {
+        long era = Math.max(StoreEra.of(report.operatorRevision()), StoreEra.of(report.fleetRevision()));
         FleetLoad.Builder message = FleetLoad.newBuilder()
+                .setEra(era)
                 .setDaemon(report.daemon().name())
                 .setKeyBusySlots(report.keyBusySlots())
                 .setKeysFollow(report.moveAnnounced())
-                .setOperatorRevision(report.operatorRevision())
-                .setFleetRevision(report.fleetRevision());
+                .setOperatorRevision(revisionIn(era, report.operatorRevision()))
+                .setFleetRevision(revisionIn(era, report.fleetRevision()));
         report.storeContactAge().ifPresent(age -> message.setStoreContactAgeMs((int) age.toMillis()));
         return Envelope.newBuilder().setFleetLoad(message).build();
     }
 
+    /** Returns the store's own revision; 0, which is older than all others, for one of an earlier era. */
+    private static long revisionIn(long era, long revision) {
+        return StoreEra.of(revision) == era ? StoreEra.withoutEra(revision) : 0;
+    }
+
+    private static long revisionOf(StoreEra era, long revision) {
+        return revision == 0 ? 0 : era.with(revision);
+    }
+
     static Envelope storeChanges(String prefix, StoreDelta delta) {
         StoreChanges.ChangeList.Builder changes = StoreChanges.ChangeList.newBuilder();
-        delta.changes().forEach(event -> changes.addChanges(change(event)));
+        StoreEra.withoutEra(delta.changes()).forEach(event -> changes.addChanges(change(event)));
         byte[] deflated = Compression.compress(changes.build().toByteArray());
         return Envelope.newBuilder()
                 .setStoreChanges(StoreChanges.newBuilder()
                         .setPrefix(prefix)
-                        .setFromRevision(delta.fromRevision())
-                        .setAsOf(delta.asOf())
+                        .setFromRevision(StoreEra.withoutEra(delta.fromRevision()))
+                        .setAsOf(StoreEra.withoutEra(delta.asOf()))
+                        .setEra(StoreEra.of(delta.asOf()))
                         .setDeflatedChanges(ByteString.copyFrom(deflated)))
                 .build();
     }
@@ -56,11 +70,12 @@
     }
 
     static Envelope operatorItems(List<StoredItem> items, long asOf) {
-        OperatorItems.Builder message = OperatorItems.newBuilder().setAsOf(asOf);
+        OperatorItems.Builder message =
+                OperatorItems.newBuilder().setAsOf(StoreEra.withoutEra(asOf)).setEra(StoreEra.of(asOf));
         items.forEach(item -> message.addItems(OperatorItems.Item.newBuilder()
                 .setKey(item.key())
                 .setValue(ByteString.copyFrom(item.value()))
-                .setRevision(item.revision())));
+                .setRevision(StoreEra.withoutEra(item.revision()))));
         return Envelope.newBuilder().setOperatorItems(message).build();
     }
 
@@ -119,12 +134,13 @@
     /** Decodes a load report. */
     static Decoded<LoadReport> decode(FleetLoad message) {
         try {
+            StoreEra era = new StoreEra(message.getEra());
             return Decoded.valid(new LoadReport(
                     new DaemonId(message.getDaemon()),
                     message.getKeyBusySlots(),
                     message.getKeysFollow(),
-                    message.getOperatorRevision(),
-                    message.getFleetRevision(),
+                    revisionOf(era, message.getOperatorRevision()),
+                    revisionOf(era, message.getFleetRevision()),
                     message.hasStoreContactAgeMs()
                             ? Optional.of(Duration.ofMillis(Integer.toUnsignedLong(message.getStoreContactAgeMs())))
                             : Optional.empty()));
@@ -153,7 +169,13 @@
                         "key " + item.key() + " at revision " + item.revision() + " as of " + message.getAsOf());
             }
         }
-        return Decoded.valid(new OperatorListing(items, message.getAsOf()));
+        try {
+            StoreEra era = new StoreEra(message.getEra());
+            return Decoded.valid(
+                    new OperatorListing(items.stream().map(era::with).toList(), era.with(message.getAsOf())));
+        } catch (IllegalArgumentException e) {
+            return Decoded.rejected(e.getMessage());
+        }
     }
 
     /** Decodes changes of the items under a key prefix that the receiver follows. */
@@ -166,7 +188,9 @@
                 requireWithin(message, change);
                 events.add(event(change));
             }
-            return Decoded.valid(new StoreDelta(message.getFromRevision(), events, message.getAsOf()));
+            StoreEra era = new StoreEra(message.getEra());
+            WatchResult.Changes decoded = era.with(new WatchResult.Changes(events, message.getAsOf()));
+            return Decoded.valid(new StoreDelta(era.with(message.getFromRevision()), decoded.events(), decoded.asOf()));
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             return Decoded.rejected(e.getMessage());
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -29,7 +30,9 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.process.FleetState.StoredTable;
+import io.daisyhoist.mesh.process.TableRecovery.Restoration;
 import io.daisyhoist.mesh.store.MetadataStore;
+import io.daisyhoist.mesh.store.StoreEra;
 import io.daisyhoist.mesh.store.StoreUnavailableException;
 import io.daisyhoist.mesh.store.Transaction;
 import io.daisyhoist.mesh.store.TransactionResult;
@@ -58,7 +61,7 @@
     private static final int MAX_MISSED_HEARTBEATS = 4;
 
     /** Two conditions and a deletion each; the store accepts 32 entries in a transaction. */
-    private static final int MAX_DAEMONS_PER_TAKEOVER = 10;
+    private static final int MAX_DAEMONS_PER_TAKEOVER = 9;
 
     private final DaemonId self;
     private final FleetState state;
@@ -72,6 +75,7 @@
     private final Supplier<OptionalLong> firstRegistrationRevision;
     private final RegistrationLease registrationLease;
     private final AbsenceClock absences;
+    private final TableRecovery recovery;
     private final long startedNanos;
     private boolean committing;
     private long lastRebalanceNanos;
@@ -94,6 +98,7 @@
      * @param heartbeatInterval heartbeat interval of backend servers
      * @param firstRegistrationRevision store revision of the first registration of this process
      * @param registrationLease lease conferred by the registration, with the time of its last confirmation
+     * @param recovery restores the table in a new era of the store
      */
     record Dependencies(
             MetadataStore store,
@@ -101,7 +106,8 @@
             TimeSource time,
             Duration heartbeatInterval,
             Supplier<OptionalLong> firstRegistrationRevision,
-            RegistrationLease registrationLease) {}
+            RegistrationLease registrationLease,
+            TableRecovery recovery) {}
 
     RangeAssigner(
             DaemonId self,
@@ -121,6 +127,7 @@
         this.peerLoadExchange = peerLoadExchange;
         this.firstRegistrationRevision = dependencies.firstRegistrationRevision();
         this.registrationLease = dependencies.registrationLease();
+        this.recovery = dependencies.recovery();
         this.absences = new AbsenceClock(time);
         this.startedNanos = time.monotonicNanos();
         this.lastRebalanceNanos = startedNanos;
@@ -145,12 +152,17 @@
         }
         List<RangeOwner> owners = owners(fleet, service);
         Optional<StoredTable> stored = state.table(service);
+        if (!recovery.isSettled(service)) {
+            recover(service, owners);
+            return;
+        }
         if (stored.isEmpty() || stored.get().table().assignments().isEmpty()) {
             commitInitialTable(service, owners, stored);
             return;
         }
         absences.update(absentHolders(stored.get().table()), state::creationRevision);
         if (fencePredecessor(stored.get())
+                || renewTokens(stored.get())
                 || commitReadyMoves(stored.get())
                 || reassignToNewProcess(stored.get(), backend)
                 || reassignExpired(stored.get(), owners)) {
@@ -163,6 +175,62 @@
         planMoves(fleet, stored.get().table(), owners, backend);
     }
 
+    /** Restores the table in a new era. Keys neither move nor are they taken over meanwhile. */
+    private void recover(ServiceName service, List<RangeOwner> owners) {
+        if (!recovery.isListed()) {
+            return;
+        }
+        Optional<RangeTable> table = recovery.unsettledTable(service);
+        table.ifPresent(known -> absences.update(absentHolders(known), state::creationRevision));
+        Optional<Restoration> due = table.isPresent()
+                ? recovery.restoration(service, isCoordinator(owners))
+                : Optional.of(RangePlanner.initial(service, owners))
+                        .filter(initial -> isCoordinator(owners) && !isTooEarlyForInitialTable())
+                        .flatMap(initial -> recovery.firstTable(initial, INITIAL_TABLE_DELAY));
+        due.ifPresent(restoration -> commit(new TableChange(
+                restoration.cause(),
+                restoration.table(),
+                storedRevision(service),
+                Map.of(),
+                List.of(),
+                eraConditions(service, recovery.markerRevision(service).orElse(Transaction.ABSENT)),
+                Optional.of(restoration.marker()))));
+    }
+
+    /** Returns the revision of the table in the present era. */
+    private long storedRevision(ServiceName service) {
+        return state.table(service)
+                .map(StoredTable::revision)
+                .filter(revision -> StoreEra.of(revision) == state.era().number())
+                .orElse(Transaction.ABSENT);
+    }
+
+    /** Returns conditions without which a write that is done in a later era could replace another table. */
+    private List<Transaction.Condition> eraConditions(ServiceName service, long markerRevision) {
+        List<Transaction.Condition> conditions = new ArrayList<>(eraConditions(service));
+        conditions.add(
+                new Transaction.Condition(EraMarkers.key(service, state.era().number()), markerRevision));
+        return conditions;
+    }
+
+    private List<Transaction.Condition> eraConditions(ServiceName service) {
+        long era = state.era().number();
+        return era == 0
+                ? List.of()
+                : List.of(new Transaction.Condition(EraMarkers.key(service, era + 1), Transaction.ABSENT));
+    }
+
+    /** Issues new tokens for keys that may have been held under higher ones in an earlier era. */
+    private boolean renewTokens(StoredTable stored) {
+        RangeTable next =
+                RangePlanner.renewFences(stored.table(), assignment -> recovery.isOutdated(stored.table(), assignment));
+        if (next.equals(stored.table())) {
+            return false;
+        }
+        commit("era_tokens", next, stored.revision());
+        return true;
+    }
+
     /** Cancels planned moves, because keys that are being moved would have no holder until the store responds again. */
     private void cancelMoves() {
         if (keyLeases.hasMoves()) {
@@ -189,8 +257,7 @@
     }
 
     private void commitInitialTable(ServiceName service, List<RangeOwner> owners, Optional<StoredTable> stored) {
-        boolean tooEarly = time.monotonicNanos() - startedNanos < INITIAL_TABLE_DELAY.toNanos();
-        if (tooEarly || !isCoordinator(owners)) {
+        if (isTooEarlyForInitialTable() || !isCoordinator(owners)) {
             return;
         }
         commit(
@@ -199,6 +266,10 @@
                 stored.map(StoredTable::revision).orElse(Transaction.ABSENT));
     }
 
+    private boolean isTooEarlyForInitialTable() {
+        return time.monotonicNanos() - startedNanos < INITIAL_TABLE_DELAY.toNanos();
+    }
+
     /**
      * Rewrites the table unchanged so that a delayed write of an earlier process of this daemon fails. Any write of the table
      * after the registration of this process makes the revision condition of such a write fail.
@@ -229,7 +300,7 @@
             keyLeases.resolveMoves(ready);
             return false;
         }
-        commit(new TableChange("move", next, stored.revision(), Map.of(), ready));
+        commit("move", next, stored.revision(), Map.of(), ready);
         return true;
     }
 
@@ -290,7 +361,7 @@
         }
         RangeTable next =
                 RangePlanner.reassign(stored.table(), assignment -> expired.containsKey(assignment.daemon()), owners);
-        commit(new TableChange("daemon_gone", next, stored.revision(), expired, List.of()));
+        commit("daemon_gone", next, stored.revision(), expired, List.of());
         return true;
     }
 
@@ -346,15 +417,23 @@
      * @param expectedRevision revision of the table that it replaces
      * @param expired daemons that must have stayed unregistered, with the revisions of their creation records
      * @param moves moves that it completes
+     * @param eraConditions conditions that fail in a later era of the store
+     * @param marker progress of the era after the change, if it is written with the table
      */
     private record TableChange(
-            String cause, RangeTable table, long expectedRevision, Map<DaemonId, Long> expired, List<RangeMove> moves) {
+            String cause,
+            RangeTable table,
+            long expectedRevision,
+            Map<DaemonId, Long> expired,
+            List<RangeMove> moves,
+            List<Transaction.Condition> eraConditions,
+            Optional<EraMarkers.Marker> marker) {
         private String key() {
             return FleetState.rangeKey(table.service());
         }
 
-        private Transaction transaction() {
-            List<Transaction.Condition> conditions = new ArrayList<>();
+        private Transaction transaction(long era) {
+            List<Transaction.Condition> conditions = new ArrayList<>(eraConditions);
             conditions.add(new Transaction.Condition(key(), expectedRevision));
             List<String> deletes = new ArrayList<>();
             expired.forEach((daemon, creationRevision) -> {
@@ -363,22 +442,30 @@
                 conditions.add(new Transaction.Condition(creationKey, creationRevision));
                 deletes.add(creationKey);
             });
-            return new Transaction(
-                    conditions,
-                    List.of(new Transaction.Write(key(), FleetJson.write(table), Transaction.NO_LEASE)),
-                    deletes);
+            List<Transaction.Write> writes = new ArrayList<>();
+            writes.add(new Transaction.Write(key(), FleetJson.write(table), Transaction.NO_LEASE));
+            marker.ifPresent(written -> writes.add(new Transaction.Write(
+                    EraMarkers.key(table.service(), era), FleetJson.write(written), Transaction.NO_LEASE)));
+            return new Transaction(conditions, writes, deletes);
         }
     }
 
     private void commit(String cause, RangeTable newTable, long expectedRevision) {
-        commit(new TableChange(cause, newTable, expectedRevision, Map.of(), List.of()));
+        commit(cause, newTable, expectedRevision, Map.of(), List.of());
+    }
+
+    private void commit(
+            String cause, RangeTable table, long expectedRevision, Map<DaemonId, Long> expired, List<RangeMove> moves) {
+        commit(new TableChange(
+                cause, table, expectedRevision, expired, moves, eraConditions(table.service()), Optional.empty()));
     }
 
     private void commit(TableChange change) {
         committing = true;
         List<RangeMove> moves = change.moves();
         keyLeases.onWriteStarted(moves);
-        control.whenComplete(store.commit(change.transaction()), (result, failure) -> {
+        long era = state.era().number();
+        control.whenComplete(store.commit(change.transaction(era)), (result, failure) -> {
             committing = false;
             String outcome = failure != null
                     ? "unknown"
@@ -387,6 +474,9 @@
                     "event=range_commit service=%s cause=%s expected_revision=%d outcome=%s",
                     change.table().service(), change.cause(), change.expectedRevision(), outcome);
             if (result instanceof TransactionResult.Committed committed) {
+                change.marker()
+                        .ifPresent(marker -> state.eraMarkers()
+                                .put(EraMarkers.key(change.table().service(), era), marker, committed.revision()));
                 state.onCommittedTable(change.table(), committed.revision());
                 return;
             }
@@ -400,11 +490,22 @@
     /** Reads the table after a conflict or a lost response; a delayed write arrives through the watch. */
     private void refresh(ServiceName service) {
         committing = true;
-        control.whenComplete(store.get(FleetState.rangeKey(service)), (item, failure) -> {
-            committing = false;
+        CompletableFuture<Void> read = read(FleetState.rangeKey(service));
+        if (!recovery.isSettled(service)) {
+            read = read.thenCompose(
+                    done -> read(EraMarkers.key(service, state.era().number())));
+        }
+        control.whenComplete(read, (done, failure) -> committing = false);
+    }
+
+    private CompletableFuture<Void> read(String key) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        control.whenComplete(store.get(key), (item, failure) -> {
             if (failure == null) {
                 item.ifPresent(state::onFleetItem);
             }
+            done.complete(null);
         });
+        return done;
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/Registration.java
@@ -14,6 +14,7 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.store.MetadataStore;
+import io.daisyhoist.mesh.store.StoreEra;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.store.Transaction;
 import io.daisyhoist.mesh.store.TransactionResult;
@@ -33,9 +34,6 @@
 
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(900);
 
-    /** Of a creation record only the revision matters. */
-    private static final byte[] NO_VALUE = {};
-
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(250);
 
     /** Entries have to be back within about two seconds of the store's return. */
@@ -59,6 +57,7 @@
     private boolean callInProgress;
     private boolean storeUnavailable;
     private OptionalLong firstRevision = OptionalLong.empty();
+    private boolean started;
     private boolean stopped;
 
     /** Receives changes of the registration, on the control thread. */
@@ -93,6 +92,7 @@
 
     /** Starts the registration. */
     void start() {
+        started = true;
         step();
     }
 
@@ -135,6 +135,16 @@
         }
     }
 
+    /** Handles a new era of the store, which has lost the lease and perhaps the entry: writes the entry under a new lease. */
+    void onEra() {
+        lease = Transaction.NO_LEASE;
+        registered = false;
+        needsVerification = false;
+        if (started && !callInProgress) {
+            step();
+        }
+    }
+
     /** Stops renewals and writes. */
     void stop() {
         stopped = true;
@@ -218,8 +228,9 @@
         FleetMember writtenMember = member;
         List<Transaction.Write> writes = new ArrayList<>();
         writes.add(new Transaction.Write(key, FleetJson.write(writtenMember), lease));
-        if (revision == Transaction.ABSENT) {
-            writes.add(new Transaction.Write(creationKey, NO_VALUE, Transaction.NO_LEASE));
+        if (!registered) {
+            byte[] era = FleetState.creationValue(StoreEra.of(lease));
+            writes.add(new Transaction.Write(creationKey, era, Transaction.NO_LEASE));
         }
         Transaction entry = new Transaction(List.of(new Transaction.Condition(key, revision)), writes, List.of());
         onResponse("entry_write", store.commit(entry), result -> onWritten(writtenMember, result));
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -15,6 +15,7 @@
 import io.daisyhoist.mesh.store.ItemPage;
 import io.daisyhoist.mesh.store.MetadataStore;
 import io.daisyhoist.mesh.store.StoreDelta;
+import io.daisyhoist.mesh.store.StoreEra;
 import io.daisyhoist.mesh.store.StoreEvent;
 import io.daisyhoist.mesh.store.StoreUnavailableException;
 import io.daisyhoist.mesh.store.StoredItem;
@@ -24,7 +25,8 @@
  * Local copy of the items under one key prefix of the store.
  *
  * <p>Lists all items, then follows the changes: by a watch of its own, or by the changes that another daemon passes on.
- * Lists again when the store has discarded the history. Invariants: the copy is complete up to {@link #asOf}; the listener
+ * Lists again when the store has discarded the history. Invariants: the copy is complete up to {@link #asOf}, in the
+ * era of that revision; the listener
  * receives the changes of each key in revision order, and never an older revision after a newer one; an exception of the
  * listener affects only the change that caused it. Confined to the control thread.
  */
@@ -82,6 +84,11 @@
         /** Called when a key was deleted. */
         void onDeleted(String key);
 
+        /** Called when a key is missing in the first listing of a new era, because the store has lost or never had it. */
+        default void onLost(String key) {
+            onDeleted(key);
+        }
+
         /** Applies the changes of one response of the store, which are reported by the other methods. */
         default void onBatch(Runnable changes) {
             changes.run();
@@ -189,6 +196,10 @@
 
     private CompletableFuture<Listing> listPages(Optional<String> after, List<StoredItem> pages, long lowestAsOf) {
         return store.list(prefix, after).thenCompose(page -> {
+            if (!pages.isEmpty() && StoreEra.of(page.asOf()) != StoreEra.of(lowestAsOf)) {
+                return CompletableFuture.failedFuture(
+                        new StoreUnavailableException("the listing extends over two eras", true));
+            }
             pages.addAll(page.items());
             // Pages are not a consistent snapshot, so the watch has to start at the revision of the oldest page.
             long readAsOf = Math.min(lowestAsOf, page.asOf());
@@ -220,7 +231,9 @@
         if (delta.fromRevision() > asOf) {
             return false;
         }
-        applyChanges(delta.changes(), delta.asOf());
+        if (StoreEra.of(delta.fromRevision()) == StoreEra.of(asOf)) {
+            applyChanges(delta.changes(), delta.asOf());
+        }
         return true;
     }
 
@@ -270,7 +283,8 @@
         List<StoreEvent> newChanges = changes.stream()
                 .filter(change -> change.revision() > fromRevision)
                 .toList();
-        if (fromRevision > 0 && !newChanges.isEmpty()) {
+        boolean sameEra = StoreEra.of(fromRevision) == StoreEra.of(asOf);
+        if (fromRevision > 0 && sameEra && !newChanges.isEmpty()) {
             StoreDelta delta = new StoreDelta(fromRevision, newChanges, asOf);
             callbacks.run("store_advanced", prefix, () -> listener.onAdvanced(delta));
         }
@@ -294,9 +308,16 @@
     }
 
     private void delete(String key, long revision) {
+        boolean lost = StoreEra.of(revision) > StoreEra.of(asOf);
         items.remove(key);
         lastChangeRevision = Math.max(lastChangeRevision, revision);
-        callbacks.run("store_deletion", key + "@" + revision, () -> listener.onDeleted(key));
+        callbacks.run("store_deletion", key + "@" + revision, () -> {
+            if (lost) {
+                listener.onLost(key);
+            } else {
+                listener.onDeleted(key);
+            }
+        });
     }
 
     private void watch(long startedGeneration) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/store/CountedStore.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/store/CountedStore.java
@@ -55,4 +55,9 @@
         counter.accept("renew");
         return store.renewLease(lease);
     }
+
+    @Override
+    public void setEraListener(Consumer<StoreEra> listener) {
+        store.setEraListener(listener);
+    }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -89,6 +89,11 @@
         registry.counter(STORE_CALLS, "kind", kind).increment();
     }
 
+    /** Counts a return of the store from an older copy. */
+    public void onStoreEraChange() {
+        registry.counter("daisyhoist.fleet.store.era.changes").increment();
+    }
+
     /** Returns the number of calls of the store so far by their kind. */
     public Map<String, Long> storeCalls() {
         Map<String, Long> calls = new TreeMap<>();
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
@@ -118,10 +118,10 @@
             state.onFleetItem(memberItem("d", "10.0.0.1"));
             state.onFleetDeleted(FleetState.MEMBER_PREFIX + "d");
             time.advance(MEMBER_EXPIRY);
-            state.removeExpiredMembers();
+            state.removeExpired();
             assertTrue(isMember("d"));
             time.advance(Duration.ofMillis(1));
-            state.removeExpiredMembers();
+            state.removeExpired();
             assertFalse(isMember("d"));
         }
 
@@ -131,7 +131,7 @@
             state.onFleetDeleted(FleetState.MEMBER_PREFIX + "d");
             state.onFleetItem(memberItem("d", "10.0.0.1"));
             time.advance(MEMBER_EXPIRY.multipliedBy(2));
-            state.removeExpiredMembers();
+            state.removeExpired();
             assertTrue(isMember("d"));
         }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/OwnershipModelTest.java
@@ -1,24 +1,12 @@
 package io.daisyhoist.mesh.process;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Random;
 
-import io.daisyhoist.core.keyrange.HeldRange;
-import io.daisyhoist.core.keyrange.KeyRange;
-import io.daisyhoist.core.model.DaemonId;
-import io.daisyhoist.wire.proto.Envelope;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -26,234 +14,21 @@
  * {@code -Ddaisyhoist.model.seed=N} runs a single seed, {@code -Ddaisyhoist.model.histories=N} sets the number of histories.
  */
 class OwnershipModelTest {
-    private static final int INSTANCES = 4;
-
-    /** Distance between sampled keys. */
-    private static final int KEY_STEP = 4_093;
-
-    private static final Duration STEP = Duration.ofMillis(25);
-
-    private static final Duration HOT_KEY_INTERVAL = Duration.ofSeconds(6);
+    private static final int INSTANCES = OwnershipHistory.INSTANCES;
 
     /** Fault-free time after which every key must have a holder again. */
     private static final Duration RECOVERY_TIME = Duration.ofSeconds(20);
 
-    /** One history: a fleet, its store, and the holders observed so far. */
-    private static final class History {
-        private final Random random;
-        private final Simulation simulation = new Simulation();
-        private final SimulatedStore store;
-        private final List<SimulatedInstance> instances = new ArrayList<>();
-        private final Map<Integer, HeldRange> lastHeldRanges = new HashMap<>();
-        private final Map<Integer, String> lastHolders = new HashMap<>();
-        private final List<String> faults = new ArrayList<>();
-        private boolean generatingRequests = true;
-
-        private History(long seed) {
-            this(seed, INSTANCES);
-        }
-
-        private History(long seed, int instanceCount) {
-            random = new Random(seed);
-            store = new SimulatedStore(simulation, random);
-            store.put("operators/config", "1".getBytes(StandardCharsets.UTF_8));
-            for (int i = 0; i < instanceCount; i++) {
-                instances.add(new SimulatedInstance(simulation, store, new SingleServiceDocuments(), i, this::deliver));
-            }
-            generateRequests();
-        }
-
-        private void deliver(DaemonId receiver, Envelope message) {
-            instances.stream()
-                    .filter(instance -> instance.daemon().equals(receiver))
-                    .filter(instance -> !instance.process().isKilled())
-                    .forEach(instance -> simulation.at(Duration.ofMillis(1), () -> instance.receive(message)));
-        }
-
-        /** Generates requests for hot keys that change periodically, so that ranges move continuously. */
-        private void generateRequests() {
-            int hot = (int) (simulation.nowNanos() / HOT_KEY_INTERVAL.toNanos()) * 7_919 % KeyRange.MAX_KEY;
-            int key = (hot + random.nextInt(2_000)) % KeyRange.MAX_KEY;
-            instances.forEach(instance -> instance.recordRequest(key, Duration.ofMillis(120)));
-            if (generatingRequests) {
-                simulation.at(Duration.ofMillis(20), this::generateRequests);
-            }
-        }
-
-        private void run(Duration span) {
-            for (Duration done = Duration.ZERO; done.compareTo(span) < 0; done = done.plus(STEP)) {
-                simulation.runFor(STEP);
-                check();
-            }
-        }
-
-        /** Checks that no key has two holders and that sampled keys change holder only with a higher fencing token. */
-        private void check() {
-            for (int i = 0; i < instances.size(); i++) {
-                for (int j = i + 1; j < instances.size(); j++) {
-                    checkDisjoint(instances.get(i), instances.get(j));
-                }
-            }
-            for (int key = 0; key <= KeyRange.MAX_KEY; key += KEY_STEP) {
-                for (SimulatedInstance instance : instances) {
-                    checkToken(key, heldBy(instance, key), instance.daemon().name());
-                }
-            }
-        }
-
-        private void checkDisjoint(SimulatedInstance one, SimulatedInstance other) {
-            for (HeldRange held : heldRanges(one)) {
-                boolean doublyHeld = heldRanges(other).stream()
-                        .anyMatch(range -> range.range().overlaps(held.range()));
-                assertFalse(
-                        doublyHeld,
-                        "keys " + held.range() + " have two holders, " + one.daemon() + " and " + other.daemon()
-                                + " after " + faults);
-            }
-        }
-
-        private static List<HeldRange> heldRanges(SimulatedInstance instance) {
-            return instance.backend().map(SimulatedInstance.Backend::heldRanges).orElse(List.of());
-        }
-
-        private void checkToken(int key, Optional<HeldRange> found, String holder) {
-            if (found.isEmpty()) {
-                return;
-            }
-            HeldRange last = lastHeldRanges.get(key);
-            if (last != null && !holder.equals(lastHolders.get(key))) {
-                assertTrue(
-                        found.get().fence() > last.fence(),
-                        "token of key " + key + " did not increase after " + faults);
-            }
-            lastHeldRanges.put(key, found.get());
-            lastHolders.put(key, holder);
-        }
-
-        private static Optional<HeldRange> heldBy(SimulatedInstance instance, int key) {
-            return instance.backend().stream()
-                    .flatMap(backend -> backend.heldRanges().stream())
-                    .filter(held -> held.range().contains(key))
-                    .findFirst();
-        }
-
-        private long unheldKeys() {
-            long unheld = 0;
-            for (int key = 0; key <= KeyRange.MAX_KEY; key += KEY_STEP) {
-                int sample = key;
-                boolean held = instances.stream()
-                        .anyMatch(instance -> heldBy(instance, sample).isPresent());
-                unheld += held ? 0 : 1;
-            }
-            return unheld;
-        }
-
-        private SimulatedInstance randomInstance() {
-            return instances.get(random.nextInt(instances.size()));
-        }
-
-        private Duration randomSeconds(int min, int max) {
-            return Duration.ofMillis(1_000L * min + random.nextInt(1_000 * (max - min) + 1));
-        }
-
-        private void injectFault(int kinds) {
-            SimulatedInstance target = randomInstance();
-            int kind = random.nextInt(kinds);
-            faults.add(simulation.nowNanos() / 1_000_000 + ":" + kind + "@" + target.daemon());
-            switch (kind) {
-                case 0 -> {
-                    loseResponses();
-                    restartDaemon(target);
-                }
-                case 1 -> target.process().freeze(randomSeconds(1, 14), false);
-                case 2 -> target.process().freeze(randomSeconds(1, 14), true);
-                case 3 -> disconnectFromStore(target);
-                case 4 -> outage(true);
-                case 5 -> outage(false);
-                case 6 -> store.revoke(FleetState.memberKey(target.daemon()));
-                case 7 -> loseResponses();
-                case 8 -> restartBackend(target);
-                case 9 -> suspendHeartbeats(target);
-                case 10 -> store.discardHistory();
-                case 11 -> restartDaemonWithoutStore(target);
-                default -> disconnectAndForget(target);
-            }
-        }
-
-        private void restartDaemon(SimulatedInstance target) {
-            target.killDaemon();
-            simulation.at(randomSeconds(1, 12), () -> {
-                if (target.process().isKilled()) {
-                    target.startDaemon();
-                }
-            });
-        }
-
-        private void disconnectFromStore(SimulatedInstance target) {
-            target.store().setDisconnected(true);
-            if (random.nextBoolean()) {
-                store.revoke(FleetState.memberKey(target.daemon()));
-            }
-            simulation.at(randomSeconds(1, 20), () -> target.store().setDisconnected(false));
-        }
-
-        /** The store rejects the daemon before and after its restart, so that it has seen nothing when it is served again. */
-        private void restartDaemonWithoutStore(SimulatedInstance target) {
-            disconnectFromStore(target);
-            restartDaemon(target);
-        }
-
-        /** The daemon cannot read what has happened while it was disconnected, only the resulting state. */
-        private void disconnectAndForget(SimulatedInstance target) {
-            target.store().setDisconnected(true);
-            simulation.at(randomSeconds(1, 14), () -> {
-                store.discardHistory();
-                target.store().setDisconnected(false);
-            });
-        }
-
-        private void rejectByStore(SimulatedInstance target) {
-            target.store().setDisconnected(true);
-            store.revoke(FleetState.memberKey(target.daemon()));
-        }
-
-        private void outage(boolean pauseLeases) {
-            store.setDown(true, pauseLeases);
-            simulation.at(randomSeconds(1, 16), () -> store.setDown(false, false));
-        }
-
-        private void loseResponses() {
-            store.setLostResponseRate(0.4);
-            simulation.at(randomSeconds(1, 6), () -> store.setLostResponseRate(0));
-        }
-
-        private void restartBackend(SimulatedInstance target) {
-            target.crashBackend();
-            simulation.at(randomSeconds(0, 12), () -> {
-                if (target.backend().isEmpty()) {
-                    target.startBackend();
-                }
-            });
-        }
-
-        private void suspendHeartbeats(SimulatedInstance target) {
-            target.backend().ifPresent(backend -> {
-                backend.setHeartbeatsSuspended(true);
-                simulation.at(randomSeconds(1, 14), () -> backend.setHeartbeatsSuspended(false));
-            });
-        }
-    }
-
     private static void runHistory(long seed, int faultKinds) {
         try {
-            History history = new History(seed);
+            OwnershipHistory history = new OwnershipHistory(seed);
             history.run(Duration.ofSeconds(8));
             for (int i = 0; i < 5; i++) {
                 history.injectFault(faultKinds);
                 history.run(history.randomSeconds(0, 9));
             }
             history.run(Duration.ofSeconds(20));
-            history.generatingRequests = false;
+            history.stopRequests();
             history.run(RECOVERY_TIME);
             assertEquals(0, history.unheldKeys(), "keys without a holder after " + history.faults);
         } catch (AssertionError e) {
@@ -297,11 +72,11 @@
 
     @Nested
     class SpecificFaults {
-        private final History history = new History(1);
+        private final OwnershipHistory history = new OwnershipHistory(1);
 
         @BeforeEach
         void stopRequests() {
-            history.generatingRequests = false;
+            history.stopRequests();
         }
 
         /** Guards against requiring a majority of the daemons to reassign keys. */
@@ -361,8 +136,8 @@
         /** Guards against a takeover that needs more conditions than the store accepts in one transaction. */
         @Test
         void manyDaemonsLost_keysAreTakenOver() {
-            History fleet = new History(1, 40);
-            fleet.generatingRequests = false;
+            OwnershipHistory fleet = new OwnershipHistory(1, 40);
+            fleet.stopRequests();
             fleet.run(Duration.ofSeconds(12));
             assertEquals(0, fleet.unheldKeys());
             fleet.instances.subList(1, 40).forEach(lost -> {
@@ -388,18 +163,18 @@
         @Test
         void daemonKilledDuringMove_keysAreNotHeldTwice() {
             for (int seed = 1; seed <= 12; seed++) {
-                killDuringMove(new History(seed));
+                killDuringMove(new OwnershipHistory(seed));
             }
         }
 
-        private void killDuringMove(History fleet) {
+        private void killDuringMove(OwnershipHistory fleet) {
             fleet.run(Duration.ofSeconds(8));
             boolean[] killed = new boolean[1];
             fleet.instances.forEach(instance -> instance.store()
                     .delayNextRangeTableCommit(Duration.ofSeconds(4), () -> {
                         if (!killed[0]) {
                             killed[0] = true;
-                            fleet.generatingRequests = false;
+                            fleet.stopRequests();
                             instance.killDaemon();
                             fleet.simulation.at(Duration.ofMillis(300), instance::startDaemon);
                         }
@@ -428,7 +203,7 @@
         @Test
         void storeRefusesCallsDuringMove_keysAreGrantedAgain() {
             for (int seed = 1; seed <= 12; seed++) {
-                History fleet = new History(seed);
+                OwnershipHistory fleet = new OwnershipHistory(seed);
                 fleet.run(Duration.ofMillis(7_000 + 250L * seed));
                 fleet.store.setRefusing(true);
                 fleet.run(Duration.ofSeconds(5));
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.UnaryOperator;
 
 import io.daisyhoist.core.customer.CustomerBounds;
@@ -114,6 +115,21 @@
         return control.fleet().config().map(FleetConfig::version).orElse(-1L);
     }
 
+    /** Returns whether the daemon takes a process for a backend server that accepts requests. */
+    boolean isUsing(BackendProcessId candidate) {
+        return control.fleet().members().values().stream()
+                .flatMap(member -> member.acceptingBackend().stream())
+                .anyMatch(used -> used.process().equals(candidate));
+    }
+
+    /** Announces the shutdown of the backend server, which goes on sending heartbeats; returns its process. */
+    BackendProcessId announceLeaving(Runnable onAcknowledged) {
+        BackendProcessId leaving = backend.orElseThrow().backendProcess;
+        control.onLeaving(leaving.id(), OptionalLong.of(leaving.startedMillis()))
+                .thenRun(onAcknowledged);
+        return leaving;
+    }
+
     /** Returns whether the daemon watches the store itself. */
     boolean isWatching() {
         return control.isWatchingStore();
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
@@ -1,7 +1,9 @@
 package io.daisyhoist.mesh.process;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,10 +11,14 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.daisyhoist.mesh.store.ItemPage;
 import io.daisyhoist.mesh.store.MetadataStore;
+import io.daisyhoist.mesh.store.StoreEra;
+import io.daisyhoist.mesh.store.StoreEras;
 import io.daisyhoist.mesh.store.StoreEvent;
 import io.daisyhoist.mesh.store.StoreLease;
 import io.daisyhoist.mesh.store.StoreUnavailableException;
@@ -28,12 +34,17 @@
 final class SimulatedStore {
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
     private static final int MAX_TRANSACTION_ENTRIES = 32;
+    private static final Duration COPY_INTERVAL = Duration.ofMillis(100);
+
+    /** Copies of the last ten seconds. */
+    private static final int MAX_COPIES = 100;
 
     private final Simulation simulation;
     private final Random random;
     private final Map<String, Stored> items = new TreeMap<>();
     private final Map<Long, Long> leaseEndNanos = new HashMap<>();
     private final Map<Long, Duration> leaseTtls = new HashMap<>();
+    private final Deque<Copy> copies = new ArrayDeque<>();
     private final List<StoreEvent> history = new ArrayList<>();
     private final List<Watch> watches = new ArrayList<>();
     private long revision = 1;
@@ -44,6 +55,12 @@
     private boolean leasesPaused;
     private double lostResponseRate;
 
+    private long era;
+
+    /** State at an earlier time, from which the store can be restored. */
+    private record Copy(
+            long atNanos, Map<String, Stored> items, Map<Long, Long> leases, long revision, long nextLease) {}
+
     private record Stored(StoredItem item, long lease) {}
 
     private record DelayedCommit(Duration delay, Runnable onSent) {}
@@ -92,6 +109,40 @@
         append(new StoreEvent(key, revision, Optional.empty()));
     }
 
+    /** Some responses are late once copies are kept, so that they arrive in a later era. */
+    private Duration responseDelay(Duration networkDelay) {
+        boolean late = !copies.isEmpty() && random.nextInt(20) == 0;
+        return late ? networkDelay.plusMillis(random.nextInt(900)) : networkDelay;
+    }
+
+    /** Begins to keep copies of the last seconds. */
+    void keepCopies() {
+        era = Math.max(era, 1);
+        copies.addLast(new Copy(
+                simulation.nowNanos(), new TreeMap<>(items), new HashMap<>(leaseEndNanos), revision, nextLease));
+        if (copies.size() > MAX_COPIES) {
+            copies.removeFirst();
+        }
+        simulation.at(COPY_INTERVAL, this::keepCopies);
+    }
+
+    /** Replaces the state by a copy of the given age; revisions and lease ids since then are issued again. */
+    void restore(Duration age) {
+        while (copies.size() > 1 && copies.peekLast().atNanos() > simulation.nowNanos() - age.toNanos()) {
+            copies.removeLast();
+        }
+        Copy copy = copies.peekLast();
+        items.clear();
+        items.putAll(copy.items());
+        leaseEndNanos.clear();
+        leaseEndNanos.putAll(copy.leases());
+        revision = copy.revision();
+        nextLease = copy.nextLease();
+        discardHistory();
+        watches.clear();
+        era++;
+    }
+
     private void append(StoreEvent event) {
         history.add(event);
         List<Watch> triggered = watches.stream()
@@ -126,6 +177,7 @@
 
     /** Connection of one daemon to the store. */
     final class Client implements MetadataStore {
+        private final StoreEras eras = new StoreEras();
         private boolean disconnected;
         private Optional<DelayedCommit> delayedCommit = Optional.empty();
 
@@ -133,6 +185,24 @@
             disconnected = isDisconnected;
         }
 
+        @Override
+        public void setEraListener(Consumer<StoreEra> listener) {
+            eras.setListener(listener);
+        }
+
+        /** Result with the era in which the store computed it. */
+        private record Answer<T>(StoreEra era, T result) {}
+
+        /** Sends a call whose result is made by the decoder unless the response is of an older era. */
+        private <T, R> CompletableFuture<R> call(
+                boolean write, Supplier<T> action, BiFunction<StoreEra, T, R> decoder) {
+            return call(write, () -> new Answer<>(new StoreEra(era), action.get()))
+                    .thenApply(answer -> {
+                        eras.onResponse(answer.era());
+                        return decoder.apply(answer.era(), answer.result());
+                    });
+        }
+
         private <T> CompletableFuture<T> call(boolean write, Supplier<T> action) {
             CompletableFuture<T> response = new CompletableFuture<>();
             simulation.at(
@@ -155,7 +225,7 @@
                 T result = action.get();
                 boolean responseLost = random.nextDouble() < lostResponseRate;
                 if (!responseLost) {
-                    simulation.at(networkDelay, () -> {
+                    simulation.at(responseDelay(networkDelay), () -> {
                         if (!disconnected) {
                             response.complete(result);
                         }
@@ -167,7 +237,7 @@
 
         @Override
         public CompletableFuture<Optional<StoredItem>> get(String key) {
-            return call(false, () -> item(key));
+            return call(false, () -> item(key), (answered, found) -> found.map(answered::with));
         }
 
         @Override
@@ -180,21 +250,36 @@
                                     .filter(item -> item.key().startsWith(prefix))
                                     .toList(),
                             false,
-                            revision));
+                            revision),
+                    StoreEra::with);
         }
 
         @Override
         public CompletableFuture<WatchResult> watch(String prefix, long afterRevision, Duration wait) {
-            CompletableFuture<WatchResult> response = new CompletableFuture<>();
+            if (eras.isObsolete(afterRevision)) {
+                return CompletableFuture.completedFuture(new WatchResult.HistoryLost());
+            }
+            return watchInEra(prefix, StoreEra.withoutEra(afterRevision), wait).thenApply(answer -> {
+                eras.onResponse(answer.era());
+                return answer.result() instanceof WatchResult.Changes changes
+                                && answer.era().number() == StoreEra.of(afterRevision)
+                        ? answer.era().with(changes)
+                        : new WatchResult.HistoryLost();
+            });
+        }
+
+        private CompletableFuture<Answer<WatchResult>> watchInEra(String prefix, long afterRevision, Duration wait) {
+            CompletableFuture<Answer<WatchResult>> response = new CompletableFuture<>();
             simulation.at(
                     wait.plusSeconds(1),
                     () -> response.completeExceptionally(new StoreUnavailableException("timeout", false)));
             Runnable sendResponse = () -> {
                 if (!down && !disconnected) {
-                    response.complete(changes(prefix, afterRevision));
+                    response.complete(new Answer<>(new StoreEra(era), changes(prefix, afterRevision)));
                 }
             };
             boolean respondNow = afterRevision < discardedUpTo
+                    || afterRevision > revision
                     || history.stream().anyMatch(event -> matches(event, prefix, afterRevision));
             if (respondNow) {
                 simulation.at(Duration.ofMillis(4), sendResponse);
@@ -206,7 +291,7 @@
         }
 
         private WatchResult changes(String prefix, long afterRevision) {
-            if (afterRevision < discardedUpTo) {
+            if (afterRevision < discardedUpTo || afterRevision > revision) {
                 return new WatchResult.HistoryLost();
             }
             return new WatchResult.Changes(
@@ -227,16 +312,25 @@
 
         @Override
         public CompletableFuture<TransactionResult> commit(Transaction transaction) {
+            Optional<TransactionResult> known = eras.resultWithoutCall(transaction);
+            if (known.isPresent()) {
+                return CompletableFuture.completedFuture(known.get());
+            }
+            Transaction sent = StoreEra.withoutEra(transaction);
+            StoreEra begun = eras.newest();
             boolean writesRangeTable =
                     transaction.writes().stream().anyMatch(write -> write.key().startsWith(FleetState.RANGE_PREFIX));
             if (writesRangeTable && delayedCommit.isPresent()) {
                 DelayedCommit delayed = delayedCommit.get();
                 delayedCommit = Optional.empty();
-                simulation.at(delayed.delay(), () -> apply(transaction));
+                simulation.at(delayed.delay(), () -> apply(sent));
                 delayed.onSent().run();
                 return new CompletableFuture<>();
             }
-            return call(true, () -> apply(transaction));
+            return call(true, () -> apply(sent), (answered, result) -> {
+                StoreEras.requireSame(begun, answered);
+                return answered.with(result);
+            });
         }
 
         private TransactionResult apply(Transaction transaction) {
@@ -274,23 +368,32 @@
 
         @Override
         public CompletableFuture<StoreLease> createLease(Duration ttl) {
-            return call(true, () -> {
+            Supplier<StoreLease> create = () -> {
                 long lease = nextLease++;
                 leaseTtls.put(lease, ttl);
                 leaseEndNanos.put(lease, simulation.nowNanos() + ttl.toNanos());
                 return new StoreLease(lease, ttl);
-            });
+            };
+            return call(true, create, StoreEra::with);
         }
 
         @Override
-        public CompletableFuture<Boolean> renewLease(long lease) {
-            return call(false, () -> {
+        public CompletableFuture<Boolean> renewLease(long leaseInEra) {
+            if (eras.isObsolete(leaseInEra)) {
+                return CompletableFuture.completedFuture(false);
+            }
+            long lease = StoreEra.withoutEra(leaseInEra);
+            Supplier<Boolean> renew = () -> {
                 if (!leaseEndNanos.containsKey(lease)) {
                     return false;
                 }
                 leaseEndNanos.put(
                         lease, simulation.nowNanos() + leaseTtls.get(lease).toNanos());
                 return true;
+            };
+            return call(false, renew, (answered, renewed) -> {
+                StoreEras.requireSame(new StoreEra(StoreEra.of(leaseInEra)), answered);
+                return renewed;
             });
         }
     }
