Tell a listener of the store's era at once if it is known

A daemon that started on a connection that had seen an era was not told of it and took the table for that of a store without eras; StoreRestoreModelTest found it in history 847 of 1,000 ("token of key 12279 did not increase").

--- a/mesh/src/main/java/io/daisyhoist/mesh/store/StoreEras.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/store/StoreEras.java
@@ -13,9 +13,10 @@
     private Optional<StoreEra> newest = Optional.empty();
     private Consumer<StoreEra> listener = era -> {};
 
-    /** Sets the listener, which must not block. */
+    /** Sets the listener, which must not block; it is called at once if an era is known. */
     public synchronized void setListener(Consumer<StoreEra> newListener) {
         listener = newListener;
+        newest.ifPresent(newListener);
     }
 
     /** Returns the newest era; era 0 before the first response. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedInstance.java
@@ -146,6 +146,7 @@
     void startDaemon() {
         starts++;
         process = simulation.process();
+        client.restart();
         control = new FleetControl(
                 settings,
                 starts,
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/SimulatedStore.java
@@ -177,10 +177,15 @@
 
     /** Connection of one daemon to the store. */
     final class Client implements MetadataStore {
-        private final StoreEras eras = new StoreEras();
+        private StoreEras eras = new StoreEras();
         private boolean disconnected;
         private Optional<DelayedCommit> delayedCommit = Optional.empty();
 
+        /** Forgets what the process has seen that used this connection before. */
+        void restart() {
+            eras = new StoreEras();
+        }
+
         void setDisconnected(boolean isDisconnected) {
             disconnected = isDisconnected;
         }
