--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -32,18 +31,14 @@
 import io.daisyhoist.mesh.process.FleetState.StoredTable;
 import io.daisyhoist.mesh.process.TableRecovery.Restoration;
 import io.daisyhoist.mesh.store.MetadataStore;
-import io.daisyhoist.mesh.store.StoreEra;
-import io.daisyhoist.mesh.store.StoreUnavailableException;
 import io.daisyhoist.mesh.store.Transaction;
-import io.daisyhoist.mesh.store.TransactionResult;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 
 /**
  * Keeps the key assignments of one service complete and balanced.
  *
  * <p>Each daemon changes its own assignments; those of an expired daemon are changed by the coordinator, which is the first
- * remaining daemon of the service, in a transaction that fails if the expired daemon has registered since. Invariants: at
- * most one write of the table is in progress; keys move away from the local backend server only after it has released them
+ * remaining daemon of the service, in a transaction that fails if the expired daemon has registered since. Invariant: keys move away from the local backend server only after it has released them
  * or its key leases have expired. Confined to the control thread.
  */
 final class RangeAssigner {
@@ -67,8 +62,6 @@
     private final FleetState state;
     private final KeyLeases keyLeases;
     private final KeyLoad keyLoad;
-    private final MetadataStore store;
-    private final ControlExecutor control;
     private final TimeSource time;
     private final Duration heartbeatInterval;
     private final PeerLoadExchange peerLoadExchange;
@@ -76,8 +69,8 @@
     private final RegistrationLease registrationLease;
     private final AbsenceClock absences;
     private final TableRecovery recovery;
+    private final RangeTableWriter writer;
     private final long startedNanos;
-    private boolean committing;
     private long lastRebalanceNanos;
 
     /** Exchange of load and upcoming moves with the other daemons that hold keys of the service. */
@@ -120,14 +113,14 @@
         this.state = state;
         this.keyLeases = keyLeases;
         this.keyLoad = keyLoad;
-        this.store = dependencies.store();
-        this.control = dependencies.control();
         this.time = dependencies.time();
         this.heartbeatInterval = dependencies.heartbeatInterval();
         this.peerLoadExchange = peerLoadExchange;
         this.firstRegistrationRevision = dependencies.firstRegistrationRevision();
         this.registrationLease = dependencies.registrationLease();
         this.recovery = dependencies.recovery();
+        this.writer =
+                new RangeTableWriter(state, keyLeases, dependencies.store(), dependencies.control(), this.recovery);
         this.absences = new AbsenceClock(time);
         this.startedNanos = time.monotonicNanos();
         this.lastRebalanceNanos = startedNanos;
@@ -144,7 +137,7 @@
                 .flatMap(config -> config.service(service))
                 .filter(ServicePolicy::keyed)
                 .isPresent();
-        if (!keyed || committing) {
+        if (!keyed || writer.isWriting()) {
             return;
         }
         if (!registrationLease.isConfirmedWithin(MAX_CONFIRMATION_AGE)) {
@@ -187,37 +180,7 @@
                 : Optional.of(RangePlanner.initial(service, owners))
                         .filter(initial -> isCoordinator(owners) && !isTooEarlyForInitialTable())
                         .flatMap(initial -> recovery.firstTable(initial, INITIAL_TABLE_DELAY));
-        due.ifPresent(restoration -> commit(new TableChange(
-                restoration.cause(),
-                restoration.table(),
-                storedRevision(service),
-                Map.of(),
-                List.of(),
-                eraConditions(service, recovery.markerRevision(service).orElse(Transaction.ABSENT)),
-                Optional.of(restoration.marker()))));
-    }
-
-    /** Returns the revision of the table in the present era. */
-    private long storedRevision(ServiceName service) {
-        return state.table(service)
-                .map(StoredTable::revision)
-                .filter(revision -> StoreEra.of(revision) == state.era().number())
-                .orElse(Transaction.ABSENT);
-    }
-
-    /** Returns conditions without which a write that is done in a later era could replace another table. */
-    private List<Transaction.Condition> eraConditions(ServiceName service, long markerRevision) {
-        List<Transaction.Condition> conditions = new ArrayList<>(eraConditions(service));
-        conditions.add(
-                new Transaction.Condition(EraMarkers.key(service, state.era().number()), markerRevision));
-        return conditions;
-    }
-
-    private List<Transaction.Condition> eraConditions(ServiceName service) {
-        long era = state.era().number();
-        return era == 0
-                ? List.of()
-                : List.of(new Transaction.Condition(EraMarkers.key(service, era + 1), Transaction.ABSENT));
+        due.ifPresent(writer::restore);
     }
 
     /** Issues new tokens for keys that may have been held under higher ones in an earlier era. */
@@ -227,7 +190,7 @@
         if (next.equals(stored.table())) {
             return false;
         }
-        commit("era_tokens", next, stored.revision());
+        writer.write("era_tokens", next, stored.revision());
         return true;
     }
 
@@ -260,7 +223,7 @@
         if (isTooEarlyForInitialTable() || !isCoordinator(owners)) {
             return;
         }
-        commit(
+        writer.write(
                 "first_table",
                 RangePlanner.initial(service, owners),
                 stored.map(StoredTable::revision).orElse(Transaction.ABSENT));
@@ -280,7 +243,7 @@
                 || firstRegistrationRevision.get().isEmpty()) {
             return false;
         }
-        commit("supersede_predecessor", stored.table(), stored.revision());
+        writer.write("supersede_predecessor", stored.table(), stored.revision());
         return true;
     }
 
@@ -300,7 +263,7 @@
             keyLeases.resolveMoves(ready);
             return false;
         }
-        commit("move", next, stored.revision(), Map.of(), ready);
+        writer.write("move", next, stored.revision(), Map.of(), ready);
         return true;
     }
 
@@ -318,7 +281,7 @@
         if (next.equals(stored.table())) {
             return false;
         }
-        commit("backend_restarted", next, stored.revision());
+        writer.write("backend_restarted", next, stored.revision());
         return true;
     }
 
@@ -361,7 +324,7 @@
         }
         RangeTable next =
                 RangePlanner.reassign(stored.table(), assignment -> expired.containsKey(assignment.daemon()), owners);
-        commit("daemon_gone", next, stored.revision(), expired, List.of());
+        writer.write("daemon_gone", next, stored.revision(), expired, List.of());
         return true;
     }
 
@@ -408,104 +371,4 @@
                 .mapToDouble(assignment -> keyLoad.busySlots(assignment.range()))
                 .sum();
     }
-
-    /**
-     * Change of the table. Immutable.
-     *
-     * @param cause cause, for the log
-     * @param table new table
-     * @param expectedRevision revision of the table that it replaces
-     * @param expired daemons that must have stayed unregistered, with the revisions of their creation records
-     * @param moves moves that it completes
-     * @param eraConditions conditions that fail in a later era of the store
-     * @param marker progress of the era after the change, if it is written with the table
-     */
-    private record TableChange(
-            String cause,
-            RangeTable table,
-            long expectedRevision,
-            Map<DaemonId, Long> expired,
-            List<RangeMove> moves,
-            List<Transaction.Condition> eraConditions,
-            Optional<EraMarkers.Marker> marker) {
-        private String key() {
-            return FleetState.rangeKey(table.service());
-        }
-
-        private Transaction transaction(long era) {
-            List<Transaction.Condition> conditions = new ArrayList<>(eraConditions);
-            conditions.add(new Transaction.Condition(key(), expectedRevision));
-            List<String> deletes = new ArrayList<>();
-            expired.forEach((daemon, creationRevision) -> {
-                String creationKey = FleetState.creationKey(daemon);
-                conditions.add(new Transaction.Condition(FleetState.memberKey(daemon), Transaction.ABSENT));
-                conditions.add(new Transaction.Condition(creationKey, creationRevision));
-                deletes.add(creationKey);
-            });
-            List<Transaction.Write> writes = new ArrayList<>();
-            writes.add(new Transaction.Write(key(), FleetJson.write(table), Transaction.NO_LEASE));
-            marker.ifPresent(written -> writes.add(new Transaction.Write(
-                    EraMarkers.key(table.service(), era), FleetJson.write(written), Transaction.NO_LEASE)));
-            return new Transaction(conditions, writes, deletes);
-        }
-    }
-
-    private void commit(String cause, RangeTable newTable, long expectedRevision) {
-        commit(cause, newTable, expectedRevision, Map.of(), List.of());
-    }
-
-    private void commit(
-            String cause, RangeTable table, long expectedRevision, Map<DaemonId, Long> expired, List<RangeMove> moves) {
-        commit(new TableChange(
-                cause, table, expectedRevision, expired, moves, eraConditions(table.service()), Optional.empty()));
-    }
-
-    private void commit(TableChange change) {
-        committing = true;
-        List<RangeMove> moves = change.moves();
-        keyLeases.onWriteStarted(moves);
-        long era = state.era().number();
-        control.whenComplete(store.commit(change.transaction(era)), (result, failure) -> {
-            committing = false;
-            String outcome = failure != null
-                    ? "unknown"
-                    : result instanceof TransactionResult.Committed ? "committed" : "conflict";
-            LOGGER.atInfo().log(
-                    "event=range_commit service=%s cause=%s expected_revision=%d outcome=%s",
-                    change.table().service(), change.cause(), change.expectedRevision(), outcome);
-            if (result instanceof TransactionResult.Committed committed) {
-                change.marker()
-                        .ifPresent(marker -> state.eraMarkers()
-                                .put(EraMarkers.key(change.table().service(), era), marker, committed.revision()));
-                state.onCommittedTable(change.table(), committed.revision());
-                return;
-            }
-            if (StoreUnavailableException.isCertainlyNotApplied(failure)) {
-                keyLeases.onWriteNotApplied(moves);
-            }
-            refresh(change.table().service());
-        });
-    }
-
-    /** Reads the table after a conflict or a lost response; a delayed write arrives through the watch. */
-    private void refresh(ServiceName service) {
-        committing = true;
-        CompletableFuture<Void> read = read(FleetState.rangeKey(service));
-        if (!recovery.isSettled(service)) {
-            read = read.thenCompose(
-                    done -> read(EraMarkers.key(service, state.era().number())));
-        }
-        control.whenComplete(read, (done, failure) -> committing = false);
-    }
-
-    private CompletableFuture<Void> read(String key) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        control.whenComplete(store.get(key), (item, failure) -> {
-            if (failure == null) {
-                item.ifPresent(state::onFleetItem);
-            }
-            done.complete(null);
-        });
-        return done;
-    }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetStateTest.java
@@ -19,8 +19,10 @@
 import io.daisyhoist.core.time.ManualTimeSource;
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.OperatorDocuments;
+import io.daisyhoist.mesh.store.StoreEra;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.mesh.version.FleetSnapshot;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -110,6 +112,69 @@
         }
     }
 
+    @Nested
+    class NewEra {
+        private final StoreEra era = new StoreEra(2);
+
+        private StoredItem inEra(StoredItem item, long revision) {
+            return new StoredItem(item.key(), item.value(), era.with(revision));
+        }
+
+        private StoredItem creation(String value, long revision) {
+            return inEra(item(FleetState.creationKey(new DaemonId("d")), value), revision);
+        }
+
+        private String hostOfMember() {
+            return published.members().get(new DaemonId("d")).peerHost();
+        }
+
+        @BeforeEach
+        void enter() {
+            state.onFleetItem(memberItem("d", "10.0.0.1"));
+            state.onOperatorItem(item("o/z", ""));
+            state.onEra(era);
+        }
+
+        /** Guards against requests to an evacuated zone between the return of the store and the operator's next write. */
+        @Test
+        void onOperatorItemLost_evacuation_staysUntilOperatorsHadTimeToWriteIt() {
+            state.onOperatorItemLost("o/z");
+            time.advance(Duration.ofSeconds(5));
+            state.removeExpired();
+            assertTrue(published.isEvacuated(new AvailabilityZone("z")));
+            time.advance(Duration.ofMillis(1));
+            state.removeExpired();
+            assertFalse(published.isEvacuated(new AvailabilityZone("z")));
+        }
+
+        @Test
+        void onOperatorItem_lostEvacuationWrittenAgain_stays() {
+            state.onOperatorItemLost("o/z");
+            state.onOperatorItem(item("o/z", ""));
+            time.advance(Duration.ofSeconds(20));
+            state.removeExpired();
+            assertTrue(published.isEvacuated(new AvailabilityZone("z")));
+        }
+
+        /** Guards against an entry of the copy that shows a backend server or an address as it was before. */
+        @Test
+        void onFleetItem_entryOfTheCopy_doesNotReplaceWhatIsKnown() {
+            state.onFleetItem(creation("1", 4));
+            state.onFleetItem(inEra(memberItem("d", "10.0.0.2"), 5));
+            assertEquals("10.0.0.1", hostOfMember());
+            assertTrue(state.isAbsent(new DaemonId("d")));
+        }
+
+        /** Guards against a daemon that stays absent because its creation record arrives behind its entry. */
+        @Test
+        void onFleetItem_recordBehindItsEntry_entryIsTaken() {
+            state.onFleetItem(inEra(memberItem("d", "10.0.0.2"), 5));
+            state.onFleetItem(creation("2", 5));
+            assertEquals("10.0.0.2", hostOfMember());
+            assertFalse(state.isAbsent(new DaemonId("d")));
+        }
+    }
+
     @Nested
     class Members {
         /** Guards against removing members when an outage of the store has expired their entries. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/PeerMessagesTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/PeerMessagesTest.java
@@ -9,6 +9,7 @@
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.mesh.store.Decoded;
 import io.daisyhoist.mesh.store.StoreDelta;
+import io.daisyhoist.mesh.store.StoreEra;
 import io.daisyhoist.mesh.store.StoreEvent;
 import io.daisyhoist.mesh.store.StoredItem;
 import io.daisyhoist.wire.proto.FleetLoad;
@@ -111,4 +112,24 @@
                 .addItems(OperatorItems.Item.newBuilder().setKey(key).setRevision(revision))
                 .build();
     }
+
+    /** Guards against revisions of another era that are taken for those of the receiver's era. */
+    @Test
+    void decode_messagesOfAnEra_revisionsAreOfThatEra() {
+        StoreEra era = new StoreEra(3);
+        StoreDelta delta =
+                new StoreDelta(era.with(5), List.of(new StoreEvent("o/a", era.with(6), Optional.empty())), era.with(9));
+        StoreChanges changes = PeerMessages.storeChanges("o/", delta).getStoreChanges();
+        assertEquals(3, changes.getEra());
+        assertEquals(6, changes.getFromRevision() + 1);
+        assertEquals(Decoded.valid(delta), PeerMessages.decode(changes));
+
+        PeerMessages.LoadReport report = new PeerMessages.LoadReport(
+                new DaemonId("d1"), 2, false, new StoreEra(2).with(8), era.with(7), Optional.empty());
+        FleetLoad load = PeerMessages.loadReport(report).getFleetLoad();
+        assertEquals(List.of(3L, 0L, 7L), List.of(load.getEra(), load.getOperatorRevision(), load.getFleetRevision()));
+        assertInstanceOf(
+                Decoded.Rejected.class,
+                PeerMessages.decode(load.toBuilder().setEra(-1).build()));
+    }
 }
--- a/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/StoreCacheTest.java
@@ -194,4 +194,25 @@
         assertEquals("3", reportedItems.get("p/b"));
         assertTrue(failures > 0);
     }
+
+    /** Guards against items that stay because the revisions of the restored store are lower than the known ones. */
+    @Test
+    void reload_afterRestore_followsTheLowerRevisions() {
+        store.keepCopies();
+        client.setEraListener(era -> process.execute(cache::reload));
+        store.put("p/a", "1".getBytes(StandardCharsets.UTF_8));
+        cache.reload();
+        simulation.runFor(Duration.ofSeconds(2));
+        store.put("p/a", "2".getBytes(StandardCharsets.UTF_8));
+        store.put("p/b", "2".getBytes(StandardCharsets.UTF_8));
+        simulation.runFor(Duration.ofSeconds(1));
+        assertEquals(Map.of("p/a", "2", "p/b", "2"), reportedItems);
+        store.restore(Duration.ofSeconds(2));
+        client.get("p/a");
+        simulation.runFor(Duration.ofSeconds(1));
+        assertEquals(Map.of("p/a", "1"), reportedItems);
+        store.put("p/a", "3".getBytes(StandardCharsets.UTF_8));
+        simulation.runFor(Duration.ofSeconds(1));
+        assertEquals(Map.of("p/a", "3"), reportedItems);
+    }
 }
