--- a/mesh/src/test/java/io/daisyhoist/mesh/process/FleetScaleTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/process/FleetScaleTest.java
@@ -37,6 +37,9 @@
     /** Store calls of a daemon in a calm day. */
     private static final double MAX_CALLS = 15;
 
+    /** Listings, the entry under a new lease, and the table, in the seconds after a restore. */
+    private static final double MAX_CALLS_AFTER_RESTORE = 15;
+
     private final Logger projectLogger = Logger.getLogger("io.daisyhoist");
     private final Level levelBefore = projectLogger.getLevel();
 
@@ -154,6 +157,26 @@
                 size + " daemons: " + fleet.callsPerDaemon() + " " + fleet.calls);
     }
 
+    /** Guards against calls that grow with the fleet when all daemons read and write again after a restore of the store. */
+    @Test
+    void storeRestored_callsOfADaemon_doNotGrow() {
+        double small = callsAfterRestore(30);
+        double large = callsAfterRestore(300);
+        String calls = small + " and " + large + " calls";
+        assertTrue(small <= MAX_CALLS_AFTER_RESTORE && large <= 1.1 * small, calls);
+    }
+
+    private static double callsAfterRestore(int size) {
+        Fleet fleet = new Fleet(size);
+        fleet.simulation.runFor(START);
+        fleet.store.keepCopies();
+        fleet.simulation.runFor(START);
+        fleet.calls.clear();
+        fleet.store.restore(Duration.ofSeconds(2));
+        fleet.simulation.runFor(Duration.ofSeconds(4));
+        return fleet.callsPerDaemon();
+    }
+
     /** Guards against daemons that follow nobody after the loss of those that watch the store. */
     @Test
     void watchersLost_changesArriveWithinTwoSeconds() {
