Take a response without a valid status for none on every path

A status outside 200 to 599, a missing one, or one that is no number is no response: the outcome is unknown, the connection is closed and the event is counted.

Health checks of the fleet mode take heartbeats and send no requests. "+200" and "0200" are still read as 200, because the decoder does not show the text.

--- a/cli/src/main/java/io/daisyhoist/cli/client/BlockingHttpClient.java
+++ b/cli/src/main/java/io/daisyhoist/cli/client/BlockingHttpClient.java
@@ -27,6 +27,8 @@
  * earlier call could not be told from the answer to the current one.
  */
 public final class BlockingHttpClient implements AutoCloseable {
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
 
     private final Duration timeout;
@@ -78,9 +80,13 @@
         Future<HttpResponse<Buffer>> response =
                 body.map(text -> request.sendBuffer(Buffer.buffer(text))).orElseGet(request::send);
         try {
-            return response.toCompletionStage()
+            HttpResponse<Buffer> received = response.toCompletionStage()
                     .toCompletableFuture()
                     .get(2 * timeout.toMillis(), TimeUnit.MILLISECONDS);
+            if (received.statusCode() < FIRST_FINAL_STATUS || received.statusCode() > LAST_STATUS) {
+                throw new NoResponseException(url + ": invalid status " + received.statusCode());
+            }
+            return received;
         } catch (ExecutionException e) {
             boolean refused = e.getCause() instanceof ConnectException;
             String reason = refused ? "connection refused" : errorMessage(e.getCause());
--- a/cli/src/test/java/io/daisyhoist/cli/client/BlockingHttpClientTest.java
+++ b/cli/src/test/java/io/daisyhoist/cli/client/BlockingHttpClientTest.java
@@ -12,8 +12,12 @@
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests against a TCP server that answers the first request with a success, and each later one with a failure. */
 class BlockingHttpClientTest {
@@ -82,4 +86,17 @@
         assertEquals(500, send(url));
         assertEquals(2, connections.get());
     }
+
+    /** Guards against a response without a valid status that is taken for an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {" 000 X", " 099 X", " 600 X", " 999 X", " 2000 X", " abc X", " -20 X", ""})
+    void send_invalidStatus_isNoResponse(String status) {
+        NetServer server = vertx.createNetServer()
+                .connectHandler(socket ->
+                        socket.handler(bytes -> socket.write("HTTP/1.1" + status + "\r\nContent-Length: 0\r\n\r\n")));
+        server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
+        URI url = URI.create("http://127.0.0.1:" + server.actualPort() + "/");
+        NoResponseException failure = assertThrows(NoResponseException.class, () -> send(url));
+        assertTrue(failure.maybeSent());
+    }
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendExchange.java
@@ -166,7 +166,10 @@
             return reject(response, UnknownReason.FOREIGN_RESPONSE, "response to requests " + echoedIds);
         }
         if (!ResponseHeads.isFinal(response.statusCode())) {
-            return reject(response, UnknownReason.INFORMATIONAL_RESPONSE, "status " + response.statusCode());
+            UnknownReason reason = ResponseHeads.isInterim(response.statusCode())
+                    ? UnknownReason.INFORMATIONAL_RESPONSE
+                    : UnknownReason.INVALID_RESPONSE;
+            return reject(response, reason, "status " + response.statusCode());
         }
         boolean staleFence = response.statusCode() == PRECONDITION_FAILED
                 && "true".equalsIgnoreCase(response.getHeader(DaisyhoistHeaders.STALE_FENCE));
@@ -200,6 +203,10 @@
         if (failure instanceof BoundedBody.TooLargeException) {
             return UnknownReason.RESPONSE_TOO_LARGE;
         }
+        if (failure instanceof IllegalArgumentException) {
+            // The HTTP decoder has failed, and the connection is closed.
+            return UnknownReason.INVALID_RESPONSE;
+        }
         return failure instanceof TimeoutException ? UnknownReason.DEADLINE : UnknownReason.CONNECTION_LOST;
     }
 
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendResult.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/BackendResult.java
@@ -25,7 +25,9 @@
         /** The response contains the id or the status line of another response. */
         FOREIGN_RESPONSE,
         /** The response has an informational status, which the final response is still to follow. */
-        INFORMATIONAL_RESPONSE
+        INFORMATIONAL_RESPONSE,
+        /** The response has no valid status, or cannot be decoded. */
+        INVALID_RESPONSE
     }
 
     /**
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseHeads.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/ResponseHeads.java
@@ -21,13 +21,20 @@
     private static final Pattern STATUS_LINE_WITH_END =
             Pattern.compile(STATUS_LINE.pattern() + "[^\\r\\n]{0,256}\\r\\n");
 
+    private static final int FIRST_STATUS = 100;
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
 
     private ResponseHeads() {}
 
-    /** Returns whether no other response to the same request follows one with this status. */
+    /** Returns whether a number is the status of a response that no other one to the same request follows. */
     public static boolean isFinal(int status) {
-        return status >= FIRST_FINAL_STATUS;
+        return FIRST_FINAL_STATUS <= status && status <= LAST_STATUS;
+    }
+
+    /** Returns whether a number is the status of a response that another one to the same request follows. */
+    public static boolean isInterim(int status) {
+        return FIRST_STATUS <= status && status < FIRST_FINAL_STATUS;
     }
 
     /**
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/BackendResultMapper.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/BackendResultMapper.java
@@ -95,4 +95,11 @@
             case CANCELLED, DEADLINE -> RefusalCode.DEADLINE_EXCEEDED;
         };
     }
+
+    /** Returns the name of the result in the metrics. */
+    static String metricLabel(BackendResult result) {
+        boolean invalid =
+                result instanceof Unknown unknown && unknown.reason() == BackendResult.UnknownReason.INVALID_RESPONSE;
+        return invalid ? "InvalidResponse" : result.getClass().getSimpleName();
+    }
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/BackendRunner.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/BackendRunner.java
@@ -209,8 +209,7 @@
                     OutboundResponse response = BackendResultMapper.toResponse(result);
                     span.end(response.status());
                     traffic.metrics()
-                            .onBackendResult(
-                                    run.request().service(), result.getClass().getSimpleName(), latency);
+                            .onBackendResult(run.request().service(), BackendResultMapper.metricLabel(result), latency);
                     AdmissionUpdate update = admissionController.complete(
                             permit, BackendResultMapper.toAdmissionOutcome(result), latency);
                     queuedRun.responsePromise().complete(response);
--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/BackendClientTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/BackendClientTest.java
@@ -312,6 +312,18 @@
             assertEquals("answer-2", bodyOf(send(client, "/second")));
         }
 
+        /** Guards against delivering what a backend server in trouble sends in place of a status. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {" 000 X", " 099 X", " 600 X", " 999 X", " 2000 X", " abc X", " 2x0 X", " -20 X", " ", ""})
+        void send_invalidStatus_isUnknownAndClosesTheConnection(String status) throws Exception {
+            String invalid = "HTTP/1.1" + status + "\r\nContent-Length: 0\r\n\r\n";
+            BackendClient client =
+                    client(head -> List.of(connections.get() == 1 ? invalid : ok("", "answer-" + connections.get())));
+            assertUnknown(UnknownReason.INVALID_RESPONSE, send(client, "/first"));
+            assertEquals("answer-2", bodyOf(send(client, "/second")));
+        }
+
         private String bodyOf(BackendCall call) throws Exception {
             return assertInstanceOf(Answered.class, join(call)).body().toString();
         }
--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/HttpPlatformStoreTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/HttpPlatformStoreTest.java
@@ -251,6 +251,19 @@
             assertEquals(2, connections.get(), "the connection still expects a final response");
         }
 
+        /** Guards against a response without a valid status that is taken for an answer of the store. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {" 000 X", " 099 X", " 600 X", " 999 X", " 2000 X", " abc X", " 2x0 X", " -20 X", " ", ""})
+        void any_invalidStatus_isUnknownAndClosesTheConnection(String status) throws Exception {
+            String invalid = "HTTP/1.1" + status + "\r\nETag: \"5\"\r\nContent-Length: 0\r\n\r\n";
+            HttpPlatformStore store = store(invalid, invalid, VALUE_9);
+            assertReadFails(store);
+            assertEquals(SwapOutcome.UNKNOWN, join(store.swap("k", 4, VALUE)));
+            assertEquals(9, join(store.read("k")).orElseThrow().revision());
+            assertEquals(3, connections.get(), "a damaged connection was reused");
+        }
+
         /** Guards against reading the next response behind the beginning of an earlier one. */
         @Test
         void read_partOfResponseWhileUnused_closesTheConnection() throws Exception {
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -185,7 +185,19 @@
         observer.onWrite();
         Future<HttpClientResponse> responseFuture =
                 hasBody() ? connectedRequest.send(request.body()) : connectedRequest.send();
-        responseFuture.compose(this::read).onFailure(failure -> completeUnknown(unknownReason(failure)));
+        responseFuture.compose(this::read).onFailure(this::onNoResponse);
+    }
+
+    private void onNoResponse(Throwable failure) {
+        boolean unreadable = failure instanceof IllegalArgumentException && phase == Phase.WRITTEN;
+        if (unreadable) {
+            LOGGER.atWarning().log(
+                    "event=response_fault request=%s fault=%s reason=\"%s\" connection=%s",
+                    request.id(), ResponseFault.UNREADABLE, failure.getMessage(), connectionLabel());
+            observer.onResponseFault(ResponseFault.UNREADABLE);
+            httpRequest.ifPresent(sent -> sent.connection().close());
+        }
+        completeUnknown(unreadable ? UnknownReason.DAMAGED_ANSWER : unknownReason(failure));
     }
 
     private static UnknownReason unknownReason(Throwable failure) {
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseFault.java
@@ -12,6 +12,10 @@
     REPEATED_FIELD,
     /** Its status is that of an interim response, which is followed by another one. */
     INTERIM_STATUS,
+    /** Its status is outside 100 to 599. */
+    INVALID_STATUS,
+    /** Its status or another part of it cannot be decoded. */
+    UNREADABLE,
     /** It is a success without a signature. */
     UNSIGNED,
     /** It is a success whose body has a content encoding, which no request asks for. */
--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseInspector.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/ResponseInspector.java
@@ -31,7 +31,10 @@
             return Optional.of(ResponseFault.REPEATED_FIELD);
         }
         if (!ResponseHeads.isFinal(response.statusCode())) {
-            return Optional.of(ResponseFault.INTERIM_STATUS);
+            return Optional.of(
+                    ResponseHeads.isInterim(response.statusCode())
+                            ? ResponseFault.INTERIM_STATUS
+                            : ResponseFault.INVALID_STATUS);
         }
         return Optional.empty();
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/store/CountedStore.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/store/CountedStore.java
@@ -4,8 +4,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
-/** Counts the calls of a store by their kind. Thread-safe if the store and the counter are. */
+/** Counts the calls of a store by their kind, and the invalid responses as a kind of their own. Thread-safe if the store and the counter are. */
 public final class CountedStore implements MetadataStore {
     private final MetadataStore store;
     private final Consumer<String> counter;
@@ -20,40 +21,45 @@
         this.counter = counter;
     }
 
+    private <T> CompletableFuture<T> counted(String kind, Supplier<CompletableFuture<T>> call) {
+        counter.accept(kind);
+        CompletableFuture<T> response = call.get();
+        response.whenComplete((result, failure) -> {
+            if (StoreUnavailableException.isInvalidResponse(failure)) {
+                counter.accept("invalid_response");
+            }
+        });
+        return response;
+    }
+
     @Override
     public CompletableFuture<Optional<StoredItem>> get(String key) {
-        counter.accept("get");
-        return store.get(key);
+        return counted("get", () -> store.get(key));
     }
 
     @Override
     public CompletableFuture<ItemPage> list(String prefix, Optional<String> after) {
-        counter.accept("list");
-        return store.list(prefix, after);
+        return counted("list", () -> store.list(prefix, after));
     }
 
     @Override
     public CompletableFuture<WatchResult> watch(String prefix, long afterRevision, Duration wait) {
-        counter.accept("watch");
-        return store.watch(prefix, afterRevision, wait);
+        return counted("watch", () -> store.watch(prefix, afterRevision, wait));
     }
 
     @Override
     public CompletableFuture<TransactionResult> commit(Transaction transaction) {
-        counter.accept("commit");
-        return store.commit(transaction);
+        return counted("commit", () -> store.commit(transaction));
     }
 
     @Override
     public CompletableFuture<StoreLease> createLease(Duration ttl) {
-        counter.accept("lease");
-        return store.createLease(ttl);
+        return counted("lease", () -> store.createLease(ttl));
     }
 
     @Override
     public CompletableFuture<Boolean> renewLease(long lease) {
-        counter.accept("renew");
-        return store.renewLease(lease);
+        return counted("renew", () -> store.renewLease(lease));
     }
 
     @Override
--- a/mesh/src/main/java/io/daisyhoist/mesh/store/StoreUnavailableException.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/store/StoreUnavailableException.java
@@ -10,6 +10,7 @@
     private static final long serialVersionUID = 1L;
 
     private final boolean notApplied;
+    private final boolean invalidResponse;
 
     /**
      * Creates the exception.
@@ -17,8 +18,24 @@
      * @param notApplied whether the store has certainly not applied the call
      */
     public StoreUnavailableException(String message, boolean notApplied) {
+        this(message, notApplied, false);
+    }
+
+    private StoreUnavailableException(String message, boolean notApplied, boolean invalidResponse) {
         super(notApplied ? ErrorCode.PLATFORM_UNREACHABLE : ErrorCode.OUTCOME_UNKNOWN, message);
         this.notApplied = notApplied;
+        this.invalidResponse = invalidResponse;
+    }
+
+    /** Creates the exception for bytes that are no response, so that the outcome is unknown. */
+    public static StoreUnavailableException invalidResponse(String problem) {
+        return new StoreUnavailableException("invalid response of the store: " + problem, false, true);
+    }
+
+    /** Returns whether a call failed because of bytes that are no response. */
+    public static boolean isInvalidResponse(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof StoreUnavailableException unavailable && unavailable.invalidResponse;
     }
 
     /** Returns whether the store has certainly not applied the call. */
--- a/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/connection/BackendClientFixture.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 import io.daisyhoist.core.fleet.BackendProcessId;
@@ -27,8 +28,15 @@
     private final TimeSource time = new SystemTimeSource();
     private final BackendHttpClient client;
 
-    /** Permits each write, and records nothing. */
-    private static final class PermissiveObserver implements BackendHttpClient.Observer {
+    private final List<ResponseFault> faults = new CopyOnWriteArrayList<>();
+
+    /** Permits each write, and records only the faults of responses. */
+    private final class PermissiveObserver implements BackendHttpClient.Observer {
+        @Override
+        public void onResponseFault(ResponseFault fault) {
+            faults.add(fault);
+        }
+
         @Override
         public boolean mayBeWritten() {
             return true;
@@ -54,6 +62,11 @@
         this.client = new BackendHttpClient(vertx, context, TestHeaderNames.NAMES, maxConnections, time);
     }
 
+    /** Returns the faults of all responses so far. */
+    List<ResponseFault> faults() {
+        return List.copyOf(faults);
+    }
+
     Vertx vertx() {
         return vertx;
     }
