--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetControl.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.customer.ConfigConfirmation;
 import io.daisyhoist.core.fleet.BackendHeartbeat;
 import io.daisyhoist.core.fleet.BackendProcessId;
 import io.daisyhoist.core.fleet.FleetMember;
@@ -58,6 +59,7 @@
     private final FleetSettings settings;
     private final TimeSource time;
     private final ControlExecutor control;
+    private final OperatorDocuments documents;
     private final FleetState state;
     private final StoreCache operatorCache;
     private final StoreCache fleetCache;
@@ -72,6 +74,8 @@
     private final DepartureRecord departures;
     private final LocalBackendTracker tracker;
     private final StoreFollower follower;
+    private final ConfigConfirmation configConfirmation;
+    private final ConfirmationLoop confirmationLoop;
     private final PeerMessageHandler peerMessageHandler;
     private boolean eraKnown;
     private boolean operatorSynchronized;
@@ -81,10 +85,15 @@
     private volatile LocalBackendSnapshot localBackend = LocalBackendSnapshot.EMPTY;
     private volatile boolean ready;
 
-    /** Sends one-way messages to other daemons. */
+    /** Sends messages to other daemons. */
     public interface PeerSender {
-        /** Sends a message to each of the given daemons. */
+        /** Sends a one-way message to each of the given daemons. */
         void send(List<FleetMember> receivers, Envelope message);
+
+        /** Sends a question; the answer fails if it does not arrive in time, or if questions are not supported. */
+        default CompletableFuture<Envelope> call(FleetMember receiver, Envelope question, Duration timeout) {
+            return CompletableFuture.failedFuture(new UnsupportedOperationException("questions are not supported"));
+        }
     }
 
     /**
@@ -112,7 +121,7 @@
         this.control = dependencies.control();
         FleetMetrics metrics = dependencies.metrics();
         MetadataStore store = dependencies.store();
-        OperatorDocuments documents = dependencies.documents();
+        this.documents = dependencies.documents();
         StoreAccess access = new StoreAccess(store, control, time, new CallbackRunner(metrics::onFailedCallback));
         this.state = new FleetState(
                 time, documents, MEMBER_EXPIRY, this::publishFleet, () -> metrics.onRejectedInput("store"));
@@ -130,7 +139,16 @@
                 this::fleet,
                 this::localReport,
                 dependencies.peerSender());
-        this.peerMessageHandler = new PeerMessageHandler(control, metrics, gossip, follower, documents.prefix());
+        this.configConfirmation =
+                new ConfigConfirmation(time, settings.bounds().customers().revocationDelay());
+        this.confirmationLoop = new ConfirmationLoop(
+                settings.daemon(),
+                access,
+                new ConfirmationLoop.State(operatorCache, configConfirmation, this::fleet, follower::watcher),
+                dependencies.peerSender(),
+                incarnation);
+        this.peerMessageHandler =
+                new PeerMessageHandler(control, metrics, gossip, follower, confirmationLoop, documents.prefix());
         this.registration =
                 new Registration(tracker.member(), access, settings.bounds().minLeaseTtl(), new RegistrationListener());
         Duration keyLeaseDuration =
@@ -199,6 +217,7 @@
         control.scheduleOnce(this::register, MAX_REGISTRATION_DELAY);
         control.scheduleWithFixedDelay(this::tick, TICK_INTERVAL);
         control.scheduleWithFixedDelay(this::reportLoad, LOAD_REPORT_INTERVAL);
+        control.scheduleWithFixedDelay(confirmationLoop::tick, ConfirmationLoop.TICK_INTERVAL);
     }
 
     /** Waits for the first heartbeat if it arrives soon, so that the entry does not change right after its first write. */
@@ -219,6 +238,11 @@
         return localBackend;
     }
 
+    /** Returns how long ago the configuration was last proved to be the newest one. */
+    public ConfigConfirmation configConfirmation() {
+        return configConfirmation;
+    }
+
     /** Returns whether the initial state has been read from the store, a configuration is known and no stop is in progress. */
     public boolean isReady() {
         return ready;
@@ -265,6 +289,12 @@
     public CompletableFuture<Optional<KeyLeases.Reply>> onHeartbeat(BackendHeartbeat heartbeat) {
         CompletableFuture<Optional<KeyLeases.Reply>> acknowledgement = new CompletableFuture<>();
         control.execute(() -> {
+            if (!isConfigured(heartbeat.service())) {
+                // Another writer's heartbeat must not take the place of the backend server that is there.
+                acknowledgement.completeExceptionally(
+                        new IllegalArgumentException("service is not configured: " + heartbeat.service()));
+                return;
+            }
             try {
                 CompletableFuture<Optional<KeyLeases.Reply>> reply = new CompletableFuture<>();
                 handleHeartbeat(heartbeat, reply);
@@ -311,6 +341,14 @@
         publishLocal();
     }
 
+    /** Every service counts as configured until a configuration is known. */
+    private boolean isConfigured(ServiceName service) {
+        return service.equals(settings.service())
+                || fleet.config()
+                        .map(config -> config.service(service).isPresent())
+                        .orElse(true);
+    }
+
     /** Returns whether this process cannot yet determine which keys its backend server has to hold. */
     private boolean isStarting(ServiceName service) {
         if (fleet.config().isEmpty() || !fleetSynchronized) {
@@ -357,8 +395,10 @@
         follower.update(fleet.members().values(), state::isAbsent, registrationLease.confirmationAge());
         follower.report(this::localReport);
         rangeAssigner.tick(tracker.member().service(), tracker.backend());
-        boolean initialized =
-                operatorSynchronized && fleetSynchronized && fleet.config().isPresent();
+        boolean initialized = operatorSynchronized
+                && fleetSynchronized
+                && fleet.config().isPresent()
+                && (configConfirmation.permitsKeys() || !confirmationLoop.hasCustomers());
         ready = (ready || initialized) && !tracker.isStopping();
     }
 
@@ -378,6 +418,12 @@
 
     private void publishFleet(FleetSnapshot snapshot) {
         fleet = snapshot;
+        // Customers that the snapshot brings need a proof at once; the changes of its batch are applied by then.
+        control.execute(confirmationLoop::tick);
+        if (tracker.forgetUnless(backend -> isConfigured(backend.heartbeat().service()))) {
+            publishLocal();
+            registration.update(tracker.member());
+        }
         heartbeatResponder.onChange();
     }
 
@@ -393,6 +439,11 @@
 
     /** Receives changes of operator items. */
     private final class OperatorListener implements StoreCache.Listener {
+        @Override
+        public StoredItem withoutSecrets(StoredItem item) {
+            return documents.withHashedKeys(item);
+        }
+
         @Override
         public void onBatch(Runnable changes) {
             state.applyBatch(changes);
