--- a/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/StoreCache.java
@@ -78,6 +78,11 @@
 
     /** Receives changes, on the control thread. */
     interface Listener {
+        /** Returns an item as it may be kept and passed on to other daemons. */
+        default StoredItem withoutSecrets(StoredItem item) {
+            return item;
+        }
+
         /** Called when an item was written. */
         void onItem(StoredItem item);
 
@@ -145,11 +150,17 @@
         watchLoopActive = false;
     }
 
-    /** Asks the store once for the changes that this copy lacks. */
-    void catchUp() {
+    /**
+     * Asks the store once for the changes that this copy lacks.
+     *
+     * @return whether this copy has all changes that the store had at the call; false also during an earlier call
+     */
+    CompletableFuture<Boolean> catchUp() {
         if (!listed || catchUpInProgress) {
-            return;
+            return CompletableFuture.completedFuture(false);
         }
+        CompletableFuture<Boolean> complete = new CompletableFuture<>();
+        long askedAsOf = asOf;
         catchUpInProgress = true;
         control.whenComplete(store.watch(prefix, asOf, CATCH_UP_WAIT), (result, failure) -> {
             catchUpInProgress = false;
@@ -165,7 +176,10 @@
             } else if (result instanceof WatchResult.HistoryLost) {
                 reload();
             }
+            // A lower revision is that of an answer to an earlier call.
+            complete.complete(result instanceof WatchResult.Changes answer && answer.asOf() >= askedAsOf);
         });
+        return complete;
     }
 
     private void listAll(long startedGeneration) {
@@ -276,7 +290,8 @@
         return changes;
     }
 
-    private void applyChanges(List<StoreEvent> changes, long changesAsOf) {
+    private void applyChanges(List<StoreEvent> received, long changesAsOf) {
+        List<StoreEvent> changes = received.stream().map(this::withoutSecrets).toList();
         long fromRevision = asOf;
         callbacks.run("store_batch", prefix, () -> listener.onBatch(() -> changes.forEach(this::onEvent)));
         asOf = Math.max(asOf, changesAsOf);
@@ -290,6 +305,10 @@
         }
     }
 
+    private StoreEvent withoutSecrets(StoreEvent event) {
+        return new StoreEvent(event.key(), event.revision(), event.item().map(listener::withoutSecrets));
+    }
+
     private void onEvent(StoreEvent event) {
         StoredItem existing = items.get(event.key());
         if (event.item().isPresent()) {
