Merge eras of the store, and responses without a final status

# Conflicts: # CHANGELOG.md # docs/OPERATIONS.md # docs/glossary.md # mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java # mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java

--- a/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/connection/BackendHttpExchange.java
@@ -217,7 +217,7 @@
         phase = Phase.WRITTEN;
         observer.onWrite();
         written.complete();
-        send(connectedRequest).compose(this::read).onFailure(failure -> completeUnknown(unknownReason(failure)));
+        send(connectedRequest).compose(this::read).onFailure(this::onNoResponse);
     }
 
     private Future<HttpClientResponse> send(HttpClientRequest connectedRequest) {
@@ -235,6 +235,18 @@
         return connectedRequest.response();
     }
 
+    private void onNoResponse(Throwable failure) {
+        boolean unreadable = failure instanceof IllegalArgumentException && phase == Phase.WRITTEN;
+        if (unreadable) {
+            LOGGER.atWarning().log(
+                    "event=response_fault request=%s fault=%s reason=\"%s\" connection=%s",
+                    request.id(), ResponseFault.UNREADABLE, failure.getMessage(), connectionLabel());
+            observer.onResponseFault(ResponseFault.UNREADABLE);
+            httpRequest.ifPresent(sent -> sent.connection().close());
+        }
+        completeUnknown(unreadable ? UnknownReason.DAMAGED_ANSWER : unknownReason(failure));
+    }
+
     private static UnknownReason unknownReason(Throwable failure) {
         return failure instanceof BoundedBody.TooLargeException
                 ? UnknownReason.DAMAGED_ANSWER
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RangeAssigner.java
@@ -29,18 +29,16 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.process.ControlExecutor;
 import io.daisyhoist.mesh.process.FleetState.StoredTable;
+import io.daisyhoist.mesh.process.TableRecovery.Restoration;
 import io.daisyhoist.mesh.store.MetadataStore;
-import io.daisyhoist.mesh.store.StoreUnavailableException;
 import io.daisyhoist.mesh.store.Transaction;
-import io.daisyhoist.mesh.store.TransactionResult;
 import io.daisyhoist.mesh.version.FleetSnapshot;
 
 /**
  * Keeps the key assignments of one service complete and balanced.
  *
  * <p>Each daemon changes its own assignments; those of an expired daemon are changed by the coordinator, which is the first
- * remaining daemon of the service, in a transaction that fails if the expired daemon has registered since. Invariants: at
- * most one write of the table is in progress; keys move away from the local backend server only after it has released them
+ * remaining daemon of the service, in a transaction that fails if the expired daemon has registered since. Invariant: keys move away from the local backend server only after it has released them
  * or its key leases have expired. Confined to the control thread.
  */
 final class RangeAssigner {
@@ -58,23 +56,22 @@
     private static final int MAX_MISSED_HEARTBEATS = 4;
 
     /** Two conditions and a deletion each; the store accepts 32 entries in a transaction. */
-    private static final int MAX_DAEMONS_PER_TAKEOVER = 10;
+    private static final int MAX_DAEMONS_PER_TAKEOVER = 9;
 
     private final DaemonId self;
     private final FleetState state;
     private final KeyLeases keyLeases;
     private final KeyLoad keyLoad;
     private final KeyMovePlanner movePlanner;
-    private final MetadataStore store;
-    private final ControlExecutor control;
     private final TimeSource time;
     private final Duration heartbeatInterval;
     private final PeerLoadExchange peerLoadExchange;
     private final Supplier<OptionalLong> firstRegistrationRevision;
     private final RegistrationLease registrationLease;
     private final AbsenceClock absences;
+    private final TableRecovery recovery;
+    private final RangeTableWriter writer;
     private final long startedNanos;
-    private boolean committing;
     private long lastRebalanceNanos;
 
     /** Exchange of load and upcoming moves with the other daemons that hold keys of the service. */
@@ -95,6 +92,7 @@
      * @param heartbeatInterval heartbeat interval of backend servers
      * @param firstRegistrationRevision store revision of the first registration of this process
      * @param registrationLease lease conferred by the registration, with the time of its last confirmation
+     * @param recovery restores the table in a new era of the store
      */
     record Dependencies(
             MetadataStore store,
@@ -102,7 +100,8 @@
             TimeSource time,
             Duration heartbeatInterval,
             Supplier<OptionalLong> firstRegistrationRevision,
-            RegistrationLease registrationLease) {}
+            RegistrationLease registrationLease,
+            TableRecovery recovery) {}
 
     RangeAssigner(
             DaemonId self,
@@ -115,14 +114,15 @@
         this.state = state;
         this.keyLeases = keyLeases;
         this.keyLoad = keyLoad;
-        this.store = dependencies.store();
-        this.control = dependencies.control();
         this.time = dependencies.time();
         this.heartbeatInterval = dependencies.heartbeatInterval();
         this.peerLoadExchange = peerLoadExchange;
         this.firstRegistrationRevision = dependencies.firstRegistrationRevision();
         this.registrationLease = dependencies.registrationLease();
         this.movePlanner = new KeyMovePlanner(self, time, keyLoad);
+        this.recovery = dependencies.recovery();
+        this.writer =
+                new RangeTableWriter(state, keyLeases, dependencies.store(), dependencies.control(), this.recovery);
         this.absences = new AbsenceClock(time);
         this.startedNanos = time.monotonicNanos();
         this.lastRebalanceNanos = startedNanos;
@@ -139,7 +139,7 @@
                 .flatMap(config -> config.service(service))
                 .filter(ServicePolicy::keyed)
                 .isPresent();
-        if (!keyed || committing) {
+        if (!keyed || writer.isWriting()) {
             return;
         }
         if (!registrationLease.isConfirmedWithin(MAX_CONFIRMATION_AGE)) {
@@ -147,12 +147,17 @@
         }
         List<RangeOwner> owners = owners(fleet, service);
         Optional<StoredTable> stored = state.table(service);
+        if (!recovery.isSettled(service)) {
+            recover(service, owners);
+            return;
+        }
         if (stored.isEmpty() || stored.get().table().assignments().isEmpty()) {
             commitInitialTable(service, owners, stored);
             return;
         }
         absences.update(absentHolders(stored.get().table()), state::creationRevision);
         if (fencePredecessor(stored.get())
+                || renewTokens(stored.get())
                 || commitReadyMoves(stored.get())
                 || reassignToNewProcess(stored.get(), backend)
                 || reassignExpired(stored.get(), owners)) {
@@ -165,6 +170,32 @@
         planMoves(fleet, stored.get().table(), owners, backend);
     }
 
+    /** Restores the table in a new era. Keys neither move nor are they taken over meanwhile. */
+    private void recover(ServiceName service, List<RangeOwner> owners) {
+        if (!recovery.isListed()) {
+            return;
+        }
+        Optional<RangeTable> table = recovery.unsettledTable(service);
+        table.ifPresent(known -> absences.update(absentHolders(known), state::creationRevision));
+        Optional<Restoration> due = table.isPresent()
+                ? recovery.restoration(service, isCoordinator(owners))
+                : Optional.of(RangePlanner.initial(service, owners, slots(owners)))
+                        .filter(initial -> isCoordinator(owners) && !isTooEarlyForInitialTable())
+                        .flatMap(initial -> recovery.firstTable(initial, INITIAL_TABLE_DELAY));
+        due.ifPresent(writer::restore);
+    }
+
+    /** Issues new tokens for keys that may have been held under higher ones in an earlier era. */
+    private boolean renewTokens(StoredTable stored) {
+        RangeTable next =
+                RangePlanner.renewFences(stored.table(), assignment -> recovery.isOutdated(stored.table(), assignment));
+        if (next.equals(stored.table())) {
+            return false;
+        }
+        writer.write("era_tokens", next, stored.revision());
+        return true;
+    }
+
     /** Cancels planned moves, because keys that are being moved would have no holder until the store responds again. */
     private void cancelMoves() {
         if (keyLeases.hasMoves()) {
@@ -200,16 +231,19 @@
     }
 
     private void commitInitialTable(ServiceName service, List<RangeOwner> owners, Optional<StoredTable> stored) {
-        boolean tooEarly = time.monotonicNanos() - startedNanos < INITIAL_TABLE_DELAY.toNanos();
-        if (tooEarly || !isCoordinator(owners)) {
+        if (isTooEarlyForInitialTable() || !isCoordinator(owners)) {
             return;
         }
-        commit(
+        writer.write(
                 "first_table",
                 RangePlanner.initial(service, owners, slots(owners)),
                 stored.map(StoredTable::revision).orElse(Transaction.ABSENT));
     }
 
+    private boolean isTooEarlyForInitialTable() {
+        return time.monotonicNanos() - startedNanos < INITIAL_TABLE_DELAY.toNanos();
+    }
+
     /**
      * Rewrites the table unchanged so that a delayed write of an earlier process of this daemon fails. Any write of the table
      * after the registration of this process makes the revision condition of such a write fail.
@@ -220,7 +254,7 @@
                 || firstRegistrationRevision.get().isEmpty()) {
             return false;
         }
-        commit("supersede_predecessor", stored.table(), stored.revision());
+        writer.write("supersede_predecessor", stored.table(), stored.revision());
         return true;
     }
 
@@ -240,7 +274,7 @@
             keyLeases.resolveMoves(ready);
             return false;
         }
-        commit(new TableChange("move", next, stored.revision(), Map.of(), ready));
+        writer.write("move", next, stored.revision(), Map.of(), ready);
         return true;
     }
 
@@ -258,7 +292,7 @@
         if (next.equals(stored.table())) {
             return false;
         }
-        commit("backend_restarted", next, stored.revision());
+        writer.write("backend_restarted", next, stored.revision());
         return true;
     }
 
@@ -301,7 +335,7 @@
         }
         RangeTable next =
                 RangePlanner.reassign(stored.table(), assignment -> expired.containsKey(assignment.daemon()), owners);
-        commit(new TableChange("daemon_gone", next, stored.revision(), expired, List.of()));
+        writer.write("daemon_gone", next, stored.revision(), expired, List.of());
         return true;
     }
 
@@ -342,42 +376,4 @@
                 .mapToDouble(assignment -> keyLoad.busySlots(assignment.range()))
                 .sum();
     }
-
-    private void commit(String cause, RangeTable newTable, long expectedRevision) {
-        commit(new TableChange(cause, newTable, expectedRevision, Map.of(), List.of()));
-    }
-
-    private void commit(TableChange change) {
-        committing = true;
-        List<RangeMove> moves = change.moves();
-        keyLeases.onWriteStarted(moves);
-        control.whenComplete(store.commit(change.transaction()), (result, failure) -> {
-            committing = false;
-            String outcome = failure != null
-                    ? "unknown"
-                    : result instanceof TransactionResult.Committed ? "committed" : "conflict";
-            LOGGER.atInfo().log(
-                    "event=range_commit service=%s cause=%s expected_revision=%d outcome=%s",
-                    change.table().service(), change.cause(), change.expectedRevision(), outcome);
-            if (result instanceof TransactionResult.Committed committed) {
-                state.onCommittedTable(change.table(), committed.revision());
-                return;
-            }
-            if (StoreUnavailableException.isCertainlyNotApplied(failure)) {
-                keyLeases.onWriteNotApplied(moves);
-            }
-            refresh(change.table().service());
-        });
-    }
-
-    /** Reads the table after a conflict or a lost response; a delayed write arrives through the watch. */
-    private void refresh(ServiceName service) {
-        committing = true;
-        control.whenComplete(store.get(FleetState.rangeKey(service)), (item, failure) -> {
-            committing = false;
-            if (failure == null) {
-                item.ifPresent(state::onFleetItem);
-            }
-        });
-    }
 }
