--- a/core/src/main/java/io/daisyhoist/core/customer/CustomerTable.java
+++ b/core/src/main/java/io/daisyhoist/core/customer/CustomerTable.java
@@ -33,7 +33,10 @@
     public CustomerTable(Collection<Customer> customers, boolean keysRequired) {
         this.empty = customers.isEmpty() && !keysRequired;
         for (Customer customer : customers) {
-            this.customers.put(customer.name(), customer);
+            Customer replaced = this.customers.put(customer.name(), customer);
+            if (replaced != null) {
+                replaced.apiKeys().forEach(customersByKey::remove);
+            }
             customer.apiKeys().forEach(key -> customersByKey.put(key, customer));
         }
     }
