--- a/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/io/daisyhoist/core/keyrange/RangePlanner.java
@@ -43,9 +43,12 @@
         long slotsBefore = 0;
         for (RangeOwner owner : owners) {
             long slotsAfter = slotsBefore + slotsOf(owner, slots);
-            KeyRange range =
-                    new KeyRange((int) (keys * slotsBefore / totalSlots), (int) (keys * slotsAfter / totalSlots) - 1);
-            newAssignments.add(RangeAssignment.of(range, owner.daemon(), owner.process(), 1, ""));
+            int from = (int) (keys * slotsBefore / totalSlots);
+            int to = (int) (keys * slotsAfter / totalSlots) - 1;
+            // The share of a small owner among very large ones may be less than one key.
+            if (from <= to) {
+                newAssignments.add(RangeAssignment.of(new KeyRange(from, to), owner.daemon(), owner.process(), 1, ""));
+            }
             slotsBefore = slotsAfter;
         }
         return new RangeTable(service, 1, newAssignments);
--- a/core/src/test/java/io/daisyhoist/core/keyrange/RangePlannerTest.java
+++ b/core/src/test/java/io/daisyhoist/core/keyrange/RangePlannerTest.java
@@ -80,6 +80,16 @@
                     KeyRange.MAX_KEY, table.assignmentsOf(B.daemon()).get(0).to());
         }
 
+        /** Guards against a service that never gets a table because the share of a small backend server is less than a key. */
+        @Test
+        void initial_shareBelowOneKey_leavesOwnerOut() {
+            RangeTable table = RangePlanner.initial(SERVICE, List.of(A, B), Map.of(A.daemon(), 1, B.daemon(), 100_000));
+            assertEquals(List.of(), table.assignmentsOf(A.daemon()));
+            assertEquals(
+                    KeyRange.MAX_KEY + 1,
+                    table.assignmentsOf(B.daemon()).get(0).range().size());
+        }
+
         /** Guards against moves away from a large backend server that has no more than its share of the load. */
         @Test
         void rebalance_loadInProportionToSlots_movesNothing() {
