Forget the lowest priority of early refusals after a while, and keep it for each service

Found by reading: one request of a low priority, also of another service, ended all early refusals until a restart.

--- a/core/src/main/java/io/daisyhoist/core/admission/DeadlineRefusal.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/DeadlineRefusal.java
@@ -14,8 +14,13 @@
 public final class DeadlineRefusal {
     private static final int REFUSALS_PER_PROBE = 3;
 
+    /** Time after which a priority that no request has any more does not count as the lowest one. */
+    private static final long PRIORITY_WINDOW_NANOS = Duration.ofSeconds(10).toNanos();
+
     private final int[] refusalsSinceProbe = new int[KindShares.MAX_KINDS];
     private int lowestPriority;
+    private int previousLowestPriority;
+    private long windowStartNanos;
 
     /**
      * Returns the expected time until there is room if the request is to be refused.
@@ -26,8 +31,9 @@
      */
     public Optional<Duration> timeUntilRoom(
             RequestCost cost, OptionalDouble utilization, long meanWorkNanos, long nowNanos) {
-        lowestPriority = Math.max(lowestPriority, cost.priority());
-        if (utilization.isEmpty() || cost.nested() || cost.priority() < lowestPriority) {
+        recordPriority(cost.priority(), nowNanos);
+        int lowest = Math.max(lowestPriority, previousLowestPriority);
+        if (utilization.isEmpty() || cost.nested() || cost.priority() < lowest) {
             return Optional.empty();
         }
         long waitNanos = (long) ((utilization.getAsDouble() - 1) * meanWorkNanos);
@@ -41,4 +47,13 @@
         refusalsSinceProbe[cost.kind()]++;
         return Optional.of(Duration.ofNanos(waitNanos));
     }
+
+    private void recordPriority(int priority, long nowNanos) {
+        if (nowNanos - windowStartNanos > PRIORITY_WINDOW_NANOS) {
+            previousLowestPriority = lowestPriority;
+            lowestPriority = priority;
+            windowStartNanos = nowNanos;
+        }
+        lowestPriority = Math.max(lowestPriority, priority);
+    }
 }
--- a/core/src/test/java/io/daisyhoist/core/admission/DeadlineRefusalTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/DeadlineRefusalTest.java
@@ -15,11 +15,13 @@
 
     private final DeadlineRefusal refusal = new DeadlineRefusal();
 
+    private long nowNanos;
+
     private Optional<Duration> decide(int priority, boolean nested, long deadlineMillis, OptionalDouble utilization) {
-        long deadlineNanos = Duration.ofMillis(deadlineMillis).toNanos();
+        long deadlineNanos = nowNanos + Duration.ofMillis(deadlineMillis).toNanos();
         RequestCost cost =
                 new RequestCost(1, priority, nested, deadlineNanos, deadlineNanos, new WorkEstimate(WORK_NANOS, 0));
-        return refusal.timeUntilRoom(cost, utilization, WORK_NANOS, 0);
+        return refusal.timeUntilRoom(cost, utilization, WORK_NANOS, nowNanos);
     }
 
     @Test
@@ -42,6 +44,18 @@
         assertEquals(Optional.empty(), decide(2, true, 300, FULL));
     }
 
+    /** Guards against one request of a low priority after which no other one is ever refused early. */
+    @Test
+    void timeUntilRoom_lowerPriorityNoLongerSeen_isWait() {
+        decide(7, false, 5_000, FULL);
+        assertEquals(Optional.empty(), decide(2, false, 300, FULL));
+        for (int i = 0; i < 3; i++) {
+            nowNanos += Duration.ofSeconds(11).toNanos();
+            decide(2, false, 5_000, FULL);
+        }
+        assertEquals(Optional.of(Duration.ofSeconds(1)), decide(2, false, 300, FULL));
+    }
+
     /** Guards against a kind that is never sent again, so that no new load report corrects the refusal. */
     @Test
     void timeUntilRoom_repeatedly_sendsEveryFourth() {
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/IngressAdmission.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/IngressAdmission.java
@@ -1,6 +1,8 @@
 package io.daisyhoist.mesh.request;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
@@ -33,7 +35,7 @@
     private final KindNumbers kindNumbers = new KindNumbers();
     private final WorkEstimator routeEstimator;
     private final WorkEstimator serviceEstimator;
-    private final DeadlineRefusal deadlineRefusal = new DeadlineRefusal();
+    private final Map<ServiceName, DeadlineRefusal> refusalByService = new HashMap<>();
     private final RetryAfterSpread spread;
 
     /** Creates an admission that knows no run times. */
@@ -77,7 +79,8 @@
                 request.deadline().atNanos(),
                 routeEstimator.estimate(route));
         long meanWorkNanos = serviceEstimator.estimate(service.name()).plannedNanos();
-        return deadlineRefusal
+        return refusalByService
+                .computeIfAbsent(service, any -> new DeadlineRefusal())
                 .timeUntilRoom(cost, utilization, meanWorkNanos, time.monotonicNanos())
                 .map(spread::spread);
     }
