--- a/core/src/main/java/io/daisyhoist/core/quota/CustomerLoans.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/CustomerLoans.java
@@ -83,7 +83,7 @@
         demand.record(time.monotonicNanos());
     }
 
-    /** Takes one request from the loan that lapses first. */
+    /** Takes one request from the oldest loan that has one left. */
     Optional<QuotaPermit> take() {
         removeLapsed();
         Iterator<BorrowedLoan> iterator = loans.iterator();
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaGate.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaGate.java
@@ -148,10 +148,15 @@
     public List<QuotaAsk> nextAsks() {
         Map<DaemonId, List<CustomerLoans>> inNeedByLender = new LinkedHashMap<>();
         Map<CustomerName, Integer> indexes = new HashMap<>();
+        List<CustomerLoans> withoutLender = new ArrayList<>();
         for (CustomerName customer : List.copyOf(inNeed)) {
             CustomerLoans loans = customers.get(customer);
             if (loans != null && loans.needsLoan()) {
-                usableIndex(loans).ifPresent(index -> {
+                OptionalInt usable = usableIndex(loans);
+                if (usable.isEmpty()) {
+                    withoutLender.add(loans);
+                }
+                usable.ifPresent(index -> {
                     indexes.put(customer, index);
                     seats.get()
                             .holder(QuotaSeats.seatOf(customer, index))
@@ -162,6 +167,8 @@
             }
         }
         inNeed.clear();
+        // Their lender has failed since they asked; requests that wait are refused now.
+        withoutLender.forEach(this::serve);
         for (DaemonId lender : returns.overdueLenders()) {
             inNeedByLender.computeIfAbsent(lender, any -> new ArrayList<>());
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
@@ -53,6 +53,8 @@
     private final QuotaLender lender;
     private final SeatClaims claims;
     private Set<DaemonId> seatedMembers = Set.of();
+    private CustomerTable checkedCustomers = CustomerTable.EMPTY;
+    private boolean quotasConfigured;
     private QuotaSeats seats = QuotaSeats.EMPTY;
 
     /**
@@ -114,7 +116,7 @@
 
     /** Does the periodic work; to be called every {@link #TICK_MILLIS}. */
     public void tick() {
-        if (customers().isEmpty() && gate.activeCustomers() == 0) {
+        if (!hasQuotas() && gate.activeCustomers() == 0) {
             return;
         }
         lender.refresh();
@@ -206,6 +208,16 @@
         return fleet.get().config().map(FleetConfig::customers).orElse(CustomerTable.EMPTY);
     }
 
+    private boolean hasQuotas() {
+        CustomerTable current = customers();
+        if (current != checkedCustomers) {
+            checkedCustomers = current;
+            quotasConfigured = current.customers().stream()
+                    .anyMatch(customer -> customer.quota().isPresent());
+        }
+        return quotasConfigured;
+    }
+
     private Optional<QuotaPlan> plan(CustomerName customer) {
         return customers().find(customer).flatMap(Customer::quota).map(quota -> QuotaPlan.of(quota, bounds));
     }
