Keep streamed uploads out of the run times of a route, and reserve memory only for streamed bodies

Found by reading: the time of an upload entered the expected work, and a budget in use beyond its size refused requests that need no memory.

--- a/daemon/src/test/java/io/daisyhoist/daemon/connection/HttpPlatformStoreTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/connection/HttpPlatformStoreTest.java
@@ -279,7 +279,8 @@
         /** Guards against reusing a connection on which a rejected response has ended before it was checked. */
         @Test
         void read_rejectedOnAnotherEventLoop_closesTheConnection() throws Exception {
-            // If the pool gets the connection back only after the first read has completed, the second one opens its own.
+            // If the pool gets the connection back only after the first read has completed, the second one opens its
+            // own.
             boolean shared = false;
             for (int attempt = 0; attempt < MAX_ATTEMPTS_TO_SHARE && !shared; attempt++) {
                 shared = rejectOnAnotherEventLoop();
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -152,11 +152,12 @@
             return;
         }
         BackendRequestData request = decoded.get();
-        Optional<MemoryBudget.Reservation> reservation = memory.tryReserve(
-                MemoryUse.PEER_MESSAGE,
-                rest.isPresent()
-                        ? BodyLimits.streamedBytes(request.body().first().length())
-                        : 0);
+        // A body that is held whole has been read already and takes no further memory.
+        Optional<MemoryBudget.Reservation> reservation = rest.isPresent()
+                ? memory.tryReserve(
+                        MemoryUse.PEER_MESSAGE,
+                        BodyLimits.streamedBytes(request.body().first().length()))
+                : Optional.of(memory.open(MemoryUse.PEER_MESSAGE));
         if (reservation.isEmpty()) {
             logDropped(request.id(), "no_memory");
             refuse(reply, BackendOutcome.NotRunReason.OVERLOADED, NO_MEMORY_RETRY_AFTER);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/RequestDispatch.java
@@ -233,7 +233,6 @@
         mayHaveRun = true;
         if (answered.status() < SERVER_ERROR) {
             onLatency(daemon, latency);
-            ingress.onResponse(request, service, latency);
             finish(toResponse(answered));
             return;
         }
@@ -247,6 +246,7 @@
     private void onLatency(DaemonId daemon, Duration latency) {
         if (!request.body().isStreamed()) {
             context.loadBalancer().onResponse(daemon, request.route().name(), latency);
+            ingress.onResponse(request, service, latency);
         }
     }
 
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/RequestDispatchTest.java
@@ -342,6 +342,7 @@
         /** Guards against sending a request to full backend servers that cannot serve it before its deadline. */
         @Test
         void start_allFullBeyondDeadline_isRefusedBeforeItIsSent() {
+            roomIsKnown = false;
             for (int i = 1; i <= backends; i++) {
                 loadBalancer.onReport(member(i).daemon(), new LoadBalancer.Report(30, 6, 1));
             }
