Expect the next of several slots when the first of its requests ends

The wait for a slot was taken for half of the mean run time, whatever the number of slots; with six slots busy, one ends after about a twelfth. offer_shortDeadlineAndManySlots_waitsForTheNextSlot failed on the old estimate.

--- a/core/src/main/java/io/daisyhoist/core/admission/CostAdmission.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/CostAdmission.java
@@ -21,10 +21,10 @@
  * it. Confined to one thread.
  */
 public final class CostAdmission {
-    /** On average, a request in flight has half of its run time left. */
     private static final int RESIDUAL_DIVISOR = 2;
 
     private final TimeSource time;
+
     private final AdmissionOrder order;
     private final KindShares shares;
     private final List<CostRequest> waiting = new ArrayList<>();
@@ -171,8 +171,11 @@
         return inFlight.size() < slots;
     }
 
+    /** On average, a request in flight has half of its run time left, and one of n requests ends after an n-th of that. */
     private Duration expectedWait(long workAheadNanos) {
-        return Duration.ofNanos((workAheadNanos + inFlightWorkNanos / RESIDUAL_DIVISOR) / Math.max(1, slots));
+        long running = inFlight.size();
+        long untilFreeSlotNanos = running == 0 ? 0 : inFlightWorkNanos / running / (RESIDUAL_DIVISOR * running);
+        return Duration.ofNanos(untilFreeSlotNanos + workAheadNanos / Math.max(1, slots));
     }
 
     private int lastIndex(long now) {
--- a/core/src/test/java/io/daisyhoist/core/admission/CostAdmissionTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/CostAdmissionTest.java
@@ -121,6 +121,18 @@
             assertEquals(Duration.ofMillis(1_900), refused.retryAfter());
         }
 
+        /** Guards against refusing a short call that gets the next of several slots long before its deadline. */
+        @Test
+        void offer_shortDeadlineAndManySlots_waitsForTheNextSlot() {
+            admission.setLimits(6, 24);
+            for (int i = 0; i < 6; i++) {
+                start(cost(2, 400));
+            }
+            long deadlineNanos = time.monotonicNanos() + Duration.ofMillis(150).toNanos();
+            WorkEstimate work = new WorkEstimate(Duration.ofMillis(15).toNanos(), 0);
+            enqueue(new RequestCost(1, 1, false, deadlineNanos, deadlineNanos, work));
+        }
+
         /** Guards against a waiting request that is overtaken until no time is left for its caller to go elsewhere. */
         @Test
         void refuseNext_overtakenByUrgentWork_isRefusedBeforeItsDeadline() {
