--- a/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/RequestPathTraining.java
@@ -78,7 +78,7 @@
     private static final DaemonId SELF = new DaemonId(NAME + "-local");
     private static final DaemonId PEER = new DaemonId(NAME + "-peer");
     private static final BackendProcessId BACKEND = new BackendProcessId(NAME, 1);
-    private static final long MAX_MEMORY_BYTES = 1 << 20;
+    private static final long MAX_MEMORY_BYTES = 16 << 20;
     private static final int SLOTS = 2 * CONCURRENT_REQUESTS;
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final Buffer BODY = Buffer.buffer("x".repeat(512));
