--- a/core/src/main/java/io/daisyhoist/core/admission/CostAdmission.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/CostAdmission.java
@@ -82,7 +82,7 @@
         }
         Duration wait = expectedWait(workAheadNanos);
         if (wait.toNanos() > usefulWaitNanos) {
-            return new Refused(request, Reason.HOPELESS, wait);
+            return new Refused(request, Reason.DEADLINE_UNREACHABLE, wait);
         }
         return enqueue(request, wait, now);
     }
@@ -142,7 +142,7 @@
         if (wait.toNanos() <= request.latestStartNanos() - now) {
             return Optional.empty();
         }
-        return Optional.of(new Refused(waiting.remove(last), Reason.HOPELESS, wait));
+        return Optional.of(new Refused(waiting.remove(last), Reason.DEADLINE_UNREACHABLE, wait));
     }
 
     /** Removes a waiting request whose caller no longer needs it. */
--- a/core/src/main/java/io/daisyhoist/core/admission/CostDecision.java
+++ b/core/src/main/java/io/daisyhoist/core/admission/CostDecision.java
@@ -32,7 +32,7 @@
     /** Why a request was refused. */
     enum Reason {
         /** Its expected wait leaves no time to run before its deadline. */
-        HOPELESS,
+        DEADLINE_UNREACHABLE,
         /** Its time to wait is over. */
         EXPIRED,
         /** The queue is full of requests that are to be served before it. */
--- a/core/src/main/java/io/daisyhoist/core/memory/MemoryBudget.java
+++ b/core/src/main/java/io/daisyhoist/core/memory/MemoryBudget.java
@@ -6,7 +6,7 @@
  * Bounds the bytes that a daemon holds for requests and responses.
  *
  * <p>Invariants: reservations that can be refused never bring the total above the budget; large ones leave
- * {@link #SMALL_SHARE} of it to small ones, so that a few clients with large requests don't take what many with small requests
+ * a quarter of it to small ones, so that a few clients with large requests don't take what many with small requests
  * need. Confined to one event loop.
  */
 public final class MemoryBudget {
--- a/core/src/main/java/io/daisyhoist/core/quota/CustomerLoans.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/CustomerLoans.java
@@ -29,7 +29,7 @@
     private final Deque<BorrowedLoan> loans = new ArrayDeque<>();
     private final Deque<Waiter> waiters = new ArrayDeque<>();
     private QuotaPlan plan;
-    private long[] seatRetryNanos;
+    private long[] shardRetryNanos;
     private Duration horizon = QuotaLender.SHORT_LOAN;
     private long validFromNumber;
     private Optional<Long> askNumber = Optional.empty();
@@ -44,14 +44,14 @@
         this.time = time;
         this.returns = returns;
         this.plan = plan;
-        this.firstIndex = QuotaSeats.firstIndex(customer, self, plan.seats());
+        this.firstIndex = QuotaShards.firstIndex(customer, self, plan.shards());
         this.demand = new DemandRate(time.monotonicNanos());
-        resetSeats();
+        resetShards();
     }
 
-    private void resetSeats() {
-        seatRetryNanos = new long[plan.seats()];
-        Arrays.fill(seatRetryNanos, time.monotonicNanos());
+    private void resetShards() {
+        shardRetryNanos = new long[plan.shards()];
+        Arrays.fill(shardRetryNanos, time.monotonicNanos());
     }
 
     /**
@@ -63,12 +63,12 @@
         if (next.equals(plan)) {
             return;
         }
-        if (next.seatAllowance() < plan.seatAllowance() || next.seats() < plan.seats()) {
+        if (next.shardAllowance() < plan.shardAllowance() || next.shards() < plan.shards()) {
             loans.clear();
             validFromNumber = nextNumber;
         }
         plan = next;
-        resetSeats();
+        resetShards();
     }
 
     CustomerName customer() {
@@ -152,27 +152,27 @@
         return (int) (rate * horizon.toNanos() / 1e9);
     }
 
-    /** Returns the seat of the customer to ask next; empty if there is none at present. */
-    OptionalInt nextIndex(IntPredicate usableSeat) {
+    /** Returns the shard of the customer to ask next; empty if there is none at present. */
+    OptionalInt nextIndex(IntPredicate usableShard) {
         long now = time.monotonicNanos();
-        for (int offset = 0; offset < plan.seats(); offset++) {
-            int index = (firstIndex + offset) % plan.seats();
-            if (seatRetryNanos[index] - now <= 0 && usableSeat.test(QuotaSeats.seatOf(customer, index))) {
+        for (int offset = 0; offset < plan.shards(); offset++) {
+            int index = (firstIndex + offset) % plan.shards();
+            if (shardRetryNanos[index] - now <= 0 && usableShard.test(QuotaShards.shardOf(customer, index))) {
                 return OptionalInt.of(index);
             }
         }
         return OptionalInt.empty();
     }
 
-    /** Does not ask a seat for the given time. */
+    /** Does not ask a shard for the given time. */
     void onRefused(int index, Duration moreAfter) {
         lenderRefused = true;
         postpone(index, moreAfter);
     }
 
     void postpone(int index, Duration delay) {
-        if (index < seatRetryNanos.length) {
-            seatRetryNanos[index] = time.monotonicNanos() + delay.toNanos();
+        if (index < shardRetryNanos.length) {
+            shardRetryNanos[index] = time.monotonicNanos() + delay.toNanos();
         }
     }
 
@@ -204,11 +204,11 @@
         return lenderRefused;
     }
 
-    /** Returns the time until the next seat can be asked. */
-    Duration timeUntilSeat() {
+    /** Returns the time until the next shard can be asked. */
+    Duration timeUntilShard() {
         long now = time.monotonicNanos();
         long shortest = Long.MAX_VALUE;
-        for (long retryNanos : seatRetryNanos) {
+        for (long retryNanos : shardRetryNanos) {
             shortest = Math.min(shortest, Math.max(0, retryNanos - now));
         }
         return Duration.ofNanos(shortest);
@@ -219,7 +219,7 @@
         return waiters.isEmpty()
                 && askNumber.isEmpty()
                 && available() == 0
-                && timeUntilSeat().isZero()
+                && timeUntilShard().isZero()
                 && expected(demand.perSecond(time.monotonicNanos())) == 0;
     }
 }
--- a/core/src/main/java/io/daisyhoist/core/quota/LoanLedger.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/LoanLedger.java
@@ -55,7 +55,7 @@
     LoanLedger(Duration window, QuotaPlan plan, long nowNanos) {
         this.windowNanos = window.toNanos();
         this.refusals = new DemandRate(nowNanos);
-        this.scaledAllowance = plan.seatAllowance();
+        this.scaledAllowance = plan.shardAllowance();
         this.paceLevel = Double.MAX_VALUE;
         this.pacedAtNanos = nowNanos;
     }
@@ -65,12 +65,12 @@
      * counts. What was used before and what is lent from now on stays within the larger allowance.
      */
     void onPlan(QuotaPlan plan) {
-        double ratio = plan.seatAllowance() / scaledAllowance;
+        double ratio = plan.shardAllowance() / scaledAllowance;
         if (ratio < 1) {
             loans.forEach(loan -> loan.requests *= ratio);
             lent *= ratio;
         }
-        scaledAllowance = plan.seatAllowance();
+        scaledAllowance = plan.shardAllowance();
     }
 
     /** Returns whether nothing that was lent counts any more. */
@@ -174,11 +174,11 @@
      * @param burst requests that are lent at once
      */
     record Pace(double allowance, double perSecond, double burst) {
-        /** Returns the limits of a lender whose seats of the customer allow the given number of requests. */
+        /** Returns the limits of a lender whose shards of the customer allow the given number of requests. */
         static Pace of(QuotaPlan plan, double allowance) {
-            double share = allowance / plan.seatAllowance();
-            double burst = Math.max(Math.min(UNDIVIDED_ROOM, allowance), plan.seatBurst() * share);
-            return new Pace(allowance, plan.seatRatePerSecond() * share, burst);
+            double share = allowance / plan.shardAllowance();
+            double burst = Math.max(Math.min(UNDIVIDED_ROOM, allowance), plan.shardBurst() * share);
+            return new Pace(allowance, plan.shardRatePerSecond() * share, burst);
         }
     }
 }
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaGate.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaAdmission.java
@@ -31,7 +31,7 @@
  * once if this daemon has a loan or knows that the lenders have none; otherwise it waits for a reply. Callbacks may run within
  * any method. Memory is bounded by the number of configured customers. Confined to one thread.
  */
-public final class QuotaGate {
+public final class QuotaAdmission {
     /** Longest time for which a request waits for a loan. */
     public static final Duration MAX_WAIT = Duration.ofMillis(600);
 
@@ -47,7 +47,7 @@
     private final DaemonId self;
     private final TimeSource time;
     private final RandomGenerator random;
-    private final Supplier<QuotaSeats> seats;
+    private final Supplier<QuotaShards> shards;
     private final Function<CustomerName, Optional<QuotaPlan>> plans;
     private final PendingReturns returns;
     private final Map<CustomerName, CustomerLoans> customers = new LinkedHashMap<>();
@@ -56,28 +56,28 @@
     private final Set<CustomerName> inNeed = new HashSet<>();
     private long lastNumber;
 
-    /** A message without a reply so far, with the seat that was asked for each customer. */
+    /** A message without a reply so far, with the shard that was asked for each customer. */
     private record Asked(QuotaAsk ask, ElapsedTimer sentAt, Map<CustomerName, Integer> indexes) {}
 
     /**
-     * Creates a gate without loans.
+     * Creates an admission without loans.
      *
      * @param window sliding window in which the requests of a customer are counted
      * @param random spreads the return of refused clients
-     * @param seats holders of the seats according to the members that this daemon knows
+     * @param shards holders of the shards according to the members that this daemon knows
      * @param plans division of the quota of a customer; empty for customers without a quota
      */
-    public QuotaGate(
+    public QuotaAdmission(
             DaemonId self,
             TimeSource time,
             Duration window,
             RandomGenerator random,
-            Supplier<QuotaSeats> seats,
+            Supplier<QuotaShards> shards,
             Function<CustomerName, Optional<QuotaPlan>> plans) {
         this.self = self;
         this.time = time;
         this.random = random;
-        this.seats = seats;
+        this.shards = shards;
         this.plans = plans;
         this.returns = new PendingReturns(time, window);
     }
@@ -127,16 +127,16 @@
     }
 
     private Refused refusal(CustomerLoans loans) {
-        Duration untilSeat = loans.timeUntilSeat();
-        Duration base = untilSeat.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : untilSeat;
+        Duration untilShard = loans.timeUntilShard();
+        Duration base = untilShard.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : untilShard;
         Duration spread = Duration.ofNanos((long) (base.toNanos() * random.nextDouble()));
         return new Refused(loans.hasLenderRefused() ? Reason.OVER_QUOTA : Reason.NO_LENDER, base.plus(spread));
     }
 
     private OptionalInt usableIndex(CustomerLoans loans) {
-        QuotaSeats current = seats.get();
+        QuotaShards current = shards.get();
         return loans.nextIndex(
-                seat -> current.holder(seat).filter(this::isUsable).isPresent());
+                shard -> current.holder(shard).filter(this::isUsable).isPresent());
     }
 
     private boolean isUsable(DaemonId lender) {
@@ -158,8 +158,8 @@
                 }
                 usable.ifPresent(index -> {
                     indexes.put(customer, index);
-                    seats.get()
-                            .holder(QuotaSeats.seatOf(customer, index))
+                    shards.get()
+                            .holder(QuotaShards.shardOf(customer, index))
                             .ifPresent(lender -> inNeedByLender
                                     .computeIfAbsent(lender, any -> new ArrayList<>())
                                     .add(loans));
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaAsk.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaAsk.java
@@ -7,7 +7,7 @@
 /**
  * Message to a lender with the demand for several customers. Immutable.
  *
- * @param lender daemon that holds seats of the customers
+ * @param lender daemon that holds shards of the customers
  * @param number number of the message, unique in this process
  * @param demands demands, at most one for each customer
  */
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaLender.java
@@ -17,9 +17,9 @@
 import io.daisyhoist.core.time.TimeSource;
 
 /**
- * Lends quota of the customers whose seats this daemon holds.
+ * Lends quota of the customers whose shards this daemon holds.
  *
- * <p>Invariant: for each customer, the loans that count in any window are at most the allowance of the seats that this
+ * <p>Invariant: for each customer, the loans that count in any window are at most the allowance of the shards that this
  * daemon holds, whoever asks. Memory is bounded by the number of configured customers. Confined to one thread.
  */
 public final class QuotaLender {
@@ -38,8 +38,8 @@
 
     private final TimeSource time;
     private final Duration window;
-    private final SeatTenure tenure;
-    private final Supplier<QuotaSeats> seats;
+    private final ShardOwnership tenure;
+    private final Supplier<QuotaShards> shards;
     private final BooleanSupplier registered;
     private final Function<CustomerName, Optional<QuotaPlan>> plans;
     private final Map<CustomerName, LoanLedger> ledgers = new HashMap<>();
@@ -48,8 +48,8 @@
      * Creates a lender that has lent nothing.
      *
      * @param window sliding window in which the requests of a customer are counted
-     * @param tenure seats of this daemon; used by this lender only
-     * @param seats holders of the seats according to the members that this daemon knows
+     * @param tenure shards of this daemon; used by this lender only
+     * @param shards holders of the shards according to the members that this daemon knows
      * @param registered whether no other daemon may have taken this one for lost; asked before each loan, because the
      *     process may have been suspended
      * @param plans division of the quota of a customer; empty for customers without a quota
@@ -57,21 +57,21 @@
     public QuotaLender(
             TimeSource time,
             Duration window,
-            SeatTenure tenure,
-            Supplier<QuotaSeats> seats,
+            ShardOwnership tenure,
+            Supplier<QuotaShards> shards,
             BooleanSupplier registered,
             Function<CustomerName, Optional<QuotaPlan>> plans) {
         this.time = time;
         this.window = window;
         this.tenure = tenure;
-        this.seats = seats;
+        this.shards = shards;
         this.registered = registered;
         this.plans = plans;
     }
 
-    /** Updates the seats, and forgets customers of which nothing that was lent counts any more. */
+    /** Updates the shards, and forgets customers of which nothing that was lent counts any more. */
     public void refresh() {
-        tenure.update(seats.get(), registered.getAsBoolean());
+        tenure.update(shards.get(), registered.getAsBoolean());
         long now = time.monotonicNanos();
         ledgers.values().removeIf(ledger -> ledger.isEmpty(now));
     }
@@ -82,7 +82,7 @@
      * @param number number of the message, by which the borrower may return a part of the loan later
      */
     public QuotaPart lend(ProcessId borrower, long number, QuotaDemand demand) {
-        tenure.update(seats.get(), registered.getAsBoolean());
+        tenure.update(shards.get(), registered.getAsBoolean());
         CustomerName customer = demand.customer();
         Optional<QuotaPlan> plan = plans.apply(customer);
         if (plan.isEmpty()) {
@@ -117,23 +117,23 @@
     }
 
     /**
-     * Returns whether certainly no loans of this daemon from a seat count.
+     * Returns whether certainly no loans of this daemon from a shard count.
      *
-     * @param holder daemon that has become the holder of the seat
+     * @param holder daemon that has become the holder of the shard
      * @param runnerUp daemon that would hold it otherwise, according to the holder
      */
-    public boolean isUnused(int seat, DaemonId holder, DaemonId runnerUp) {
-        if (seat < 0 || seat >= QuotaSeats.SEATS) {
+    public boolean isUnused(int shard, DaemonId holder, DaemonId runnerUp) {
+        if (shard < 0 || shard >= QuotaShards.SHARDS) {
             return false;
         }
-        tenure.update(seats.get(), registered.getAsBoolean());
+        tenure.update(shards.get(), registered.getAsBoolean());
         long now = time.monotonicNanos();
         boolean lent = ledgers.entrySet().stream()
                 .filter(entry -> !entry.getValue().isEmpty(now))
                 .anyMatch(entry -> plans.apply(entry.getKey())
-                        .filter(plan -> !QuotaSeats.isSeatOf(entry.getKey(), plan.seats(), seat))
+                        .filter(plan -> !QuotaShards.isShardOf(entry.getKey(), plan.shards(), shard))
                         .isEmpty());
-        return tenure.isUnused(seat, holder, runnerUp, lent);
+        return tenure.isUnused(shard, holder, runnerUp, lent);
     }
 
     private static QuotaPart refusal(CustomerName customer, Duration moreAfter) {
--- a/core/src/main/java/io/daisyhoist/core/quota/QuotaPermit.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/QuotaPermit.java
@@ -1,6 +1,6 @@
 package io.daisyhoist.core.quota;
 
-/** Quota that one request has taken. Confined to the thread of its gate. */
+/** Quota that one request has taken. Confined to the thread of its admission. */
 public final class QuotaPermit {
     /** Permit of a request whose customer has no quota. */
     public static final QuotaPermit UNLIMITED = new QuotaPermit(() -> {});
--- a/core/src/main/java/io/daisyhoist/core/quota/SeatClaims.java
+++ b/core/src/main/java/io/daisyhoist/core/quota/ShardTakeoverCheck.java
@@ -13,62 +13,62 @@
 import io.daisyhoist.core.time.TimeSource;
 
 /**
- * Asks the daemons that may have held a seat before whether loans from it still count; if not, the seat need not stay
+ * Asks the daemons that may have held a shard before whether loans from it still count; if not, the shard need not stay
  * restricted. Without this, no customer would have its whole quota while a fleet starts and after an outage of the store.
  *
  * <p>Invariant: a restriction ends early only if all daemons asked have replied, none of them has loans that count, and they
- * agree on which daemon would hold the seat otherwise. The daemons that held a seat before its holder joined are those that
- * come next in the order of that seat. Confined to one thread.
+ * agree on which daemon would hold the shard otherwise. The daemons that held a shard before its holder joined are those that
+ * come next in the order of that shard. Confined to one thread.
  */
-public final class SeatClaims {
-    /** Number of daemons asked about each seat. */
+public final class ShardTakeoverCheck {
+    /** Number of daemons asked about each shard. */
     private static final int ASKED_DAEMONS = 8;
 
     private static final long RETRY_NANOS = Duration.ofMillis(500).toNanos();
 
     private final DaemonId self;
     private final TimeSource time;
-    private final SeatTenure tenure;
+    private final ShardOwnership tenure;
     private final Map<Integer, Round> rounds = new HashMap<>();
 
     /**
      * Question to one daemon. Immutable.
      *
      * @param daemon the daemon
-     * @param runnersUp seats that the sender holds, with the daemon that would hold each of them otherwise
+     * @param nextOwners shards that the sender holds, with the daemon that would hold each of them otherwise
      */
-    public record Claim(DaemonId daemon, Map<Integer, DaemonId> runnersUp) {
+    public record Claim(DaemonId daemon, Map<Integer, DaemonId> nextOwners) {
         public Claim {
-            runnersUp = Map.copyOf(runnersUp);
+            nextOwners = Map.copyOf(nextOwners);
         }
     }
 
-    private record Round(QuotaSeats seats, long startedNanos, Set<DaemonId> unanswered) {}
+    private record Round(QuotaShards shards, long startedNanos, Set<DaemonId> unanswered) {}
 
     /** Creates the claims of a daemon. */
-    public SeatClaims(DaemonId self, TimeSource time, SeatTenure tenure) {
+    public ShardTakeoverCheck(DaemonId self, TimeSource time, ShardOwnership tenure) {
         this.self = self;
         this.time = time;
         this.tenure = tenure;
     }
 
     /** Returns the questions to send now. */
-    public List<Claim> next(QuotaSeats seats) {
+    public List<Claim> next(QuotaShards shards) {
         long now = time.monotonicNanos();
-        Set<Integer> claimable = new HashSet<>(tenure.claimableSeats());
+        Set<Integer> claimable = new HashSet<>(tenure.claimableShards());
         rounds.keySet().retainAll(claimable);
         Map<DaemonId, Map<Integer, DaemonId>> questions = new LinkedHashMap<>();
-        for (int seat : claimable) {
-            Round known = rounds.get(seat);
-            if (known != null && known.seats() == seats && now - known.startedNanos() < RETRY_NANOS) {
+        for (int shard : claimable) {
+            Round known = rounds.get(shard);
+            if (known != null && known.shards() == shards && now - known.startedNanos() < RETRY_NANOS) {
                 continue;
             }
-            List<DaemonId> others = seats.runnersUp(seat, self, ASKED_DAEMONS);
-            rounds.put(seat, new Round(seats, now, new HashSet<>(others)));
+            List<DaemonId> others = shards.nextOwners(shard, self, ASKED_DAEMONS);
+            rounds.put(shard, new Round(shards, now, new HashSet<>(others)));
             others.forEach(daemon ->
-                    questions.computeIfAbsent(daemon, any -> new HashMap<>()).put(seat, others.get(0)));
+                    questions.computeIfAbsent(daemon, any -> new HashMap<>()).put(shard, others.get(0)));
             if (others.isEmpty()) {
-                tenure.endRestriction(seat);
+                tenure.endRestriction(shard);
             }
         }
         List<Claim> claims = new ArrayList<>();
@@ -76,15 +76,15 @@
         return claims;
     }
 
-    /** Handles that certainly no loans of a daemon from a seat count. */
-    public void onUnused(DaemonId daemon, int seat) {
-        Round round = rounds.get(seat);
+    /** Handles that certainly no loans of a daemon from a shard count. */
+    public void onUnused(DaemonId daemon, int shard) {
+        Round round = rounds.get(shard);
         if (round == null) {
             return;
         }
         boolean last = round.unanswered().remove(daemon) && round.unanswered().isEmpty();
         if (last) {
-            tenure.endRestriction(seat);
+            tenure.endRestriction(shard);
         }
     }
 }
--- a/core/src/main/java/io/daisyhoist/core/routing/CompletionRate.java
+++ b/core/src/main/java/io/daisyhoist/core/routing/CompletionRate.java
@@ -11,7 +11,7 @@
  * lose weight exponentially; an idle backend server keeps its last figures. Confined to one thread.
  */
 public final class CompletionRate {
-    /** With 2 s, a server that became slow was still overloaded 3 s later. */
+    /** Short, so that requests move away within about a second from a server that becomes slow. */
     private static final double TIME_CONSTANT_S = 1;
 
     /** Total weight below which the figures are unknown. */
--- a/core/src/test/java/io/daisyhoist/core/admission/CostAdmissionTest.java
+++ b/core/src/test/java/io/daisyhoist/core/admission/CostAdmissionTest.java
@@ -117,7 +117,7 @@
             start(cost(1, 2_000));
             enqueue(cost(1, 900));
             Refused refused = refuse(cost(1, 950));
-            assertEquals(Reason.HOPELESS, refused.reason());
+            assertEquals(Reason.DEADLINE_UNREACHABLE, refused.reason());
             assertEquals(Duration.ofMillis(1_900), refused.retryAfter());
         }
 
@@ -140,7 +140,8 @@
             CostRequest waiting = enqueue(cost(2, 1_000));
             enqueue(cost(0, 600));
             assertEquals(
-                    Optional.empty(), admission.refuseNext().filter(refused -> refused.reason() != Reason.HOPELESS));
+                    Optional.empty(),
+                    admission.refuseNext().filter(refused -> refused.reason() != Reason.DEADLINE_UNREACHABLE));
             enqueue(cost(0, 600));
             assertSame(waiting, admission.refuseNext().orElseThrow().request());
         }
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaGateTest.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaAdmissionTest.java
@@ -17,21 +17,21 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-class QuotaGateTest {
+class QuotaAdmissionTest {
     private static final CustomerName CUSTOMER = new CustomerName("c");
     private static final Duration WINDOW = Duration.ofSeconds(5);
     private static final int LENT = 10;
 
     private final ManualTimeSource time = new ManualTimeSource();
-    private final QuotaSeats seats = new QuotaSeats(List.of(new DaemonId("lender")));
+    private final QuotaShards shards = new QuotaShards(List.of(new DaemonId("lender")));
     private final List<QuotaDecision> decisions = new ArrayList<>();
     private QuotaPlan plan = plan(100);
-    private final QuotaGate gate = new QuotaGate(
+    private final QuotaAdmission gate = new QuotaAdmission(
             new DaemonId("borrower"),
             time,
             WINDOW,
             new SplittableRandom(1),
-            () -> seats,
+            () -> shards,
             customer -> Optional.of(plan));
 
     private static QuotaPlan plan(double perSecond) {
@@ -78,12 +78,12 @@
     @Test
     void lend_quotaLowered_earlierLoansCountInProportion() {
         LoanLedger ledger = new LoanLedger(WINDOW, plan, time.monotonicNanos());
-        int half = (int) (plan.seatAllowance() / 2);
+        int half = (int) (plan.shardAllowance() / 2);
         ledger.lend(new ProcessId(new DaemonId("borrower"), 1), 1, half, Duration.ofSeconds(1), time.monotonicNanos());
         QuotaPlan lowered = plan(50);
         ledger.onPlan(lowered);
-        double share = ledger.lent(time.monotonicNanos()) / lowered.seatAllowance();
-        assertEquals(half / plan.seatAllowance(), share, 0.01);
+        double share = ledger.lent(time.monotonicNanos()) / lowered.shardAllowance();
+        assertEquals(half / plan.shardAllowance(), share, 0.01);
         assertTrue(share > 0.4);
     }
 }
--- a/core/src/test/java/io/daisyhoist/core/quota/QuotaSimulation.java
+++ b/core/src/test/java/io/daisyhoist/core/quota/QuotaSimulation.java
@@ -198,13 +198,13 @@
         boolean cutFromStore;
         boolean cutFromPeers;
         final Map<CustomerName, QuotaPlan> plans = new HashMap<>();
-        QuotaGate gate;
+        QuotaAdmission gate;
         QuotaLender lender;
-        private SeatClaims claims;
+        private ShardTakeoverCheck claims;
         private boolean first;
         private final Map<DaemonId, Long> absentSince = new HashMap<>();
         private final Set<DaemonId> members = new HashSet<>();
-        private QuotaSeats seats = QuotaSeats.EMPTY;
+        private QuotaShards shards = QuotaShards.EMPTY;
         private Optional<ElapsedTimer> confirmed = Optional.empty();
         private int generation;
         private long suspendedUntil;
@@ -233,23 +233,23 @@
             members.clear();
             absentSince.clear();
             confirmed = Optional.empty();
-            seats = QuotaSeats.EMPTY;
+            shards = QuotaShards.EMPTY;
             Duration window = BOUNDS.quotaWindow();
-            SeatTenure tenure = new SeatTenure(id, this, window, () -> first);
-            claims = new SeatClaims(id, this, tenure);
+            ShardOwnership tenure = new ShardOwnership(id, this, window, () -> first);
+            claims = new ShardTakeoverCheck(id, this, tenure);
             lender = new QuotaLender(
                     this,
                     window,
                     tenure,
-                    () -> seats,
+                    () -> shards,
                     this::isRegistered,
                     customer -> Optional.ofNullable(plans.get(customer)));
-            gate = new QuotaGate(
+            gate = new QuotaAdmission(
                     id,
                     this,
                     window,
                     random.split(),
-                    () -> seats,
+                    () -> shards,
                     customer -> Optional.ofNullable(plans.get(customer)));
             later(0, this::tick);
             later(0, this::renew);
@@ -330,7 +330,7 @@
             members.removeIf(member ->
                     absentSince.containsKey(member) && monotonicNanos() - absentSince.get(member) > MEMBER_EXPIRY);
             if (!before.equals(members)) {
-                seats = new QuotaSeats(members);
+                shards = new QuotaShards(members);
             }
         }
 
@@ -352,17 +352,17 @@
 
         private void sendClaims() {
             int process = generation;
-            for (SeatClaims.Claim claim : claims.next(seats)) {
+            for (ShardTakeoverCheck.Claim claim : claims.next(shards)) {
                 messages++;
                 Daemon target = daemon(claim.daemon());
                 deliver(target, () -> {
-                    List<Integer> unused = claim.runnersUp().entrySet().stream()
-                            .filter(seat -> target.lender.isUnused(seat.getKey(), id, seat.getValue()))
+                    List<Integer> unused = claim.nextOwners().entrySet().stream()
+                            .filter(shard -> target.lender.isUnused(shard.getKey(), id, shard.getValue()))
                             .map(Map.Entry::getKey)
                             .toList();
                     target.deliver(this, () -> {
                         if (process == generation) {
-                            unused.forEach(seat -> claims.onUnused(target.id, seat));
+                            unused.forEach(shard -> claims.onUnused(target.id, shard));
                         }
                     });
                 });
--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionHandler.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionHandler.java
@@ -43,7 +43,7 @@
 
     private static final long UNKNOWN_LENGTH = -1;
 
-    private final ClientGuard guard;
+    private final ClientConnectionLimiter guard;
     private final Channel channel;
     private final ConnectionState state;
     private final HeadScanner head = new HeadScanner();
@@ -72,7 +72,8 @@
     private boolean processing;
     private boolean processed;
 
-    ClientConnectionHandler(ClientGuard guard, Channel channel, ConnectionState state, MemoryBudget budget) {
+    ClientConnectionHandler(
+            ClientConnectionLimiter guard, Channel channel, ConnectionState state, MemoryBudget budget) {
         this.guard = guard;
         this.channel = channel;
         this.state = state;
--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientGuard.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionLimiter.java
@@ -34,14 +34,14 @@
  * <p>Invariants: a connection whose request may have reached a backend server is never closed for the memory or the connections
  * that others need; when memory does not suffice, reading pauses first. Confined to the traffic event loop.
  */
-public final class ClientGuard {
+public final class ClientConnectionLimiter {
     private static final AttributeKey<ClientConnectionHandler> HANDLER =
-            AttributeKey.valueOf(ClientGuard.class, "connection");
+            AttributeKey.valueOf(ClientConnectionLimiter.class, "connection");
 
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
     /** Requests that end in the meantime return their memory, so that nobody need be refused. */
-    private static final Duration MEMORY_PATIENCE = Duration.ofMillis(300);
+    private static final Duration MEMORY_WAIT_LIMIT = Duration.ofMillis(300);
 
     private static final Duration LOG_INTERVAL = Duration.ofSeconds(1);
 
@@ -70,7 +70,7 @@
      *
      * @param limits limits of the newest configuration
      */
-    public ClientGuard(
+    public ClientConnectionLimiter(
             Vertx vertx,
             TimeSource time,
             Supplier<ClientLimits> limits,
@@ -218,7 +218,7 @@
                 waitingSinceNanos = now;
             }
         }
-        if (!waiting.isEmpty() && now - waitingSinceNanos > MEMORY_PATIENCE.toNanos()) {
+        if (!waiting.isEmpty() && now - waitingSinceNanos > MEMORY_WAIT_LIMIT.toNanos()) {
             waitingSinceNanos = now;
             giveUpHeaviest(now);
         }
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetState.java
@@ -43,7 +43,7 @@
     static final String RANGE_PREFIX = "daisyhoist/ranges/";
 
     /** Time in which operators write again what the store has lost. */
-    private static final Duration LOST_EVACUATION_GRACE = Duration.ofSeconds(5);
+    private static final Duration LOST_OPERATOR_ITEM_GRACE = Duration.ofSeconds(5);
 
     private final TimeSource time;
     private final OperatorDocuments documents;
@@ -297,7 +297,7 @@
     /** Removes the members whose entry has been absent, and the operator items that have been lost, for too long. */
     void removeExpired() {
         lostOperatorKeys.entrySet().stream()
-                .filter(lost -> time.monotonicNanos() - lost.getValue() > LOST_EVACUATION_GRACE.toNanos())
+                .filter(lost -> time.monotonicNanos() - lost.getValue() > LOST_OPERATOR_ITEM_GRACE.toNanos())
                 .map(Map.Entry::getKey)
                 .toList()
                 .forEach(this::onOperatorDeleted);
--- a/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/FleetQuota.java
@@ -15,16 +15,16 @@
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ProcessId;
+import io.daisyhoist.core.quota.QuotaAdmission;
 import io.daisyhoist.core.quota.QuotaAsk;
 import io.daisyhoist.core.quota.QuotaDecision;
 import io.daisyhoist.core.quota.QuotaDemand;
-import io.daisyhoist.core.quota.QuotaGate;
 import io.daisyhoist.core.quota.QuotaLender;
 import io.daisyhoist.core.quota.QuotaPart;
 import io.daisyhoist.core.quota.QuotaPlan;
-import io.daisyhoist.core.quota.QuotaSeats;
-import io.daisyhoist.core.quota.SeatClaims;
-import io.daisyhoist.core.quota.SeatTenure;
+import io.daisyhoist.core.quota.QuotaShards;
+import io.daisyhoist.core.quota.ShardOwnership;
+import io.daisyhoist.core.quota.ShardTakeoverCheck;
 import io.daisyhoist.core.route.FleetConfig;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.mesh.version.FleetSnapshot;
@@ -34,9 +34,9 @@
 import io.vertx.core.Promise;
 
 /**
- * Quotas of customers at one daemon: connects its gate and its lender with those of other daemons.
+ * Quotas of customers at one daemon: connects its admission and its lender with those of other daemons.
  *
- * <p>Without customers that have a quota it sends nothing and computes no seats. Confined to the traffic event loop.
+ * <p>Without customers that have a quota it sends nothing and computes no shards. Confined to the traffic event loop.
  */
 public final class FleetQuota {
     /** Interval of {@link #tick} in milliseconds. */
@@ -49,13 +49,13 @@
     private final CustomerBounds bounds;
     private final QuotaTransport transport;
     private final QuotaReport report;
-    private final QuotaGate gate;
+    private final QuotaAdmission admission;
     private final QuotaLender lender;
-    private final SeatClaims claims;
-    private Set<DaemonId> seatedMembers = Set.of();
+    private final ShardTakeoverCheck claims;
+    private Set<DaemonId> shardedMembers = Set.of();
     private CustomerTable checkedCustomers = CustomerTable.EMPTY;
     private boolean quotasConfigured;
-    private QuotaSeats seats = QuotaSeats.EMPTY;
+    private QuotaShards shards = QuotaShards.EMPTY;
 
     /**
      * Creates a daemon's part in the quotas without loans.
@@ -74,11 +74,12 @@
         this.fleet = fleet;
         this.bounds = bounds;
         this.transport = io.transport();
-        SeatTenure tenure = new SeatTenure(self.daemon(), time, bounds.quotaWindow(), standing.firstProcess());
-        this.claims = new SeatClaims(self.daemon(), time, tenure);
-        this.gate = new QuotaGate(self.daemon(), time, bounds.quotaWindow(), random, this::seats, this::plan);
+        ShardOwnership tenure = new ShardOwnership(self.daemon(), time, bounds.quotaWindow(), standing.firstProcess());
+        this.claims = new ShardTakeoverCheck(self.daemon(), time, tenure);
+        this.admission =
+                new QuotaAdmission(self.daemon(), time, bounds.quotaWindow(), random, this::shards, this::plan);
         this.lender =
-                new QuotaLender(time, bounds.quotaWindow(), tenure, this::seats, standing.registered(), this::plan);
+                new QuotaLender(time, bounds.quotaWindow(), tenure, this::shards, standing.registered(), this::plan);
         this.report = new QuotaReport(io.metrics());
     }
 
@@ -101,7 +102,7 @@
     /** Decides about a request of a customer. */
     public Future<QuotaDecision> acquire(CustomerName customer) {
         Promise<QuotaDecision> result = Promise.promise();
-        gate.acquire(customer, decision -> {
+        admission.acquire(customer, decision -> {
             report.onDecision(customer, decision);
             result.complete(decision);
         });
@@ -116,16 +117,16 @@
 
     /** Does the periodic work; to be called every {@link #TICK_MILLIS}. */
     public void tick() {
-        if (!hasQuotas() && gate.activeCustomers() == 0) {
+        if (!hasQuotas() && admission.activeCustomers() == 0) {
             return;
         }
         lender.refresh();
-        gate.tick();
+        admission.tick();
         sendAsks();
-        claims.next(seats()).forEach(this::sendClaim);
+        claims.next(shards()).forEach(this::sendClaim);
     }
 
-    private void sendClaim(SeatClaims.Claim claim) {
+    private void sendClaim(ShardTakeoverCheck.Claim claim) {
         Optional<FleetMember> member = Optional.ofNullable(fleet.get().members().get(claim.daemon()));
         member.ifPresent(daemon -> transport
                 .call(daemon, QuotaCodec.encode(claim))
@@ -133,7 +134,7 @@
                         "event=quota_claim_failed peer=%s reason=\"%s\"", claim.daemon(), failure.getMessage()))
                 .onSuccess(reply -> reply.getQuotaLoan()
                         .getUnusedSeatsList()
-                        .forEach(seat -> claims.onUnused(claim.daemon(), seat))));
+                        .forEach(shard -> claims.onUnused(claim.daemon(), shard))));
     }
 
     /** Writes the lines and metrics of an interval; to be called every {@link QuotaReport#INTERVAL_MILLIS}. */
@@ -143,10 +144,10 @@
 
     private void sendAsks() {
         // A reply of the local lender may lead to a demand for another one at once.
-        for (List<QuotaAsk> asks = gate.nextAsks(); !asks.isEmpty(); asks = gate.nextAsks()) {
+        for (List<QuotaAsk> asks = admission.nextAsks(); !asks.isEmpty(); asks = admission.nextAsks()) {
             for (QuotaAsk ask : asks) {
                 if (ask.lender().equals(self.daemon())) {
-                    gate.onReply(ask.number(), lend(self, ask.number(), ask.demands()));
+                    admission.onReply(ask.number(), lend(self, ask.number(), ask.demands()));
                 } else {
                     send(ask);
                 }
@@ -157,7 +158,7 @@
     private void send(QuotaAsk ask) {
         Optional<FleetMember> member = Optional.ofNullable(fleet.get().members().get(ask.lender()));
         if (member.isEmpty()) {
-            gate.onFailure(ask.number());
+            admission.onFailure(ask.number());
             return;
         }
         transport.call(member.get(), QuotaCodec.encode(ask)).onComplete(done -> {
@@ -167,7 +168,7 @@
                 LOGGER.atInfo().log(
                         "event=quota_call_failed lender=%s reason=\"%s\"",
                         ask.lender(), done.cause().getMessage());
-                gate.onFailure(ask.number());
+                admission.onFailure(ask.number());
             }
             sendAsks();
         });
@@ -175,10 +176,10 @@
 
     private void onReply(QuotaAsk ask, Envelope reply) {
         try {
-            gate.onReply(ask.number(), QuotaCodec.decode(reply.getQuotaLoan()));
+            admission.onReply(ask.number(), QuotaCodec.decode(reply.getQuotaLoan()));
         } catch (IllegalArgumentException e) {
             LOGGER.atWarning().log("event=quota_loan_invalid lender=%s reason=\"%s\"", ask.lender(), e.getMessage());
-            gate.onFailure(ask.number());
+            admission.onFailure(ask.number());
         }
     }
 
@@ -187,11 +188,11 @@
         try {
             List<QuotaDemand> demands = QuotaCodec.decode(message);
             List<QuotaPart> parts = lend(from, message.getNumber(), demands);
-            List<Integer> unusedSeats = message.getClaimsList().stream()
+            List<Integer> unusedShards = message.getClaimsList().stream()
                     .filter(claim -> lender.isUnused(claim.getSeat(), from.daemon(), new DaemonId(claim.getRunnerUp())))
                     .map(QuotaRequest.Claim::getSeat)
                     .toList();
-            return Optional.of(QuotaCodec.encode(message.getNumber(), parts, unusedSeats));
+            return Optional.of(QuotaCodec.encode(message.getNumber(), parts, unusedShards));
         } catch (IllegalArgumentException e) {
             LOGGER.atWarning().log("event=quota_request_invalid peer=%s reason=\"%s\"", from, e.getMessage());
             return Optional.empty();
@@ -222,12 +223,12 @@
         return customers().find(customer).flatMap(Customer::quota).map(quota -> QuotaPlan.of(quota, bounds));
     }
 
-    private QuotaSeats seats() {
+    private QuotaShards shards() {
         Set<DaemonId> members = fleet.get().members().keySet();
-        if (members != seatedMembers && !members.equals(seatedMembers)) {
-            seats = new QuotaSeats(members);
+        if (members != shardedMembers && !members.equals(shardedMembers)) {
+            shards = new QuotaShards(members);
         }
-        seatedMembers = members;
-        return seats;
+        shardedMembers = members;
+        return shards;
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/quota/QuotaCodec.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/quota/QuotaCodec.java
@@ -8,7 +8,7 @@
 import io.daisyhoist.core.quota.QuotaAsk;
 import io.daisyhoist.core.quota.QuotaDemand;
 import io.daisyhoist.core.quota.QuotaPart;
-import io.daisyhoist.core.quota.SeatClaims;
+import io.daisyhoist.core.quota.ShardTakeoverCheck;
 import io.daisyhoist.wire.proto.Envelope;
 import io.daisyhoist.wire.proto.QuotaLoan;
 import io.daisyhoist.wire.proto.QuotaRequest;
@@ -36,11 +36,11 @@
         return Envelope.newBuilder().setQuotaRequest(message).build();
     }
 
-    static Envelope encode(SeatClaims.Claim claim) {
+    static Envelope encode(ShardTakeoverCheck.Claim claim) {
         QuotaRequest.Builder message = QuotaRequest.newBuilder();
-        claim.runnersUp()
-                .forEach((seat, runnerUp) -> message.addClaims(
-                        QuotaRequest.Claim.newBuilder().setSeat(seat).setRunnerUp(runnerUp.name())));
+        claim.nextOwners()
+                .forEach((shard, runnerUp) -> message.addClaims(
+                        QuotaRequest.Claim.newBuilder().setSeat(shard).setRunnerUp(runnerUp.name())));
         return Envelope.newBuilder().setQuotaRequest(message).build();
     }
 
@@ -64,9 +64,9 @@
     /**
      * Encodes the reply to a message.
      *
-     * @param unusedSeats claimed seats from which the sender has no loans that count
+     * @param unusedShards claimed shards from which the sender has no loans that count
      */
-    static Envelope encode(long number, List<QuotaPart> parts, List<Integer> unusedSeats) {
+    static Envelope encode(long number, List<QuotaPart> parts, List<Integer> unusedShards) {
         QuotaLoan.Builder message = QuotaLoan.newBuilder().setNumber(number);
         for (QuotaPart part : parts) {
             message.addParts(QuotaLoan.Part.newBuilder()
@@ -75,7 +75,7 @@
                     .setValidMs((int) part.validity().toMillis())
                     .setMoreAfterMs((int) part.moreAfter().toMillis()));
         }
-        message.addAllUnusedSeats(unusedSeats);
+        message.addAllUnusedSeats(unusedShards);
         return Envelope.newBuilder().setQuotaLoan(message).build();
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -27,7 +27,7 @@
 import io.daisyhoist.mesh.body.RequestRefusedException;
 import io.daisyhoist.mesh.connection.CustomerHeaders;
 import io.daisyhoist.mesh.connection.HeaderNames;
-import io.daisyhoist.mesh.limits.ClientGuard;
+import io.daisyhoist.mesh.limits.ClientConnectionLimiter;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -46,7 +46,7 @@
 public final class ClientServer {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** Limit of the HTTP decoder; the configured one is lower and enforced by {@link ClientGuard}. */
+    /** Limit of the HTTP decoder; the configured one is lower and enforced by {@link ClientConnectionLimiter}. */
     private static final int MAX_DECODED_HEADER_BYTES = 1 << 20;
 
     /** Allowance for the transit of a response to the client. */
@@ -58,7 +58,7 @@
     private final RequestContext context;
     private final HeaderNames headerNames;
     private final CustomerAuthenticator authenticator;
-    private final ClientGuard guard;
+    private final ClientConnectionLimiter guard;
     private final QuotaCheck quotaCheck;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final IngressAdmission ingress;
@@ -92,7 +92,8 @@
         this.quotaCheck = quotaCheck;
         this.headerNames = headerNames;
         this.authenticator = new CustomerAuthenticator(keyCheck, headerNames);
-        this.guard = new ClientGuard(vertx, context.time(), this::limits, bounds, context.memory(), context.metrics());
+        this.guard = new ClientConnectionLimiter(
+                vertx, context.time(), this::limits, bounds, context.memory(), context.metrics());
         this.ingress = new IngressAdmission(context.time(), new SplittableRandom());
         this.pollBarrier = new PollBarrier(vertx);
         this.server = vertx.createHttpServer(new HttpServerOptions()
--- a/mesh/src/test/java/io/daisyhoist/mesh/limits/ClientConnectionHandlerTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/limits/ClientConnectionHandlerTest.java
@@ -47,7 +47,7 @@
     private final AtomicInteger requests = new AtomicInteger();
     private ClientLimits limits = new ClientLimits(1_000, 1 << 20, Duration.ofSeconds(60), Duration.ofSeconds(60));
     private final FleetMetrics metrics = new FleetMetrics();
-    private final ClientGuard guard = new ClientGuard(
+    private final ClientConnectionLimiter guard = new ClientConnectionLimiter(
             vertx, new SystemTimeSource(), () -> limits, new ConnectionBounds(50, 200, 256, 8, 8), budget, metrics);
     private final HttpServer server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
             .connectionHandler(guard::onConnection)
--- a/mesh/src/test/java/io/daisyhoist/mesh/quota/FleetQuotaTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/quota/FleetQuotaTest.java
@@ -10,7 +10,7 @@
 import io.daisyhoist.core.quota.QuotaDecision;
 import io.daisyhoist.core.quota.QuotaDecision.Admitted;
 import io.daisyhoist.core.quota.QuotaDecision.Refused;
-import io.daisyhoist.core.quota.QuotaSeats;
+import io.daisyhoist.core.quota.QuotaShards;
 import io.vertx.core.Future;
 import org.junit.jupiter.api.Test;
 
@@ -57,12 +57,12 @@
         assertTrue(refused.retryAfter().toMillis() >= 200);
     }
 
-    /** A dead holder must not stop the requests of its customers until its seats have another holder. */
+    /** A dead holder must not stop the requests of its customers until its shards have another holder. */
     @Test
     void acquire_oneLenderUnreachable_nextOneLends() {
         fleet.advance(SETTLED_MILLIS);
-        QuotaSeats seats = new QuotaSeats(fleet.snapshot.members().keySet());
-        fleet.unreachable.add(seats.holder(QuotaSeats.seatOf(SMALL, 0)).orElseThrow());
+        QuotaShards shards = new QuotaShards(fleet.snapshot.members().keySet());
+        fleet.unreachable.add(shards.holder(QuotaShards.shardOf(SMALL, 0)).orElseThrow());
         for (int i = 0; i < 10; i++) {
             assertInstanceOf(Admitted.class, acquire(i), "daemon " + i);
             fleet.advance(1_000);
