--- a/review/standin-2/CaseSilent.java
+++ b/review/standin-2/CaseSilent.java
@@ -47,7 +47,7 @@
         Thread.sleep(6000);
         fleet.configure(config(8, "alpha"));
         // The watches wait 10 s; this is 3 s after they have been sent anew.
-        Thread.sleep(Integer.getInteger("calm", 13_000));
+        Thread.sleep(13_000);
         double silentAt = fleet.log.seconds();
         if (fleet.trouble) {
             fleet.log.line("silent for good: " + fleet.storeLink.silence(2_000)
--- a/review/standin-2/Fleet.java
+++ b/review/standin-2/Fleet.java
@@ -61,8 +61,13 @@
     }
 
     Machine add(String zone, String service) throws IOException {
+        return add(zone, service, storeLink);
+    }
+
+    /** Adds a machine that reaches the store over a link of its own. */
+    Machine add(String zone, String service, Link link) throws IOException {
         Machine machine = new Machine(machines.size() + 1, zone, service, basePort, folder);
-        machine.writeSettings("127.0.0.1:" + storeLink.port());
+        machine.writeSettings("127.0.0.1:" + link.port());
         machines.add(machine);
         return machine;
     }
@@ -80,7 +85,7 @@
     /** Waits until all daemons are ready; the case cannot run otherwise. */
     void awaitReady(int seconds) throws InterruptedException {
         long end = System.nanoTime() + seconds * 1_000_000_000L;
-        while (!machines.stream().allMatch(Machine::ready)) {
+        while (!machines.stream().filter(Machine::alive).allMatch(Machine::ready)) {
             if (System.nanoTime() - end > 0) {
                 throw new IllegalStateException("daemons are not ready");
             }
--- a/review/standin-2/Link.java
+++ b/review/standin-2/Link.java
@@ -23,6 +23,7 @@
     }
 
     private final ServerSocket server;
+    private volatile boolean turningAway;
     private final InetSocketAddress target;
     private final Set<Pair> open = ConcurrentHashMap.newKeySet();
 
@@ -39,6 +40,10 @@
     private void accept() throws IOException {
         while (true) {
             Socket from = server.accept();
+            if (turningAway) {
+                from.close();
+                continue;
+            }
             Socket to = new Socket();
             try {
                 to.connect(target, 1000);
@@ -85,6 +90,17 @@
         }
     }
 
+    /** Closes all connections, and new ones at once, or ends that. */
+    void turnAway(boolean away) {
+        turningAway = away;
+        if (away) {
+            open.forEach(pair -> {
+                close(pair.from);
+                close(pair.to);
+            });
+        }
+    }
+
     /**
      * Makes all connections silent for good that are open now and have carried nothing for a while; returns their number.
      *
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -33,6 +33,7 @@
     final long born = System.currentTimeMillis();
     final List<Run> runs = new ArrayList<>();
     volatile boolean draining;
+    volatile boolean silent;
     volatile boolean ended;
     volatile int acknowledged;
     volatile int unacknowledged;
@@ -45,6 +46,7 @@
     private final Semaphore free;
     private final AtomicInteger waiting = new AtomicInteger();
     private final ServerSocket server;
+    private final java.util.Set<Socket> open = java.util.concurrent.ConcurrentHashMap.newKeySet();
     private final List<Row> held = new ArrayList<>();
     private final int[] working = new int[65536];
     private final long[] seenFence = new long[65536];
@@ -67,10 +69,34 @@
         Threads.start("beats", this::beats);
     }
 
+    /** Returns a heartbeat of this moment, which is not sent yet. */
+    synchronized byte[] lateBeat() {
+        ObjectNode beat = Store.MAPPER.createObjectNode();
+        beat.put("address", machine.ip + ":" + machine.appPort).put("born", born);
+        beat.putObject("info").put("service", service).put("version", "v1").put("zone", zone).put("slots", slots);
+        beat.putObject("status").put("state", "ready").put("seq", ++sequence).put("cold-remaining-ms", 0);
+        return beat.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Delivers a call of this worker to its daemon; returns the status. */
+    int deliver(String call, byte[] body) {
+        return Client.call(machine.ip, machine.controlPort, "POST", "/rpc?call=instances." + call + "&of=" + id,
+                "Host: control\r\nContent-Type: application/json\r\n", body, 1000).status;
+    }
+
+    /** Leaves without having reported draining: sends no further heartbeats, and goes on to serve; returns the status. */
+    int leave() {
+        silent = true;
+        return deliver("leave", ("{\"born\":" + born + "}").getBytes(StandardCharsets.UTF_8));
+    }
+
     /** Ends the worker as a crash does. */
     void end() throws IOException {
         ended = true;
         server.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
     }
 
     private void accept() throws IOException {
@@ -85,6 +111,7 @@
     void configure(Socket socket) throws IOException {}
 
     private void serve(Socket socket) {
+        open.add(socket);
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
@@ -95,6 +122,8 @@
             if (System.getenv("TRACE") != null) {
                 e.printStackTrace();
             }
+        } finally {
+            open.remove(socket);
         }
     }
 
@@ -236,7 +265,7 @@
         while (!ended) {
             long wait = 870;
             try {
-                wait = beat() ? 870 : 100;
+                wait = silent || beat() ? 870 : 100;
             } catch (IOException e) {
                 unacknowledged++;
             }
