--- a/review/standin-2/CaseLeave.java
+++ b/review/standin-2/CaseLeave.java
@@ -72,7 +72,7 @@
             Thread.sleep(200);
             fleet.store.goAway();
             fleet.log.line("the store is away; the daemon of " + machine.node + " is killed");
-            machine.signal("KILL");
+            machine.kill();
             Thread.sleep(500);
             fleet.store.comeBack(copy);
             fleet.log.line("the copy is from 1.5 s before the leave");
--- a/review/standin-2/Machine.java
+++ b/review/standin-2/Machine.java
@@ -100,8 +100,9 @@
         return folder.resolve(node + ".log");
     }
 
-    void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    /** Kills the daemon, as SIGKILL does. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
     }
 
     boolean ready() {
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -281,12 +281,6 @@
         return revision;
     }
 
-    synchronized void operatorDelete(String key) {
-        revision++;
-        delete(key);
-        notifyAll();
-    }
-
     /** A copy of the store, of which a later one can begin. */
     record Copy(TreeMap<String, Item> items, List<Event> events, Map<Long, Long> leases, long revision, long nextLease) {}
 
@@ -338,7 +332,4 @@
         return item == null ? "" : new String(Base64.getDecoder().decode(item.value()), StandardCharsets.UTF_8);
     }
 
-    synchronized List<String> keys() {
-        return new ArrayList<>(items.keySet());
-    }
 }
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -35,14 +35,6 @@
     volatile boolean draining;
     volatile boolean silent;
     volatile boolean ended;
-    volatile int acknowledged;
-    volatile int unacknowledged;
-    volatile int largestReply;
-    volatile Fences fences;
-
-    interface Fences {
-        void taken(Worker worker, int key, long fence);
-    }
     private final Semaphore free;
     private final AtomicInteger waiting = new AtomicInteger();
     private final ServerSocket server;
@@ -103,13 +95,10 @@
         while (!ended) {
             Socket socket = server.accept();
             socket.setTcpNoDelay(true);
-            configure(socket);
             Threads.start("worker-connection", () -> serve(socket));
         }
     }
 
-    void configure(Socket socket) throws IOException {}
-
     private void serve(Socket socket) {
         open.add(socket);
         try (socket) {
@@ -257,17 +246,13 @@
         return (widest.from() + widest.to()) / 2;
     }
 
-    synchronized int rows() {
-        return held.size();
-    }
-
     private void beats() throws InterruptedException {
         while (!ended) {
             long wait = 870;
             try {
                 wait = silent || beat() ? 870 : 100;
             } catch (IOException e) {
-                unacknowledged++;
+                // It was not acknowledged; the next one follows.
             }
             Thread.sleep(wait);
         }
@@ -313,13 +298,10 @@
             }
             reply.readBody(in, true);
         }
-        largestReply = Math.max(largestReply, reply.body.length);
         boolean late = System.nanoTime() - sentNanos > 1_000_000_000L;
         if (reply.status() / 100 != 2 || late || reply.body.length > 4096) {
-            unacknowledged++;
             return true;
         }
-        acknowledged++;
         synchronized (this) {
             released.removeAll(reported);
         }
@@ -349,9 +331,6 @@
             }
             if (accepted) {
                 for (int key = from; key <= to; key++) {
-                    if (fences != null) {
-                        fences.taken(this, key, fence);
-                    }
                     seenFence[key] = fence;
                     keeps[key] = true;
                 }
