--- a/review/standin-2/CaseSpliced.java
+++ b/review/standin-2/CaseSpliced.java
@@ -10,10 +10,12 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** A worker breaks off some of its answers, and sends a second answer behind them. */
 final class CaseSpliced {
     private static final double SPOILT_SHARE = 0.02;
+    private static final double SPOILT_S = 5.0;
 
     public static void main(String[] args) throws Exception {
         Fleet fleet = new Fleet(Path.of(args[0]));
@@ -35,6 +37,7 @@
         fleet.startAll();
         ConcurrentMap<String, String> bodies = new ConcurrentHashMap<>();
         AtomicInteger spoilt = new AtomicInteger();
+        AtomicReference<Double> until = new AtomicReference<>(0.0);
         for (Machine machine : fleet.machines) {
             boolean faulty = machine.node.endsWith("3");
             new Worker(machine, "i-" + machine.node, 6, false, fleet.log) {
@@ -53,7 +56,10 @@
                     boolean spoil;
                     int missing;
                     synchronized (random) {
-                        spoil = fleet.trouble && faulty && random.nextDouble() < SPOILT_SHARE;
+                        spoil = fleet.trouble
+                                && faulty
+                                && fleet.log.seconds() < until.get()
+                                && random.nextDouble() < SPOILT_SHARE;
                         missing = 18 + random.nextInt(16);
                     }
                     if (!spoil) {
@@ -81,6 +87,7 @@
         }
         fleet.awaitReady(25);
         Thread.sleep(3_000);
+        until.set(fleet.log.seconds() + SPOILT_S);
         AtomicInteger asked = new AtomicInteger();
         AtomicInteger served = new AtomicInteger();
         AtomicInteger wrong = new AtomicInteger();
