--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionHandler.java
@@ -1,6 +1,5 @@
-package io.daisyhoist.mesh.limits;
+package io.daisyhoist.daemon.limits;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -12,9 +11,7 @@
 import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.memory.MemoryUse;
 import io.daisyhoist.core.route.ClientLimits;
-import io.daisyhoist.mesh.body.ClientBody;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -43,7 +40,7 @@
 
     private static final long UNKNOWN_LENGTH = -1;
 
-    private final ClientConnectionLimiter guard;
+    private final ClientConnectionLimiter limiter;
     private final Channel channel;
     private final ConnectionState state;
     private final HeadScanner head = new HeadScanner();
@@ -52,7 +49,7 @@
     private final MemoryBudget.Reservation headMemory;
     private final MemoryBudget.Reservation waitingMemory;
     private final MemoryBudget.Reservation responseMemory;
-    private Optional<ClientBody> body = Optional.empty();
+    private Optional<HeldBody> body = Optional.empty();
     private ChannelHandlerContext context;
     private long remainingBodyBytes;
     private long headEstimate;
@@ -73,8 +70,8 @@
     private boolean processed;
 
     ClientConnectionHandler(
-            ClientConnectionLimiter guard, Channel channel, ConnectionState state, MemoryBudget budget) {
-        this.guard = guard;
+            ClientConnectionLimiter limiter, Channel channel, ConnectionState state, MemoryBudget budget) {
+        this.limiter = limiter;
         this.channel = channel;
         this.state = state;
         this.headMemory = budget.open(MemoryUse.REQUEST_HEAD);
@@ -106,7 +103,7 @@
             context.fireChannelRead(message);
             return;
         }
-        readNanos = guard.nowNanos();
+        readNanos = limiter.nowNanos();
         state.onBytes(bytes.readableBytes(), readNanos);
         if (state.phase() == Phase.REFUSED || !bytes.isReadable()) {
             bytes.release();
@@ -124,7 +121,7 @@
 
     /** Passes on bytes that have waited, outside of a read; without the end of a read, the next handlers would not flush. */
     void resume() {
-        readNanos = guard.nowNanos();
+        readNanos = limiter.nowNanos();
         process();
         fireReadComplete();
     }
@@ -152,7 +149,7 @@
         headMemory.release();
         waitingMemory.release();
         responseMemory.release();
-        guard.onClosed(this);
+        limiter.onClosed(this);
     }
 
     /** Passes on as much as is allowed. */
@@ -182,7 +179,7 @@
         }
         // While a request runs, the connection is read as long as possible, to see that the client disconnects.
         return state.phase() != Phase.RUNNING
-                || waitingMemory.bytes() >= guard.bounds().maxPipelinedBytes();
+                || waitingMemory.bytes() >= limiter.bounds().maxPipelinedBytes();
     }
 
     private void setPaused(boolean pause) {
@@ -190,12 +187,12 @@
             return;
         }
         paused = pause;
-        state.onPause(pause && state.phase() != Phase.RUNNING, guard.nowNanos());
+        state.onPause(pause && state.phase() != Phase.RUNNING, limiter.nowNanos());
         if (pause) {
             readWanted = channel.config().isAutoRead();
             channel.config().setAutoRead(false);
             if (state.phase() != Phase.RUNNING) {
-                guard.awaitMemory(this);
+                limiter.awaitMemory(this);
             }
         } else if (readWanted) {
             channel.config().setAutoRead(true);
@@ -224,12 +221,12 @@
             state.enter(Phase.HEAD, readNanos);
             head.reset();
         }
-        ClientLimits limits = guard.limits();
+        ClientLimits limits = limiter.limits();
         HeadScanner.Mark before = head.mark();
         int length = head.scan(bytes);
         if (head.bytes() > limits.maxHeaderBytes()
                 || head.skippedBytes() > limits.maxHeaderBytes()
-                || head.fields() > guard.bounds().maxHeaderFields()) {
+                || head.fields() > limiter.bounds().maxHeaderFields()) {
             refuse(CloseReason.HEAD_TOO_LARGE);
             return false;
         }
@@ -256,8 +253,8 @@
         }
         int length = chunks.scan(bytes);
         if (chunks.lineBytes() > MAX_CHUNK_LINE_BYTES
-                || chunks.trailerBytes() > guard.limits().maxHeaderBytes()
-                || chunks.trailerFields() > guard.bounds().maxHeaderFields()) {
+                || chunks.trailerBytes() > limiter.limits().maxHeaderBytes()
+                || chunks.trailerFields() > limiter.bounds().maxHeaderFields()) {
             abort(CloseReason.HEAD_TOO_LARGE);
             return false;
         }
@@ -318,7 +315,7 @@
     }
 
     /** Sets the body of the current request, which learns when the request is refused. */
-    void setBody(ClientBody current) {
+    void setBody(HeldBody current) {
         body = Optional.of(current);
     }
 
@@ -339,7 +336,7 @@
         headMemory.shrink(headEstimate);
         headEstimate = 0;
         body = Optional.empty();
-        state.enter(Phase.IDLE, guard.nowNanos());
+        state.enter(Phase.IDLE, limiter.nowNanos());
         if (!waitingBytes.isEmpty()) {
             context.executor().execute(this::resume);
         }
@@ -363,14 +360,14 @@
             enterRefused();
         } else {
             if (reason != CloseReason.REFUSED) {
-                guard.record(reason, this);
+                limiter.record(reason, this);
             }
             context.close();
         }
     }
 
     private void enterRefused() {
-        state.enter(Phase.REFUSED, guard.nowNanos());
+        state.enter(Phase.REFUSED, limiter.nowNanos());
         discard();
         setPaused(false);
         channel.config().setAutoRead(true);
@@ -378,12 +375,9 @@
 
     /** Refuses a request that the HTTP decoder has not passed on. */
     private void refuse(CloseReason reason) {
-        guard.record(reason, this);
+        limiter.record(reason, this);
         enterRefused();
-        String response = "HTTP/1.1 " + reason.status() + " Refused\r\nConnection: close\r\nContent-Length: 0\r\n"
-                + (reason == CloseReason.MEMORY ? "Retry-After: 1\r\n" : "") + "\r\n";
-        context.writeAndFlush(Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII))
-                .addListener(written -> shutdownOutput());
+        context.writeAndFlush(limiter.refusalFormat().encode(reason)).addListener(written -> shutdownOutput());
     }
 
     /**
--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/ClientConnectionLimiter.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionLimiter.java
@@ -1,4 +1,4 @@
-package io.daisyhoist.mesh.limits;
+package io.daisyhoist.daemon.limits;
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -17,14 +17,13 @@
 import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.time.TimeSource;
-import io.daisyhoist.mesh.body.ClientBody;
-import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.util.AttributeKey;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.impl.HttpServerConnection;
 
@@ -38,6 +37,11 @@
     private static final AttributeKey<ClientConnectionHandler> HANDLER =
             AttributeKey.valueOf(ClientConnectionLimiter.class, "connection");
 
+    /** Limit of the HTTP decoder; the configured one is lower. */
+    private static final int MAX_DECODED_HEADER_BYTES = 1 << 20;
+
+    private static final int ACCEPT_BACKLOG = 1_024;
+
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
     /** Requests that end in the meantime return their memory, so that nobody need be refused. */
@@ -56,17 +60,25 @@
     private final Supplier<ClientLimits> limits;
     private final ConnectionBounds bounds;
     private final MemoryBudget budget;
-    private final FleetMetrics metrics;
+    private final Refusals refusals;
     private final ConnectionTable table;
     private final Map<ConnectionState, ClientConnectionHandler> handlers = new HashMap<>();
     private final Set<ClientConnectionHandler> waiting = new LinkedHashSet<>();
-    private final RefusalLog refusals = new RefusalLog();
+    private final RefusalLog refusalLog = new RefusalLog();
     private Optional<Long> timer = Optional.empty();
     private long waitingSinceNanos;
     private long loggedNanos;
 
     /**
-     * Creates a guard without connections.
+     * How requests are refused. Immutable.
+     *
+     * @param format format of the responses
+     * @param listener counts them
+     */
+    public record Refusals(RefusalFormat format, RefusalListener listener) {}
+
+    /**
+     * Creates a limiter without connections.
      *
      * @param limits limits of the newest configuration
      */
@@ -76,16 +88,26 @@
             Supplier<ClientLimits> limits,
             ConnectionBounds bounds,
             MemoryBudget budget,
-            FleetMetrics metrics) {
+            Refusals refusals) {
         this.vertx = vertx;
         this.time = time;
         this.limits = limits;
         this.bounds = bounds;
         this.budget = budget;
-        this.metrics = metrics;
+        this.refusals = refusals;
         this.table = new ConnectionTable(bounds);
     }
 
+    /** Returns the options of a server whose limits are enforced here. */
+    public static HttpServerOptions serverOptions() {
+        return new HttpServerOptions()
+                .setMaxHeaderSize(MAX_DECODED_HEADER_BYTES)
+                .setMaxInitialLineLength(MAX_DECODED_HEADER_BYTES)
+                // The limits of heads and bodies are enforced on messages of HTTP/1.1 only.
+                .setHttp2ClearTextEnabled(false)
+                .setAcceptBacklog(ACCEPT_BACKLOG);
+    }
+
     /** Starts the checks of times and memory. */
     public void start() {
         timer = Optional.of(vertx.setPeriodic(CHECK_INTERVAL.toMillis(), fired -> check()));
@@ -121,16 +143,16 @@
     }
 
     /** Starts reading the body of a request. */
-    public ClientBody readBody(HttpServerRequest http, long maxBytes) {
+    public HeldBody readBody(HttpServerRequest http, BodyBounds bodyBounds) {
         ClientConnectionHandler handler = handler(http);
-        ClientBody body = new ClientBody(http, maxBytes, budget, new BodyListener(handler));
+        HeldBody body = new HeldBody(http, bodyBounds, budget, new BodyListener(handler));
         handler.setBody(body);
         body.read();
         return body;
     }
 
     /** Records the memory of a body with its connection. */
-    private final class BodyListener implements ClientBody.Listener {
+    private final class BodyListener implements HeldBody.Listener {
         private final ClientConnectionHandler handler;
 
         private BodyListener(ClientConnectionHandler handler) {
@@ -164,6 +186,10 @@
         return limits.get();
     }
 
+    RefusalFormat refusalFormat() {
+        return refusals.format();
+    }
+
     ConnectionBounds bounds() {
         return bounds;
     }
@@ -184,9 +210,9 @@
     }
 
     void record(CloseReason reason, ClientConnectionHandler handler) {
-        metrics.onClientRefused(reason.label());
+        refusals.listener().onRefused(reason);
         if (reason != CloseReason.IDLE) {
-            refusals.record(reason, handler.state());
+            refusalLog.record(reason, handler.state());
         }
     }
 
@@ -206,7 +232,7 @@
         resumeWaiting(now);
         if (now - loggedNanos > LOG_INTERVAL.toNanos()) {
             loggedNanos = now;
-            refusals.write();
+            refusalLog.write();
         }
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/MessageBoundaryHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/MessageBoundaryHandler.java
@@ -1,4 +1,4 @@
-package io.daisyhoist.mesh.limits;
+package io.daisyhoist.daemon.limits;
 
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
--- a/mesh/src/main/java/io/daisyhoist/mesh/body/RequestRefusedException.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/RequestRefusedException.java
@@ -1,4 +1,4 @@
-package io.daisyhoist.mesh.body;
+package io.daisyhoist.daemon.limits;
 
 import io.daisyhoist.core.client.CloseReason;
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/limits/package-info.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/package-info.java
@@ -1,2 +1,2 @@
 /** Limits on what clients may send, hold and leave unread. */
-package io.daisyhoist.mesh.limits;
+package io.daisyhoist.daemon.limits;
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/Daemon.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/Daemon.java
@@ -14,6 +14,7 @@
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.HttpPlatformStore;
+import io.daisyhoist.daemon.limits.BoundedAcceptTransport;
 import io.daisyhoist.daemon.process.settings.DaemonSettings;
 import io.daisyhoist.daemon.request.AdminRoutes;
 import io.daisyhoist.daemon.telemetry.Tracing;
@@ -53,10 +54,14 @@
     public Daemon(DaemonSettings settings) {
         this.settings = settings;
         this.self = new ProcessId(settings.daemonId(), new SecureRandom().nextLong() >>> 1);
-        this.vertx = Vertx.vertx(new VertxOptions()
-                .setEventLoopPoolSize(EVENT_LOOP_THREADS)
-                .setWorkerPoolSize(WORKER_THREADS)
-                .setInternalBlockingPoolSize(WORKER_THREADS));
+        this.vertx = Vertx.builder()
+                .with(new VertxOptions()
+                        .setEventLoopPoolSize(EVENT_LOOP_THREADS)
+                        .setWorkerPoolSize(WORKER_THREADS)
+                        .setInternalBlockingPoolSize(WORKER_THREADS))
+                .withTransport(new BoundedAcceptTransport(
+                        settings.httpPort(), settings.limits().connections().maxConnections()))
+                .build();
         this.store = new HttpPlatformStore(
                 vertx, settings.platformUrls().stream().map(URI::toString).toList(), time);
         this.tracing = new Tracing(
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/DataPlane.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/DataPlane.java
@@ -11,6 +11,7 @@
 import io.daisyhoist.core.admission.AdmissionController;
 import io.daisyhoist.core.config.EffectiveConfig;
 import io.daisyhoist.core.config.ServiceSettings;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
 import io.daisyhoist.core.routing.PowerOfTwoChoices;
@@ -20,10 +21,11 @@
 import io.daisyhoist.daemon.connection.PeerByteCounter;
 import io.daisyhoist.daemon.connection.PeerLimits;
 import io.daisyhoist.daemon.connection.PeerServer;
+import io.daisyhoist.daemon.limits.ClientConnectionLimiter;
 import io.daisyhoist.daemon.process.settings.DaemonSettings;
+import io.daisyhoist.daemon.process.settings.LimitOptions;
 import io.daisyhoist.daemon.request.Announcement;
 import io.daisyhoist.daemon.request.BackendRunner;
-import io.daisyhoist.daemon.request.EdgeLimits;
 import io.daisyhoist.daemon.request.EdgeRoutes;
 import io.daisyhoist.daemon.request.EdgeServer;
 import io.daisyhoist.daemon.request.PeerLoads;
@@ -73,6 +75,7 @@
         TimeSource time = controlPlane.context().time();
         DaemonMetrics metrics = new DaemonMetrics(registry);
         Context context = vertx.getOrCreateContext();
+        MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
         SplittableRandom random =
                 new SplittableRandom(controlPlane.context().self().incarnation() + 1);
         TrafficContext traffic = new TrafficContext(
@@ -84,7 +87,8 @@
                 controlPlane::group,
                 controlPlane::routing,
                 metrics,
-                tracer);
+                tracer,
+                memory);
         backendClient = new BackendClient(
                 vertx, context, toEndpoint(settings.backendUrl()), serviceSettings.maxConnections(), time);
         AdmissionController admissionController = new AdmissionController(
@@ -110,14 +114,20 @@
                 new ControlMessageHandler(controlPlane, groupLoop, pipeline.trafficHandler()));
         clientRequests =
                 new InFlightLimiter(pipeline.router(), settings.limits().maxRequestsInFlight());
+        LimitOptions limits = settings.limits();
+        ClientConnectionLimiter limiter =
+                EdgeServer.newLimiter(vertx, time, limits::clients, limits.connections(), memory, metrics);
         EdgeRoutes routes = new EdgeRoutes(
                 clientRequests,
                 name -> controlPlane.routing().config().service(name).map(ServiceSettings::requestTimeout),
-                edgeLimits(settings),
+                limiter,
+                limits.clients().maxBodyBytes(),
                 time,
                 metrics,
                 tracer);
-        edgeServer = new EdgeServer(vertx, routes.router(vertx), edgeLimits(settings));
+        edgeServer = new EdgeServer(vertx, context, routes.router(vertx), limiter);
+        metrics.gauge("daisyhoist.client.connections", "Open connections of clients", limiter::connections);
+        metrics.gauge("daisyhoist.memory.held.bytes", "Memory held for requests and responses", memory::heldBytes);
         metrics.gauge("daisyhoist.backend.in.flight", "Requests in flight or queued", pipeline.runner()::inFlight);
         metrics.gauge("daisyhoist.backend.limit", "Admission limit", pipeline.runner()::limit);
         PeerByteCounter openedConnections = controlPlane.context().peers().byteCounter();
@@ -136,11 +146,6 @@
                 () -> controlPlane.group().served().size());
     }
 
-    private static EdgeLimits edgeLimits(DaemonSettings settings) {
-        return new EdgeLimits(
-                settings.limits().maxHeaderBytes(), settings.limits().maxBodyBytes());
-    }
-
     private static Endpoint toEndpoint(URI uri) {
         return new Endpoint(uri.getHost(), uri.getPort());
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/settings/DaemonSettingsReader.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/settings/DaemonSettingsReader.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.config.ConfigFault;
 import io.daisyhoist.core.config.InvalidConfigException;
 import io.daisyhoist.core.config.SettingsReader;
@@ -21,6 +22,7 @@
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Names;
 import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.route.ClientLimits;
 import io.netty.util.NetUtil;
 
 /** Reads and validates one settings file. Not thread-safe; a new reader is needed for each file. */
@@ -142,10 +144,26 @@
         int headerBytes = (int) table.number("max_header_bytes", 16_384, 1_024, 1 << 20);
         // A forwarded request must fit into a peer frame of 2 MB.
         int bodyBytes = (int) table.number("max_body_bytes", 1 << 20, 1, 1 << 20);
+        Duration headerTimeout = Duration.ofMillis(table.number("header_timeout_ms", 10_000, 10, 600_000));
+        Duration idleTimeout = Duration.ofMillis(table.number("idle_timeout_ms", 75_000, 100, 3_600_000));
+        ConnectionBounds connections = connections(table);
         int inFlight = (int) table.number("max_requests_in_flight", 10_000, 1, 1_000_000);
         Duration grace = Duration.ofMillis(table.number("shutdown_grace_ms", 20_000, 0, 600_000));
         table.reportUnknownKeys();
-        return new LimitOptions(headerBytes, bodyBytes, inFlight, grace);
+        ClientLimits clients = new ClientLimits(headerBytes, bodyBytes, headerTimeout, idleTimeout);
+        return new LimitOptions(clients, connections, inFlight, grace);
+    }
+
+    private static ConnectionBounds connections(SettingsReader table) {
+        ConnectionBounds defaults = ConnectionBounds.DEFAULT;
+        int fields = (int) table.number("max_header_fields", defaults.maxHeaderFields(), 16, 1 << 20);
+        int pipelinedBytes = (int) table.number("max_pipelined_bytes", defaults.maxPipelinedBytes(), 1, 1 << 20);
+        int bodyRate = (int) table.number("min_body_bytes_per_s", defaults.minBodyBytesPerSecond(), 0, 1 << 20);
+        int maxConnections =
+                (int) table.number("max_connections", ConnectionBounds.maxConnections(Descriptors.max()), 1, 1_000_000);
+        int ofAddress = (int) table.number(
+                "max_connections_per_address", ConnectionBounds.maxConnectionsPerAddress(maxConnections), 1, 1_000_000);
+        return new ConnectionBounds(fields, pipelinedBytes, bodyRate, maxConnections, ofAddress);
     }
 
     private LogLevel logLevel() {
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeRoutes.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeRoutes.java
@@ -8,6 +8,9 @@
 import io.daisyhoist.core.error.RefusalCode;
 import io.daisyhoist.core.error.RunState;
 import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.limits.ClientConnectionLimiter;
+import io.daisyhoist.daemon.limits.HeldBody;
+import io.daisyhoist.daemon.limits.RequestRefusedException;
 import io.daisyhoist.daemon.telemetry.DaemonMetrics;
 import io.daisyhoist.daemon.telemetry.Hop;
 import io.daisyhoist.daemon.telemetry.HopSpan;
@@ -34,22 +37,28 @@
 
     private final RequestHandler handler;
     private final RequestParser parser;
-    private final EdgeLimits limits;
+    private final BodyReader bodyReader;
     private final TimeSource time;
     private final DaemonMetrics metrics;
     private final HopTracer tracer;
 
-    /** Creates the routes. */
+    /**
+     * Creates the routes.
+     *
+     * @param limiter limiter of the connections on which the requests arrive
+     * @param maxBodyBytes maximum length of a body
+     */
     public EdgeRoutes(
             RequestHandler handler,
             ServiceTimeouts timeouts,
-            EdgeLimits limits,
+            ClientConnectionLimiter limiter,
+            long maxBodyBytes,
             TimeSource time,
             DaemonMetrics metrics,
             HopTracer tracer) {
         this.handler = handler;
         this.parser = new RequestParser(timeouts, time);
-        this.limits = limits;
+        this.bodyReader = new BodyReader(limiter, maxBodyBytes);
         this.time = time;
         this.metrics = metrics;
         this.tracer = tracer;
@@ -82,15 +91,7 @@
         HopSpan span = tracer.start(Hop.CLIENT_EDGE, Optional.ofNullable(http.getHeader("traceparent")));
         Promise<Void> clientDisconnected = Promise.promise();
         http.response().closeHandler(closed -> clientDisconnected.tryComplete());
-        Future<OutboundResponse> result;
-        try {
-            InboundRequest head = parser.parse(http, target, span.traceparent());
-            result = BodyReader.read(http, limits.maxBodyBytes())
-                    .compose(body -> handler.handle(withBody(head, body), clientDisconnected.future()));
-        } catch (RefusedException e) {
-            result = Future.failedFuture(e);
-        }
-        result.onComplete(done -> {
+        handle(http, target, span, clientDisconnected.future()).onComplete(done -> {
             OutboundResponse response = done.succeeded() ? done.result() : toRefusal(http, done.cause());
             metrics.onResponse(
                     target.service(),
@@ -103,6 +104,20 @@
         });
     }
 
+    private Future<OutboundResponse> handle(
+            HttpServerRequest http, RequestTarget target, HopSpan span, Future<Void> clientDisconnected) {
+        InboundRequest head;
+        try {
+            head = parser.parse(http, target, span.traceparent());
+        } catch (RefusedException e) {
+            return Future.failedFuture(e);
+        }
+        HeldBody body = bodyReader.read(http);
+        return body.held()
+                .compose(bytes -> handler.handle(withBody(head, bytes), clientDisconnected))
+                .onComplete(done -> body.close());
+    }
+
     private boolean isTokenRequest(HttpServerRequest http, RequestTarget target) {
         return http.method().equals(HttpMethod.POST) && http.path().equals("/s/" + target.service() + TOKEN_PATH);
     }
@@ -126,17 +141,24 @@
     }
 
     private static OutboundResponse toRefusal(HttpServerRequest http, Throwable failure) {
+        if (failure instanceof RequestRefusedException refused) {
+            return refused(http, EdgeRefusals.of(refused.reason()));
+        }
         if (failure instanceof RefusedException refused) {
-            if (!http.isEnded()) {
-                http.response().putHeader("Connection", "close");
-            }
-            return OutboundResponse.refused(refused.refusal());
+            return refused(http, refused.refusal());
         }
         LOGGER.atWarning().withCause(failure).log("event=request_failed path=%s", http.path());
         return OutboundResponse.refused(
                 new Refusal(RefusalCode.BACKEND_LOST, RunState.UNKNOWN, "internal error", Duration.ZERO));
     }
 
+    private static OutboundResponse refused(HttpServerRequest http, Refusal refusal) {
+        if (!http.isEnded()) {
+            http.response().putHeader("Connection", "close");
+        }
+        return OutboundResponse.refused(refusal);
+    }
+
     private static InboundRequest withBody(InboundRequest head, Buffer body) {
         return new InboundRequest(
                 head.service(),
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeServer.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeServer.java
@@ -2,47 +2,67 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
-import io.daisyhoist.core.error.Refusal;
-import io.daisyhoist.core.error.RefusalCode;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.daisyhoist.core.client.ConnectionBounds;
+import io.daisyhoist.core.memory.MemoryBudget;
+import io.daisyhoist.core.route.ClientLimits;
+import io.daisyhoist.core.time.TimeSource;
+import io.daisyhoist.daemon.limits.ClientConnectionLimiter;
+import io.daisyhoist.daemon.telemetry.DaemonMetrics;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.HttpServerRequest;
 import io.vertx.ext.web.Router;
 
 /**
  * HTTP/1.1 server of the client port.
  *
- * <p>A request that cannot be decoded gets a typed refusal and its connection is closed. Thread-safe.
+ * <p>A request that stays outside the limits or cannot be decoded gets a typed refusal and its connection is closed.
+ * Connections are served by one event loop; the methods are thread-safe.
  */
 public final class EdgeServer {
-    private static final int MAX_REQUEST_LINE_BYTES = 8 << 10;
-    private static final int IDLE_TIMEOUT_SECONDS = 75;
-
+    private final Context context;
+    private final ClientConnectionLimiter limiter;
     private final HttpServer server;
     private volatile boolean draining;
 
-    /** Creates a server that does not listen yet. */
-    public EdgeServer(Vertx vertx, Router router, EdgeLimits limits) {
-        HttpServerOptions options = new HttpServerOptions()
-                .setMaxHeaderSize(limits.maxHeaderBytes())
-                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
-                .setHandle100ContinueAutomatically(true)
-                .setHttp2ClearTextEnabled(false);
-        server = vertx.createHttpServer(options)
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param context event loop context that serves all connections
+     */
+    public EdgeServer(Vertx vertx, Context context, Router router, ClientConnectionLimiter limiter) {
+        this.context = context;
+        this.limiter = limiter;
+        server = vertx.createHttpServer(ClientConnectionLimiter.serverOptions())
+                .connectionHandler(limiter::onConnection)
                 .requestHandler(request -> {
                     if (draining) {
                         request.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
                     }
                     router.handle(request);
-                })
-                .invalidRequestHandler(EdgeServer::refuseInvalid);
+                });
+    }
+
+    /** Creates the limiter of the connections of one server. */
+    public static ClientConnectionLimiter newLimiter(
+            Vertx vertx,
+            TimeSource time,
+            Supplier<ClientLimits> limits,
+            ConnectionBounds bounds,
+            MemoryBudget budget,
+            DaemonMetrics metrics) {
+        return new ClientConnectionLimiter(
+                vertx,
+                time,
+                limits,
+                bounds,
+                budget,
+                new ClientConnectionLimiter.Refusals(EdgeRefusals::encode, metrics::onClientRefused));
     }
 
     /**
@@ -60,25 +80,21 @@
      * @return the port in use
      */
     public Future<Integer> listen(String host, int port) {
-        return server.listen(port, host).map(HttpServer::actualPort);
+        Promise<Integer> listening = Promise.promise();
+        context.runOnContext(run -> {
+            limiter.start();
+            server.listen(port, host).map(HttpServer::actualPort).onComplete(listening);
+        });
+        return listening.future();
     }
 
     /** Stops listening, waits up to the grace period for requests in flight, and closes the connections. */
     public Future<Void> shutdown(Duration grace) {
-        return server.shutdown(grace.toMillis(), TimeUnit.MILLISECONDS);
+        return server.shutdown(grace.toMillis(), TimeUnit.MILLISECONDS).onComplete(closed -> limiter.stop());
     }
 
     /** Stops listening and closes the connections. */
     public Future<Void> close() {
-        return server.close();
-    }
-
-    private static void refuseInvalid(HttpServerRequest http) {
-        Throwable cause = http.decoderResult().cause();
-        boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        Refusal refusal = tooLarge
-                ? Refusal.of(RefusalCode.TOO_LARGE, "request head is too large", Duration.ZERO)
-                : Refusal.of(RefusalCode.BAD_REQUEST, "request cannot be decoded", Duration.ZERO);
-        ResponseWriter.writeAndClose(http.response(), refusal);
+        return server.close().onComplete(closed -> limiter.stop());
     }
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/TrafficContext.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/TrafficContext.java
@@ -4,6 +4,7 @@
 import java.util.random.RandomGenerator;
 
 import io.daisyhoist.core.membership.GroupSnapshot;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.core.routing.RoutingSnapshot;
@@ -25,6 +26,7 @@
  * @param routing latest routing snapshot, of the same group record and of the effective configuration
  * @param metrics metrics
  * @param tracer tracer
+ * @param memory memory for requests and responses, used on the event loop only
  */
 public record TrafficContext(
         Context context,
@@ -35,7 +37,8 @@
         Supplier<GroupSnapshot> group,
         Supplier<RoutingSnapshot> routing,
         DaemonMetrics metrics,
-        HopTracer tracer) {
+        HopTracer tracer,
+        MemoryBudget memory) {
     /** Runs a task on the event loop, immediately if called on it. */
     void execute(Runnable task) {
         if (Vertx.currentContext() == context) {
--- a/daemon/src/main/java/io/daisyhoist/daemon/telemetry/DaemonMetrics.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/telemetry/DaemonMetrics.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import io.daisyhoist.core.client.CloseReason;
 import io.daisyhoist.core.error.RefusalCode;
 import io.daisyhoist.core.error.RunState;
 import io.daisyhoist.core.model.ServiceName;
@@ -51,6 +52,11 @@
         counter("daisyhoist.edge.refusals", "Invalid requests", "refusal", code.label());
     }
 
+    /** Records a request of a client that was refused, or a connection that was closed, for a limit. */
+    public void onClientRefused(CloseReason reason) {
+        counter("daisyhoist.client.refusals", "Requests and connections beyond a limit", "reason", reason.label());
+    }
+
     /** Records the outcome of a request to the local backend server. */
     public void onBackendResult(ServiceName service, String outcome, Duration latency) {
         Timer.builder("daisyhoist.backend.duration")
--- a/mesh/src/test/java/io/daisyhoist/mesh/limits/ClientConnectionHandlerTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/limits/ClientConnectionHandlerTest.java
@@ -1,4 +1,4 @@
-package io.daisyhoist.mesh.limits;
+package io.daisyhoist.daemon.limits;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.daisyhoist.core.client.CloseReason;
@@ -18,9 +20,6 @@
 import io.daisyhoist.core.memory.MemoryUse;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.time.SystemTimeSource;
-import io.daisyhoist.mesh.body.ClientBody;
-import io.daisyhoist.mesh.body.RequestRefusedException;
-import io.daisyhoist.mesh.telemetry.FleetMetrics;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
@@ -42,20 +41,26 @@
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private static final long MAX_READ_BYTES = 16_384;
+    private static final int MAX_HELD_BYTES = 64 << 10;
 
     private final MemoryBudget budget = new MemoryBudget(1 << 20);
     private final AtomicInteger requests = new AtomicInteger();
     private ClientLimits limits = new ClientLimits(1_000, 1 << 20, Duration.ofSeconds(60), Duration.ofSeconds(60));
-    private final FleetMetrics metrics = new FleetMetrics();
-    private final ClientConnectionLimiter guard = new ClientConnectionLimiter(
-            vertx, new SystemTimeSource(), () -> limits, new ConnectionBounds(50, 200, 256, 8, 8), budget, metrics);
+    private final Set<CloseReason> refusals = ConcurrentHashMap.newKeySet();
+    private final ClientConnectionLimiter limiter = new ClientConnectionLimiter(
+            vertx,
+            new SystemTimeSource(),
+            () -> limits,
+            new ConnectionBounds(50, 200, 256, 8, 8),
+            budget,
+            new ClientConnectionLimiter.Refusals(RefusalFormat.WITHOUT_BODY, refusals::add));
     private final HttpServer server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
-            .connectionHandler(guard::onConnection)
+            .connectionHandler(limiter::onConnection)
             .requestHandler(this::answer);
     private final int port = listen();
 
     private int listen() {
-        guard.start();
+        limiter.start();
         return server.listen(0, "127.0.0.1").await().actualPort();
     }
 
@@ -67,10 +72,10 @@
     /** Answers with the path and the body, a moment later. */
     private void answer(HttpServerRequest http) {
         requests.incrementAndGet();
-        ClientBody reader = guard.readBody(http, limits.maxBodyBytes());
-        reader.body()
+        HeldBody reader = limiter.readBody(http, new BodyBounds(limits.maxBodyBytes(), MAX_HELD_BYTES, 0));
+        reader.held()
                 .compose(body -> vertx.timer(2).map(fired -> body))
-                .onSuccess(body -> http.response().end(Buffer.buffer(http.path() + " " + body.first() + "\n")))
+                .onSuccess(body -> http.response().end(Buffer.buffer(http.path() + " " + body + "\n")))
                 .onFailure(failure -> {
                     CloseReason reason = ((RequestRefusedException) failure).reason();
                     http.response()
@@ -131,7 +136,7 @@
                         "" + cut);
             }
         }
-        await().until(() -> guard.connections() == 0);
+        await().until(() -> limiter.connections() == 0);
         assertEquals(0, budget.heldBytes());
     }
 
@@ -227,14 +232,14 @@
             // Beyond the budget, each connection holds at most the one read with which it has paused.
             long pausedBytes = (crowdSize + 1) * MAX_READ_BYTES;
             assertTrue(budget.heldBytes() <= budget.maxBytes() + pausedBytes, "held " + budget.heldBytes());
-            await().until(() -> metrics.scrape().contains("daisyhoist_fleet_client_refusals_total{reason=\"memory\"}"));
+            await().until(() -> refusals.contains(CloseReason.MEMORY));
         } finally {
             for (Socket socket : crowd) {
                 socket.close();
             }
         }
         taken.release();
-        await().until(() -> guard.connections() == 0);
+        await().until(() -> limiter.connections() == 0);
         assertEquals(0, budget.heldBytes());
     }
 
--- a/daemon/src/test/java/io/daisyhoist/daemon/process/settings/DaemonSettingsTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/process/settings/DaemonSettingsTest.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import java.util.Random;
 
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.config.InvalidConfigException;
 import io.daisyhoist.core.error.DaisyhoistException;
 import io.daisyhoist.core.error.ErrorCode;
+import io.daisyhoist.core.route.ClientLimits;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -66,7 +68,14 @@
             assertEquals("127.0.0.1:8081", settings.adminEndpoint().toString());
             assertEquals("127.0.0.1:8082", settings.peerEndpoint().toString());
             assertEquals(new LeaseOptions(Duration.ofMillis(700), Duration.ofMillis(2100), 3), settings.lease());
-            assertEquals(new LimitOptions(16_384, 1 << 20, 10_000, Duration.ofSeconds(20)), settings.limits());
+            int connections = Math.min(2_048, Descriptors.max() / 3);
+            assertEquals(
+                    new LimitOptions(
+                            new ClientLimits(16_384, 1 << 20, Duration.ofSeconds(10), Duration.ofSeconds(75)),
+                            new ConnectionBounds(16_384, 16_384, 256, connections, connections * 3 / 4),
+                            10_000,
+                            Duration.ofSeconds(20)),
+                    settings.limits());
             assertEquals(LogLevel.INFO, settings.logLevel());
             assertEquals(Optional.empty(), settings.traceFile());
         }
--- a/daemon/src/test/java/io/daisyhoist/daemon/request/EdgeServerTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/request/EdgeServerTest.java
@@ -15,12 +15,16 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.daisyhoist.core.admission.Rank;
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.error.Refusal;
 import io.daisyhoist.core.error.RefusalCode;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.ServiceName;
+import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.core.time.SystemTimeSource;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.daemon.limits.ClientConnectionLimiter;
 import io.daisyhoist.daemon.telemetry.DaemonMetrics;
 import io.daisyhoist.daemon.telemetry.HopTracer;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -46,6 +50,9 @@
 class EdgeServerTest {
     private static final String TOKEN = "pickup.3.17.1700000000000.0123456789abcdef0123456789abcdef";
     private static final int FUZZ_ROUNDS = 300;
+    private static final ClientLimits LIMITS =
+            new ClientLimits(16_384, 1 << 20, Duration.ofSeconds(10), Duration.ofSeconds(75));
+    private static final long MEMORY_BYTES = 16 << 20;
 
     private final Vertx vertx = Vertx.vertx();
     private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
@@ -69,14 +76,22 @@
                 return Future.succeededFuture(OutboundResponse.token(service + "-" + key.orElse("none")));
             }
         };
+        ClientConnectionLimiter limiter = EdgeServer.newLimiter(
+                vertx,
+                new SystemTimeSource(),
+                () -> LIMITS,
+                ConnectionBounds.DEFAULT,
+                new MemoryBudget(MEMORY_BYTES),
+                new DaemonMetrics(registry));
         EdgeRoutes routes = new EdgeRoutes(
                 handler,
                 service -> service.name().equals("pickup") ? Optional.of(Duration.ofSeconds(2)) : Optional.empty(),
-                EdgeLimits.DEFAULT,
+                limiter,
+                LIMITS.maxBodyBytes(),
                 new SystemTimeSource(),
                 new DaemonMetrics(registry),
                 HopTracer.noop());
-        return new EdgeServer(vertx, routes.router(vertx), EdgeLimits.DEFAULT)
+        return new EdgeServer(vertx, vertx.getOrCreateContext(), routes.router(vertx), limiter)
                 .listen("127.0.0.1", 0)
                 .toCompletionStage()
                 .toCompletableFuture()
--- a/daemon/src/test/java/io/daisyhoist/daemon/request/TestGroup.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/request/TestGroup.java
@@ -24,6 +24,7 @@
 import io.daisyhoist.core.membership.GroupSnapshot;
 import io.daisyhoist.core.membership.Member;
 import io.daisyhoist.core.membership.MemberState;
+import io.daisyhoist.core.memory.MemoryBudget;
 import io.daisyhoist.core.model.AvailabilityZone;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.Endpoint;
@@ -57,6 +58,8 @@
 
 /** Three daemons with real loopback connections; the test controls their leases and the group record. */
 final class TestGroup implements AutoCloseable {
+    private static final long MEMORY_BYTES = 64 << 20;
+
     static final ServiceName SERVICE = new ServiceName("pickup");
     static final PartitionId PARTITION = new PartitionId(SERVICE, 0);
     static final int SIZE = 3;
@@ -193,7 +196,8 @@
                     () -> snapshot,
                     () -> RoutingSnapshot.of(snapshot.record(), config),
                     new DaemonMetrics(registry),
-                    HopTracer.noop());
+                    HopTracer.noop(),
+                    new MemoryBudget(MEMORY_BYTES));
             BackendClient backendClient =
                     new BackendClient(vertx, traffic.context(), new Endpoint("127.0.0.1", backendPort), 32, time);
             admissionController = new AdmissionController(time, new AdaptiveLimit(time, 8, 8), 16);
--- a/mesh/src/main/java/io/daisyhoist/mesh/body/BodyLimits.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/body/BodyLimits.java
@@ -1,5 +1,7 @@
 package io.daisyhoist.mesh.body;
 
+import io.daisyhoist.daemon.limits.BodyBounds;
+
 /** Sizes of the parts in which a body is held and passed on. */
 public final class BodyLimits {
     /** Bodies up to this size are held whole; of larger ones, this much is held and the rest is streamed. */
@@ -14,18 +16,10 @@
      */
     public static final int WINDOW_BYTES = 128 << 10;
 
-    /** A held part is copied once for each message or write that contains it. */
-    private static final int COPIES = 2;
-
     private BodyLimits() {}
 
-    /** Returns the memory to reserve for a part that is held. */
-    public static long reservedBytes(long heldBytes) {
-        return COPIES * heldBytes;
-    }
-
     /** Returns the memory to reserve for a streamed body of which a first part is held. */
     public static long streamedBytes(long firstPartBytes) {
-        return reservedBytes(firstPartBytes) + WINDOW_BYTES;
+        return BodyBounds.reservedBytes(firstPartBytes) + WINDOW_BYTES;
     }
 }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -22,17 +22,17 @@
 import io.daisyhoist.core.time.Deadline;
 import io.daisyhoist.daemon.connection.HopByHopHeaders;
 import io.daisyhoist.daemon.connection.HttpField;
+import io.daisyhoist.daemon.limits.ClientConnectionLimiter;
+import io.daisyhoist.daemon.limits.RefusalFormat;
+import io.daisyhoist.daemon.limits.RequestRefusedException;
 import io.daisyhoist.mesh.body.ClientBody;
 import io.daisyhoist.mesh.body.RequestBody;
-import io.daisyhoist.mesh.body.RequestRefusedException;
 import io.daisyhoist.mesh.connection.CustomerHeaders;
 import io.daisyhoist.mesh.connection.HeaderNames;
-import io.daisyhoist.mesh.limits.ClientConnectionLimiter;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 
@@ -46,9 +46,6 @@
 public final class ClientServer {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    /** Limit of the HTTP decoder; the configured one is lower and enforced by {@link ClientConnectionLimiter}. */
-    private static final int MAX_DECODED_HEADER_BYTES = 1 << 20;
-
     /** Allowance for the transit of a response to the client. */
     private static final Duration RESPONSE_TRANSIT_TIME = Duration.ofMillis(20);
 
@@ -58,7 +55,7 @@
     private final RequestContext context;
     private final HeaderNames headerNames;
     private final CustomerAuthenticator authenticator;
-    private final ClientConnectionLimiter guard;
+    private final ClientConnectionLimiter limiter;
     private final QuotaCheck quotaCheck;
     private final WeightedServiceSelector serviceSelector = new WeightedServiceSelector();
     private final IngressAdmission ingress;
@@ -92,17 +89,17 @@
         this.quotaCheck = quotaCheck;
         this.headerNames = headerNames;
         this.authenticator = new CustomerAuthenticator(keyCheck, headerNames);
-        this.guard = new ClientConnectionLimiter(
-                vertx, context.time(), this::limits, bounds, context.memory(), context.metrics());
+        this.limiter = new ClientConnectionLimiter(
+                vertx,
+                context.time(),
+                this::limits,
+                bounds,
+                context.memory(),
+                new ClientConnectionLimiter.Refusals(RefusalFormat.WITHOUT_BODY, context.metrics()::onClientRefused));
         this.ingress = new IngressAdmission(context.time(), new SplittableRandom());
         this.pollBarrier = new PollBarrier(vertx);
-        this.server = vertx.createHttpServer(new HttpServerOptions()
-                        .setMaxHeaderSize(MAX_DECODED_HEADER_BYTES)
-                        .setMaxInitialLineLength(MAX_DECODED_HEADER_BYTES)
-                        // Clients use HTTP/1.1; the limits of heads and bodies are enforced on its messages only.
-                        .setHttp2ClearTextEnabled(false)
-                        .setAcceptBacklog(1024))
-                .connectionHandler(guard::onConnection)
+        this.server = vertx.createHttpServer(ClientConnectionLimiter.serverOptions())
+                .connectionHandler(limiter::onConnection)
                 .requestHandler(this::handleRequest);
     }
 
@@ -112,24 +109,24 @@
 
     /** Returns the number of open connections of clients. */
     public int connections() {
-        return guard.connections();
+        return limiter.connections();
     }
 
     /** Starts listening. */
     public Future<HttpServer> listen(Endpoint address) {
-        guard.start();
+        limiter.start();
         return server.listen(address.port(), address.host());
     }
 
     /** Starts listening on any free port. */
     public Future<HttpServer> listenOnFreePort(String host) {
-        guard.start();
+        limiter.start();
         return server.listen(0, host);
     }
 
     /** Stops listening and closes all connections. */
     public Future<Void> close() {
-        return server.close().onComplete(closed -> guard.stop());
+        return server.close().onComplete(closed -> limiter.stop());
     }
 
     /**
@@ -157,7 +154,7 @@
         inFlight++;
         Promise<Void> clientClosed = Promise.promise();
         http.response().closeHandler(closed -> clientClosed.tryComplete());
-        ClientBody clientBody = guard.readBody(http, limits().maxBodyBytes());
+        ClientBody clientBody = ClientBody.read(http, limits().maxBodyBytes(), limiter);
         handle(http, clientBody, arrivedNanos, clientClosed.future())
                 .recover(failure -> {
                     LOGGER.atSevere().withCause(failure).log("event=request_failed uri=%s", http.uri());
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/telemetry/FleetMetrics.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
+import io.daisyhoist.core.client.CloseReason;
 import io.daisyhoist.core.model.ServiceName;
 import io.daisyhoist.mesh.connection.ResponseFault;
 import io.daisyhoist.mesh.quota.QuotaReport;
@@ -85,8 +86,9 @@
     }
 
     /** Counts a request of a client that was refused, or a connection that was closed, for a limit. */
-    public void onClientRefused(String reason) {
-        registry.counter("daisyhoist.fleet.client.refusals", "reason", reason).increment();
+    public void onClientRefused(CloseReason reason) {
+        registry.counter("daisyhoist.fleet.client.refusals", "reason", reason.label())
+                .increment();
     }
 
     /** Registers a gauge of the memory that is held for one use. */
--- a/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/backend/BackendServer.java
@@ -29,6 +29,9 @@
  * {@link #executionLog()} may be used on any thread.
  */
 public final class BackendServer extends VerticleBase {
+    /** Larger than any head that a daemon accepts. */
+    private static final int MAX_HEADER_BYTES = 1 << 20;
+
     private static final String REQUEST_ID_HEADER = "Daisyhoist-Request-Id";
 
     private final BackendSettings settings;
@@ -115,8 +118,10 @@
         coldStart.start(System.nanoTime());
         fencingTokens.clear();
         sequences.clear();
-        HttpServerOptions options =
-                new HttpServerOptions().setHost(settings.host()).setPort(listenPort);
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost(settings.host())
+                .setPort(listenPort)
+                .setMaxHeaderSize(MAX_HEADER_BYTES);
         return vertx.createHttpServer(options)
                 .connectionHandler(this::handleConnection)
                 .requestHandler(request -> {
--- a/testkit/src/main/java/io/daisyhoist/testkit/backend/RequestExecution.java
+++ b/testkit/src/main/java/io/daisyhoist/testkit/backend/RequestExecution.java
@@ -12,6 +12,9 @@
  * Confined to one event loop.
  */
 final class RequestExecution {
+    /** Request field that sets the length of the padding in the response. */
+    private static final String RESPONSE_BYTES_FIELD = "X-Test-Response-Bytes";
+
     private final Vertx vertx;
     private final ExecutionLog executionLog;
     private final HttpServerRequest request;
@@ -82,7 +85,7 @@
             return;
         }
         ResponseBody body = new ResponseBody(
-                target.service(), target.key(), requestId, incarnation, sequence, "x".repeat(settings.bodyBytes()));
+                target.service(), target.key(), requestId, incarnation, sequence, "x".repeat(paddingBytes()));
         request.response()
                 .putHeader("Content-Type", "application/json")
                 .end(body.toJson().toBuffer());
@@ -105,6 +108,11 @@
         return true;
     }
 
+    private int paddingBytes() {
+        String text = header(RESPONSE_BYTES_FIELD);
+        return text.matches("[0-9]{1,9}") ? Integer.parseInt(text) : settings.bodyBytes();
+    }
+
     private long deadlineMillis() {
         String text = header("Daisyhoist-Deadline-Ms");
         return text.matches("[0-9]{1,9}") ? Long.parseLong(text) : Long.MAX_VALUE;
--- a/testkit/src/test/java/io/daisyhoist/testkit/process/JavaProcess.java
+++ b/testkit/src/test/java/io/daisyhoist/testkit/process/JavaProcess.java
@@ -20,12 +20,24 @@
     }
 
     static JavaProcess start(Path log, String mainClass, String... arguments) {
+        return new JavaProcess(start(command(mainClass, arguments), log), log);
+    }
+
+    /** Starts a process that may have no more descriptors open. */
+    static JavaProcess startWithDescriptors(int maxDescriptors, Path log, String mainClass, String... arguments) {
+        List<String> command =
+                new ArrayList<>(List.of("bash", "-c", "ulimit -n " + maxDescriptors + "; exec \"$@\"", "--"));
+        command.addAll(command(mainClass, arguments));
+        return new JavaProcess(start(command, log), log);
+    }
+
+    private static List<String> command(String mainClass, String... arguments) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
         command.addAll(List.of(arguments));
-        return new JavaProcess(start(command, log), log);
+        return command;
     }
 
     /** Sends a signal such as KILL, STOP, CONT or TERM. */
@@ -42,6 +54,10 @@
         return waitFor(process, timeout);
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/testkit/src/test/java/io/daisyhoist/testkit/process/Node.java
+++ b/testkit/src/test/java/io/daisyhoist/testkit/process/Node.java
@@ -85,13 +85,31 @@
     }
 
     void startDaemon() {
+        daemon = JavaProcess.start(logFile(), DAEMON_MAIN, "--config", writeSettings(""));
+    }
+
+    /**
+     * Starts the daemon with limits.
+     *
+     * @param limits further lines of the settings file
+     */
+    void startDaemon(String limits, int maxDescriptors) {
+        daemon = JavaProcess.startWithDescriptors(
+                maxDescriptors, logFile(), DAEMON_MAIN, "--config", writeSettings(limits));
+    }
+
+    private String writeSettings(String limits) {
         Path settingsFile = folder.resolve(name + ".toml");
         try {
-            Files.writeString(settingsFile, daemonSettings.toToml());
+            Files.writeString(settingsFile, daemonSettings.toToml() + limits);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        daemon = JavaProcess.start(folder.resolve(name + ".log"), DAEMON_MAIN, "--config", settingsFile.toString());
+        return settingsFile.toString();
+    }
+
+    Path logFile() {
+        return folder.resolve(name + ".log");
     }
 
     String name() {
@@ -118,6 +136,10 @@
         return DaemonSettingsFile.url(daemonSettings.httpPort());
     }
 
+    String adminUrl() {
+        return DaemonSettingsFile.url(daemonSettings.adminPort());
+    }
+
     BackendExecutions executions() {
         return new BackendExecutions(name, backend.executionLog().entriesSince(0));
     }
@@ -134,10 +156,16 @@
                 .orElseGet(JsonObject::new);
     }
 
+    /** Returns the name of the daemon that owns a key. */
+    String ownerOf(String key) {
+        return queryAdminPort("/v1/owner?service=" + Cluster.SERVICE + "&key=" + key)
+                .map(response -> new JsonObject(response.body()).getString("owner"))
+                .orElse("");
+    }
+
     private Optional<HttpResponse<String>> queryAdminPort(String path) {
         try {
-            return Optional.of(
-                    TestHttpClient.send("GET", DaemonSettingsFile.url(daemonSettings.adminPort()) + path, ""));
+            return Optional.of(TestHttpClient.send("GET", adminUrl() + path, ""));
         } catch (UncheckedIOException notListening) {
             return Optional.empty();
         }
