Give up connections whose clients read no response

What callers saw: with a heap of 64 MB, 160 clients that asked for responses of 1 MB and read none ended daisyhoistd; with the limits of the client port alone the daemon lived, but refused ordinary requests for memory until the idle timeout (no answer for 30 s in one run).

Cause: a request that may have run was never given up for the memory or the connections of others, so that unread responses kept both. Responses were also counted beyond the budget without a bound.

Change: a client that has taken no byte of its response for 1 s may lose its connection when there are too many, when requests wait for memory, and when another response of more than 16 KiB needs the memory. If memory still does not suffice, that response is replaced by one that says what is known of the run; there is always room for one response.

Evidence: largeResponsesWithoutReading ended the process on the code before (own mode), and is answered now; ConnectionTableTest has both decisions without a network.

--- a/core/src/main/java/io/daisyhoist/core/client/ConnectionState.java
+++ b/core/src/main/java/io/daisyhoist/core/client/ConnectionState.java
@@ -18,6 +18,9 @@
     /** Keeps a connection that has just made progress from counting as one without any weight. */
     private static final long MIN_STALL_NANOS = Duration.ofMillis(100).toNanos();
 
+    /** A client that takes no byte of its response for this long may lose its connection to others that need it. */
+    private static final Duration RESPONSE_STALL_TIME = Duration.ofSeconds(1);
+
     private static final long MILLIS_PER_SECOND = 1_000;
 
     /** What the connection is doing. */
@@ -87,9 +90,9 @@
         heldBytes += bytes;
     }
 
-    /** Returns the memory that is held for the connection. */
+    /** Returns the memory that is held for the connection, with responses that the client has not taken. */
     public long heldBytes() {
-        return heldBytes;
+        return heldBytes + unwrittenBytes;
     }
 
     /** Records that the connection begins, or ends, to wait for memory of the daemon. */
@@ -118,6 +121,16 @@
         unwrittenBytes = bytes;
     }
 
+    /** Returns whether the client has taken no byte of a response for a while. */
+    public boolean isResponseStalled(long nowNanos) {
+        return unwrittenBytes > 0 && nowNanos - unwrittenSinceNanos > RESPONSE_STALL_TIME.toNanos();
+    }
+
+    /** Returns whether others that need memory or a connection may have those of this one. */
+    boolean mayBeGivenUp(long nowNanos) {
+        return !mayHaveBeenSent() || isResponseStalled(nowNanos);
+    }
+
     /**
      * Returns the limit that the connection exceeds; to be called regularly.
      *
@@ -170,7 +183,7 @@
     /** Returns how much ending this connection is worth: the more it holds and the longer it has not moved, the higher. */
     double memoryWeight(long nowNanos) {
         long stallNanos = paused ? 0 : nowNanos - progressNanos;
-        return (double) heldBytes * (stallNanos + MIN_STALL_NANOS);
+        return (double) heldBytes() * (stallNanos + MIN_STALL_NANOS);
     }
 
     /** Returns how long the connection has not moved. */
@@ -179,8 +192,8 @@
     }
 
     /** Returns the order in which connections are given up for others, the lowest first. */
-    int usefulness() {
-        if (phase == Phase.REFUSED) {
+    int usefulness(long nowNanos) {
+        if (phase == Phase.REFUSED || isResponseStalled(nowNanos)) {
             return 0;
         }
         if (phase == Phase.IDLE) {
--- a/core/src/main/java/io/daisyhoist/core/client/ConnectionTable.java
+++ b/core/src/main/java/io/daisyhoist/core/client/ConnectionTable.java
@@ -11,7 +11,8 @@
 /**
  * The open connections of clients, and which of them are given up for others.
  *
- * <p>Invariant: no connection is given up whose request may have reached a backend server. Confined to one event loop.
+ * <p>Invariant: no connection is given up whose request may have reached a backend server, unless its client has taken no byte of
+ * the response for a while. Confined to one event loop.
  */
 public final class ConnectionTable {
     private final ConnectionBounds bounds;
@@ -63,8 +64,8 @@
         return connections.stream()
                 .filter(connection ->
                         connection != newest && connection.address().equals(address))
-                .filter(connection -> !connection.mayHaveBeenSent())
-                .min(Comparator.comparingInt(ConnectionState::usefulness)
+                .filter(connection -> connection.mayBeGivenUp(nowNanos))
+                .min(Comparator.comparingInt((ConnectionState connection) -> connection.usefulness(nowNanos))
                         .thenComparing(Comparator.comparingLong(
                                         (ConnectionState connection) -> connection.stallNanos(nowNanos))
                                 .reversed()))
@@ -74,7 +75,7 @@
     /** Returns the connection to give up because memory does not suffice: it holds most and moves least. */
     public Optional<ConnectionState> heaviest(long nowNanos) {
         return connections.stream()
-                .filter(connection -> connection.heldBytes() > 0 && !connection.mayHaveBeenSent())
+                .filter(connection -> connection.heldBytes() > 0 && connection.mayBeGivenUp(nowNanos))
                 .filter(connection -> connection.phase() != ConnectionState.Phase.REFUSED)
                 .max(Comparator.comparingDouble(connection -> connection.memoryWeight(nowNanos)));
     }
--- a/core/src/test/java/io/daisyhoist/core/client/ConnectionTableTest.java
+++ b/core/src/test/java/io/daisyhoist/core/client/ConnectionTableTest.java
@@ -45,6 +45,18 @@
             assertEquals(Optional.of(newest), table.excess(newest, SECOND));
         }
 
+        /** Guards against a crowd that takes no byte of its responses and keeps all connections of an address. */
+        @Test
+        void responseNotTaken_isGivenUp() {
+            open("a", Phase.RUNNING, 0);
+            open("a", Phase.RUNNING, 0);
+            ConnectionState stalled = open("a", Phase.RUNNING, 0);
+            stalled.onUnwrittenBytes(1_000, 0);
+            ConnectionState newest = open("a", Phase.IDLE, 0);
+            assertEquals(Optional.of(newest), table.excess(newest, SECOND));
+            assertEquals(Optional.of(stalled), table.excess(newest, 2 * SECOND));
+        }
+
         /** Guards against a crowd that never sends a request and takes the connections of clients that were served. */
         @Test
         void servedIdleConnections_areGivenUpLast() {
@@ -77,6 +89,15 @@
             assertEquals(Optional.of(stalled), table.heaviest(9 * SECOND));
         }
 
+        /** Guards against responses that nobody reads and that keep the memory for all other requests. */
+        @Test
+        void responseNotTaken_isGivenUpForMemory() {
+            ConnectionState stalled = open("a", Phase.RUNNING, 100);
+            stalled.onUnwrittenBytes(1_000, 0);
+            assertEquals(Optional.empty(), table.heaviest(SECOND));
+            assertEquals(Optional.of(stalled), table.heaviest(2 * SECOND));
+        }
+
         @Test
         void requestThatMayHaveBeenSent_isKept() {
             open("a", Phase.BODY, 1_000).onSent();
--- a/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionLimiter.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionLimiter.java
@@ -15,6 +15,7 @@
 import io.daisyhoist.core.client.ConnectionState;
 import io.daisyhoist.core.client.ConnectionTable;
 import io.daisyhoist.core.memory.MemoryBudget;
+import io.daisyhoist.core.memory.MemoryUse;
 import io.daisyhoist.core.route.ClientLimits;
 import io.daisyhoist.core.time.TimeSource;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -31,7 +32,7 @@
  * Enforces the limits of all connections of clients.
  *
  * <p>Invariants: a connection whose request may have reached a backend server is never closed for the memory or the connections
- * that others need; when memory does not suffice, reading pauses first. Confined to the traffic event loop.
+ * that others need, unless its client takes no byte of the response; when memory does not suffice, reading pauses first. Confined to the traffic event loop.
  */
 public final class ClientConnectionLimiter {
     private static final AttributeKey<ClientConnectionHandler> HANDLER =
@@ -42,6 +43,9 @@
 
     private static final int ACCEPT_BACKLOG = 1_024;
 
+    /** Responses up to this size are few bytes for each of the connections, which are bounded. */
+    private static final int MAX_SMALL_RESPONSE_BYTES = 16_384;
+
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
     /** Requests that end in the meantime return their memory, so that nobody need be refused. */
@@ -182,6 +186,24 @@
         return channel.attr(HANDLER).get();
     }
 
+    /**
+     * Returns whether memory suffices to keep a response until its client has taken it; first ends the connections of clients that
+     * take no byte of theirs, if that is necessary. There is always room for one response.
+     */
+    public boolean hasRoomForResponse(long bytes) {
+        long missingBytes = budget.heldBytes() + bytes - budget.maxBytes();
+        boolean first = budget.heldBytes(MemoryUse.RESPONSE) == 0;
+        if (bytes <= MAX_SMALL_RESPONSE_BYTES || missingBytes <= 0 || first) {
+            return true;
+        }
+        long now = nowNanos();
+        long freedBytes =
+                handlers.values().stream().filter(handler -> handler.state().isResponseStalled(now)).toList().stream()
+                        .mapToLong(stalled -> giveUp(stalled, now))
+                        .sum();
+        return missingBytes <= freedBytes;
+    }
+
     ClientLimits limits() {
         return limits.get();
     }
@@ -259,8 +281,13 @@
             if (heaviest.isEmpty()) {
                 return;
             }
-            freedBytes += heaviest.get().state().heldBytes();
-            heaviest.get().abort(CloseReason.MEMORY);
+            freedBytes += giveUp(heaviest.get(), now);
         }
     }
+
+    private static long giveUp(ClientConnectionHandler handler, long now) {
+        long freedBytes = handler.state().heldBytes();
+        handler.abort(handler.state().isResponseStalled(now) ? CloseReason.RESPONSE_STALLED : CloseReason.MEMORY);
+        return freedBytes;
+    }
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeRoutes.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeRoutes.java
@@ -37,6 +37,7 @@
 
     private final RequestHandler handler;
     private final RequestParser parser;
+    private final ClientConnectionLimiter limiter;
     private final BodyReader bodyReader;
     private final TimeSource time;
     private final DaemonMetrics metrics;
@@ -58,6 +59,7 @@
             HopTracer tracer) {
         this.handler = handler;
         this.parser = new RequestParser(timeouts, time);
+        this.limiter = limiter;
         this.bodyReader = new BodyReader(limiter, maxBodyBytes);
         this.time = time;
         this.metrics = metrics;
@@ -92,7 +94,7 @@
         Promise<Void> clientDisconnected = Promise.promise();
         http.response().closeHandler(closed -> clientDisconnected.tryComplete());
         handle(http, target, span, clientDisconnected.future()).onComplete(done -> {
-            OutboundResponse response = done.succeeded() ? done.result() : toRefusal(http, done.cause());
+            OutboundResponse response = done.succeeded() ? requireMemory(done.result()) : toRefusal(http, done.cause());
             metrics.onResponse(
                     target.service(),
                     response.refusal().map(Refusal::code),
@@ -104,6 +106,14 @@
         });
     }
 
+    /** Replaces a response that would take memory which others hold. */
+    private OutboundResponse requireMemory(OutboundResponse response) {
+        return limiter.hasRoomForResponse(response.body().length())
+                ? response
+                : Refusals.refused(
+                        RefusalCode.BACKEND_LOST, response.run(), "memory does not suffice for the response");
+    }
+
     private Future<OutboundResponse> handle(
             HttpServerRequest http, RequestTarget target, HopSpan span, Future<Void> clientDisconnected) {
         InboundRequest head;
--- a/daemon/src/test/java/io/daisyhoist/daemon/crowd/ExcessiveClientsTestCase.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/crowd/ExcessiveClientsTestCase.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -47,11 +48,25 @@
 
     private static final Duration RECOVERY_TIMEOUT = Duration.ofSeconds(30);
 
+    private final Bounds bounds;
     private final List<Socket> crowd = new ArrayList<>();
     private volatile boolean ended;
     private long maxResidentKilobytes;
     private int maxDescriptors;
 
+    /**
+     * What the daemon under test has to bear and may use. Immutable.
+     *
+     * @param maxResidentMegabytes memory that it may use, with the heap that it was started with
+     * @param maxDescriptors descriptors that it may use
+     * @param crowdDuration time for which the crowd is left alone with it
+     */
+    public record Bounds(int maxResidentMegabytes, int maxDescriptors, Duration crowdDuration) {}
+
+    protected ExcessiveClientsTestCase(Bounds bounds) {
+        this.bounds = bounds;
+    }
+
     /** What one client does. */
     private interface Client {
         void run(int number) throws IOException;
@@ -65,15 +80,6 @@
     /** Returns the daemon under test. */
     protected abstract ServingProcess daemon();
 
-    /** Returns the memory that the daemon may use, with the heap that it was started with. */
-    protected abstract int maxResidentMegabytes();
-
-    /** Returns the descriptors that the daemon may use. */
-    protected abstract int maxDescriptors();
-
-    /** Returns the time for which the crowd is left alone with the daemon. */
-    protected abstract Duration crowdDuration();
-
     @AfterEach
     void disconnect() throws IOException {
         ended = true;
@@ -158,6 +164,16 @@
         assertServesAfter(socket -> repeat(socket, request));
     }
 
+    @Test
+    void largeResponsesWithoutReading() throws Exception {
+        byte[] request = bytes(daemon().requestHead(ServingProcess.RESPONSE_BYTES_FIELD + ": " + LARGE_RESPONSE_BYTES
+                + "\r\nContent-Length: 0\r\n\r\n"));
+        assertServesAfter(socket -> {
+            socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+            repeat(socket, request);
+        });
+    }
+
     /** The clients connect from as many addresses and stop in their heads. */
     @Test
     void headsWithoutEnd_fromManyAddresses() throws Exception {
@@ -177,6 +193,18 @@
         });
     }
 
+    /** The clients send a whole request, then the end of their stream, and don't read. */
+    @Test
+    void halfClosedConnections() throws Exception {
+        byte[] request = bytes(daemon().requestHead(ServingProcess.RESPONSE_BYTES_FIELD + ": " + LARGE_RESPONSE_BYTES
+                + "\r\nContent-Length: 0\r\n\r\n"));
+        assertServesAfter(socket -> {
+            socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+            socket.getOutputStream().write(request);
+            socket.shutdownOutput();
+        });
+    }
+
     /** Guards against limits that refuse a legal request although nothing else is going on. */
     @Test
     void singleRequestsAtTheLimits_areServed() {
@@ -213,6 +241,24 @@
         assertServesAfterClients(number -> pattern.send(open(InetAddress.getLoopbackAddress())));
     }
 
+    /** Lets a crowd send large bodies to other daemons, which forward them all to the daemon under test. */
+    protected void assertServesAfterLargeBodiesFrom(List<? extends ServingProcess> others) throws Exception {
+        byte[] request = bytes(
+                daemon().requestHead("Content-Length: " + MAX_BODY_BYTES + "\r\n\r\n") + "x".repeat(MAX_BODY_BYTES));
+        assertServesAfterClients(number -> {
+            ServingProcess other = others.get(number % others.size());
+            while (!ended) {
+                try (Socket socket = other.connect(InetAddress.getLoopbackAddress())) {
+                    socket.getOutputStream().write(request);
+                    socket.getInputStream().read();
+                } catch (IOException e) {
+                    // Refused or closed, which is allowed.
+                }
+            }
+        });
+        others.forEach(other -> assertTrue(other.isAlive()));
+    }
+
     /** Runs a crowd and checks that the daemon lives, stays within its bounds, and answers an ordinary request afterwards. */
     private void assertServesAfterClients(Client client) throws Exception {
         long logBytesBefore = Files.size(daemon().logFile());
@@ -220,7 +266,7 @@
         for (int i = 0; i < CROWD; i++) {
             start(client, i, running);
         }
-        long endNanos = System.nanoTime() + crowdDuration().toNanos();
+        long endNanos = System.nanoTime() + bounds.crowdDuration().toNanos();
         while (System.nanoTime() < endNanos) {
             sample();
             running.await(50, TimeUnit.MILLISECONDS);
@@ -238,8 +284,8 @@
                 daemon().logEnd());
         System.out.println(getClass().getSimpleName() + " " + seen);
         assertTrue(daemon().isAlive(), seen);
-        assertTrue(maxResidentKilobytes >> 10 <= maxResidentMegabytes(), seen);
-        assertTrue(maxDescriptors <= maxDescriptors(), seen);
+        assertTrue(maxResidentKilobytes >> 10 <= bounds.maxResidentMegabytes(), seen);
+        assertTrue(maxDescriptors <= bounds.maxDescriptors(), seen);
         assertTrue(logBytes <= MAX_LOG_BYTES, seen);
         assertTrue(serves, seen);
     }
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ClientServer.java
@@ -162,6 +162,7 @@
                 })
                 .onSuccess(clientResponse -> logUpload(http, clientBody, clientResponse))
                 .onComplete(done -> clientBody.close())
+                .map(clientResponse -> requireMemory(http, clientResponse))
                 // A response that is not written completely would be lost if the process exited.
                 .compose(clientResponse -> write(http, clientBody, clientResponse))
                 .onComplete(done -> inFlight--);
@@ -283,6 +284,17 @@
         return ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN);
     }
 
+    /** Replaces a response that would take memory which others hold. */
+    private ClientResponse requireMemory(HttpServerRequest http, ClientResponse clientResponse) {
+        if (limiter.hasRoomForResponse(clientResponse.body().length())) {
+            return clientResponse;
+        }
+        LOGGER.atWarning().log(
+                "event=response_dropped request=%s reason=memory bytes=%d",
+                http.getHeader(headerNames.requestId()), clientResponse.body().length());
+        return ClientResponse.status(ClientResponse.OUTCOME_UNKNOWN);
+    }
+
     private Future<ClientResponse> refuse(HttpServerRequest http, String reason, ClientResponse clientResponse) {
         LOGGER.atInfo().log(
                 "event=request_refused request=%s reason=%s status=%d",
