Bound log lines before they wait, in both modes

What operators could see: the log of the fleet mode holds up to 4,096 lines for its writer, and a line may quote an id or a path of 16 KB that a refused client has sent; while nobody reads the output, that is more than 60 MB of a heap of 160 MB. The own mode wrote each line synchronously, and a stack trace for each client that disconnected within its body.

Cause: lines were cut to 4,000 characters when they were written, not when they were queued; the own mode had a handler of its own without a bound.

Change: a line is cut before it is queued, and both modes use this handler.

That a full queue alone ends a process was not run.

--- a/daemon/src/main/java/io/daisyhoist/daemon/process/DaemonMain.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/DaemonMain.java
@@ -6,6 +6,7 @@
 import io.daisyhoist.core.error.DaisyhoistException;
 import io.daisyhoist.core.error.ErrorCode;
 import io.daisyhoist.daemon.process.settings.DaemonSettings;
+import io.daisyhoist.daemon.telemetry.BoundedLogHandler;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
@@ -50,7 +51,8 @@
         if (checkOnly) {
             return;
         }
-        Logging.configure(settings.logLevel());
+        BoundedLogHandler log =
+                BoundedLogHandler.install(System.err, settings.logLevel().javaLevel());
         FatalErrors.install();
         Daemon daemon = new Daemon(settings);
         daemon.start();
@@ -58,9 +60,9 @@
         daemon.whenStopped().whenComplete((done, failure) -> {
             if (failure != null) {
                 LOGGER.atSevere().log("event=daemon_failed reason=\"%s\"", failure.getMessage());
-                Runtime.getRuntime().halt(ErrorCode.INTERNAL.exitCode());
             }
-            Runtime.getRuntime().halt(0);
+            log.close();
+            Runtime.getRuntime().halt(failure == null ? 0 : ErrorCode.INTERNAL.exitCode());
         });
     }
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/telemetry/BoundedLogHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/telemetry/BoundedLogHandler.java
@@ -1,4 +1,4 @@
-package io.daisyhoist.mesh.telemetry;
+package io.daisyhoist.daemon.telemetry;
 
 import java.io.BufferedOutputStream;
 import java.io.PrintStream;
@@ -48,14 +48,14 @@
         writer.start();
     }
 
-    /** Installs a handler that writes log records of the project at or above level INFO to an output. */
-    public static BoundedLogHandler install(PrintStream output) {
+    /** Installs a handler that writes log records of the project at or above a level to an output. */
+    public static BoundedLogHandler install(PrintStream output, Level level) {
         BoundedLogHandler log = new BoundedLogHandler(output);
         LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
         root.addHandler(log);
         root.setLevel(Level.WARNING);
-        Logger.getLogger("io.daisyhoist").setLevel(Level.INFO);
+        Logger.getLogger("io.daisyhoist").setLevel(level);
         return log;
     }
 
@@ -80,11 +80,12 @@
         return linesInSecond <= MAX_LINES_PER_SECOND;
     }
 
-    private static String format(LogRecord logRecord) {
+    /** Returns the line, whose length is bounded before it is queued, because it may quote what others sent. */
+    static String format(LogRecord logRecord) {
         String line = "ts=" + Instant.ofEpochMilli(logRecord.getMillis()) + " level=" + logRecord.getLevel() + " "
                 + logRecord.getMessage();
         Throwable cause = logRecord.getThrown();
-        return cause == null ? line : line + " cause=\"" + cause + "\" at=\"" + firstFrame(cause) + "\"";
+        return singleLine(cause == null ? line : line + " cause=\"" + cause + "\" at=\"" + firstFrame(cause) + "\"");
     }
 
     private static String firstFrame(Throwable cause) {
@@ -97,7 +98,7 @@
             try {
                 String line = queuedLines.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
                 if (line != null) {
-                    output.println(singleLine(line));
+                    output.println(line);
                     reportDroppedLines();
                 }
                 if (queuedLines.isEmpty()) {
@@ -110,7 +111,7 @@
         }
     }
 
-    /** Replaces control characters and cuts off long lines, because a line may quote what others sent. */
+    /** Replaces control characters and cuts off long lines. */
     private static String singleLine(String line) {
         String bounded = line.length() > MAX_LINE_CHARS ? line.substring(0, MAX_LINE_CHARS) + "..." : line;
         return CONTROL_CHARACTERS.matcher(bounded).replaceAll("?");
--- a/daemon/src/test/java/io/daisyhoist/daemon/crowd/ExcessiveClientsTestCase.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/crowd/ExcessiveClientsTestCase.java
@@ -205,6 +205,20 @@
         });
     }
 
+    /** Guards against a log that grows with each client that is refused or disconnects in the middle of a request. */
+    @Test
+    void refusedAndInterruptedRequests() throws Exception {
+        byte[] invalid = bytes("GET / HTTP/1.1\r\nA\0b: c\r\n\r\n");
+        byte[] interrupted = bytes(daemon().requestHead("Content-Length: 1000\r\n\r\nx"));
+        assertServesAfterClients(number -> {
+            while (!ended) {
+                try (Socket socket = daemon().connect(InetAddress.getLoopbackAddress())) {
+                    socket.getOutputStream().write(number % 2 == 0 ? invalid : interrupted);
+                }
+            }
+        });
+    }
+
     /** Guards against limits that refuse a legal request although nothing else is going on. */
     @Test
     void singleRequestsAtTheLimits_areServed() {
--- a/mesh/src/test/java/io/daisyhoist/mesh/telemetry/BoundedLogHandlerTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/telemetry/BoundedLogHandlerTest.java
@@ -1,4 +1,4 @@
-package io.daisyhoist.mesh.telemetry;
+package io.daisyhoist.daemon.telemetry;
 
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
@@ -74,4 +74,11 @@
         assertTrue(text.contains("x?event=forged?"), text);
         assertTrue(text.length() < 5_000, text.length() + " characters");
     }
+
+    /** Guards against queued lines that together exceed the heap, because clients send long ids in requests that are refused. */
+    @Test
+    void format_longMessage_isCutBeforeItIsQueued() {
+        String line = BoundedLogHandler.format(new LogRecord(Level.INFO, "request=" + "x".repeat(100_000)));
+        assertTrue(line.length() < 5_000, "length " + line.length());
+    }
 }
