Hold the limits of the client port at the internal ports too

What operators could see: clients that reach the admin port of the own mode, or the heartbeat or readiness port of the fleet mode, and pipeline requests for /metrics without reading ended the daemon of either mode (heap of 64 MB); heads without an end at the admin port left the own mode without an answer to clients for 30 s, and at the internal ports of the fleet mode they took 234 descriptors of the 200 that the instance had.

Cause: these ports bounded the number of connections only, 64 each however few descriptors there were, and queued a response for each pipelined request.

--- a/core/src/main/java/io/daisyhoist/core/client/ConnectionBounds.java
+++ b/core/src/main/java/io/daisyhoist/core/client/ConnectionBounds.java
@@ -24,11 +24,21 @@
     /** Part of the connections that one address may have; all ordinary clients may share an address. */
     private static final double SHARE_OF_ADDRESS = 0.75;
 
+    private static final int MAX_INTERNAL_CONNECTIONS = 64;
+
+    /** Connections of an internal port for each one of the client port, where descriptors are few. */
+    private static final double SHARE_OF_INTERNAL_PORT = 0.25;
+
     /** Returns the default maximum number of connections for a process with the given maximum number of descriptors. */
     public static int maxConnections(int maxDescriptors) {
         return (int) Math.max(1, Math.min(DEFAULT.maxConnections(), maxDescriptors * SHARE_OF_DESCRIPTORS));
     }
 
+    /** Returns the maximum number of connections of a port that only operators, the platform and the backend server use. */
+    public static int maxInternalConnections(int maxConnections) {
+        return (int) Math.max(1, Math.min(MAX_INTERNAL_CONNECTIONS, maxConnections * SHARE_OF_INTERNAL_PORT));
+    }
+
     /** Returns the default maximum number of connections of one address. */
     public static int maxConnectionsPerAddress(int maxConnections) {
         return (int) Math.max(1, maxConnections * SHARE_OF_ADDRESS);
--- a/daemon/src/main/java/io/daisyhoist/daemon/limits/BoundedAcceptTransport.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/BoundedAcceptTransport.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
@@ -24,18 +25,17 @@
     /** Connections beyond the limit of the client port, so that a new one can take the place of another. */
     private static final int SURPLUS = 4;
 
-    /** Only the local backend server and operators connect to the other ports. */
-    private static final int MAX_OTHER_CONNECTIONS = 64;
-
     private static final long RETRY_MILLIS = 10;
 
     private final int clientPort;
     private final int maxClientConnections;
+    private final int maxInternalConnections;
 
     /** Creates a transport. */
     public BoundedAcceptTransport(int clientPort, int maxClientConnections) {
         this.clientPort = clientPort;
         this.maxClientConnections = maxClientConnections + SURPLUS;
+        this.maxInternalConnections = ConnectionBounds.maxInternalConnections(maxClientConnections) + SURPLUS;
     }
 
     @Override
@@ -66,7 +66,7 @@
     /** Server port with a bounded number of open connections. Confined to its event loop, except for the count. */
     private final class BoundedServerChannel extends NioServerSocketChannel {
         private final AtomicInteger open = new AtomicInteger();
-        private int maxOpen = MAX_OTHER_CONNECTIONS;
+        private int maxOpen = maxInternalConnections;
 
         @Override
         protected void doBind(SocketAddress address) throws Exception {
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/Daemon.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/Daemon.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.config.EffectiveConfig;
 import io.daisyhoist.core.config.ServiceSettings;
 import io.daisyhoist.core.lease.LeaseSettings;
@@ -15,6 +16,7 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.HttpPlatformStore;
 import io.daisyhoist.daemon.limits.BoundedAcceptTransport;
+import io.daisyhoist.daemon.limits.InternalHttpServer;
 import io.daisyhoist.daemon.process.settings.DaemonSettings;
 import io.daisyhoist.daemon.request.AdminRoutes;
 import io.daisyhoist.daemon.telemetry.Tracing;
@@ -23,7 +25,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.http.HttpServer;
+import io.vertx.ext.web.Router;
 
 /**
  * Lifecycle of one daemon: opens the admin port, waits for the configuration, and serves requests until it is drained.
@@ -84,9 +86,11 @@
                 "event=daemon_starting daemon=%s incarnation=%s zone=%s service=%s",
                 self.daemon(), Long.toHexString(self.incarnation()), settings.zone(), settings.service());
         AdminService admin = new AdminService(settings, self, time, controlPlane, this::dataPlane, this::drain);
-        HttpServer server =
-                vertx.createHttpServer().requestHandler(new AdminRoutes(admin, registry::scrape).router(vertx));
-        server.listen(settings.adminPort(), settings.host()).onFailure(this::fail);
+        Router routes = new AdminRoutes(admin, registry::scrape).router(vertx);
+        int maxConnections = ConnectionBounds.maxInternalConnections(
+                settings.limits().connections().maxConnections());
+        InternalHttpServer.listen(vertx, time, settings.adminEndpoint(), maxConnections, routes::handle)
+                .onFailure(this::fail);
         controlThread.execute(() -> {
             controlPlane.config().onChange(this::onConfig);
             controlPlane.config().start();
--- a/daemon/src/test/java/io/daisyhoist/daemon/crowd/ExcessiveClientsTestCase.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/crowd/ExcessiveClientsTestCase.java
@@ -174,6 +174,24 @@
         });
     }
 
+    @Test
+    void headsWithoutEnd_atInternalPorts() throws Exception {
+        byte[] head =
+                bytes("GET /metrics HTTP/1.1\r\nHost: a\r\n" + "a:\r\n".repeat(MAX_INTERNAL_HEADER_BYTES / 4 - 20));
+        assertServesAfterClients(
+                number -> openInternal(number).getOutputStream().write(head));
+    }
+
+    @Test
+    void responsesUnread_atInternalPorts() throws Exception {
+        byte[] request = bytes("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertServesAfterClients(number -> {
+            Socket socket = openInternal(number);
+            socket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+            repeat(socket, request);
+        });
+    }
+
     /** The clients connect from as many addresses and stop in their heads. */
     @Test
     void headsWithoutEnd_fromManyAddresses() throws Exception {
@@ -244,6 +262,11 @@
         return keep(daemon().connect(from));
     }
 
+    private Socket openInternal(int number) throws IOException {
+        List<InetSocketAddress> addresses = daemon().internalAddresses();
+        return keep(daemon().connect(InetAddress.getLoopbackAddress(), addresses.get(number % addresses.size())));
+    }
+
     private Socket keep(Socket socket) {
         synchronized (crowd) {
             crowd.add(socket);
