Log: report dropped lines also when no line follows

What operators could see: the count of dropped lines was written only after a later line, and never when the process ended first.

--- a/daemon/src/main/java/io/daisyhoist/daemon/telemetry/BoundedLogHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/telemetry/BoundedLogHandler.java
@@ -20,7 +20,7 @@
  *
  * <p>Invariants: callers never block on the output; at most {@link #MAX_QUEUED_LINES} lines are queued and at most
  * {@link #MAX_LINES_PER_SECOND} are accepted per second; further lines are dropped and counted, and the count is written
- * after the next line. Thread-safe.
+ * soon afterwards. Thread-safe.
  */
 public final class BoundedLogHandler extends Handler {
     private static final int MAX_QUEUED_LINES = 4_096;
@@ -99,8 +99,8 @@
                 String line = queuedLines.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
                 if (line != null) {
                     output.println(line);
-                    reportDroppedLines();
                 }
+                reportDroppedLines();
                 if (queuedLines.isEmpty()) {
                     output.flush();
                 }
@@ -109,6 +109,7 @@
                 return;
             }
         }
+        reportDroppedLines();
     }
 
     /** Replaces control characters and cuts off long lines. */
