Charge what other daemons forward to the memory of the daemon that receives it

What callers saw: while clients sent bodies of 1 MB to five daemons of the own mode, which forwarded them to the owner of one key, no ordinary request to that owner was answered for 30 s (heap of 64 MB each).

Cause: a forwarded request was not charged to the memory budget at its receiver, except for streamed bodies of the fleet mode; messages were bounded for each connection only (2 MB and 16 MB), so that many daemons together could exceed the heap.

Change: a forwarded request is charged twice its bytes until its response is sent, and refused as not run without memory. Before that, a message of more than 64 KiB is charged when its length is known (FrameBudget, an eighth of the heap), until the event loop of requests has taken it over; without room the connection is not read for some milliseconds. A connection that stops in the middle of such a message for 3 s is closed, since others wait for it.

RequestPipelineTest.get_ownerHasNoMemory_isNotRun, ForwardReceiverTest.handle_noMemory_isRefusedAsNotRunUntilOthersEnd and BoundedFrameDecoderTest need no process. That the frames alone end a process was not shown.

--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClient.java
@@ -30,6 +30,7 @@
     private final AtomicLong requestIds = new AtomicLong();
     private final Map<ConnectionKey, PeerConnection> connections = new ConcurrentHashMap<>();
     private final PeerByteCounter byteCounter = new PeerByteCounter();
+    private final FrameBudget frames = FrameBudget.ofHeap();
     private volatile boolean closed;
 
     /**
@@ -124,7 +125,8 @@
         connections
                 .computeIfAbsent(
                         new ConnectionKey(endpoint, channel),
-                        key -> new PeerConnection(eventLoops.next(), endpoint, identity, limits, random, byteCounter))
+                        key -> new PeerConnection(
+                                eventLoops.next(), endpoint, identity, limits, random, byteCounter, frames))
                 .submit(call);
     }
 
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClientHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerClientHandler.java
@@ -134,6 +134,11 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext channelContext, Envelope message) {
+        channelContext
+                .pipeline()
+                .get(BoundedFrameDecoder.class)
+                .takeReservation()
+                .run();
         // Frames that were decoded together with a rejected one must not be processed.
         if (!channelContext.channel().isActive()) {
             return;
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerConnection.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerConnection.java
@@ -47,6 +47,7 @@
     private final PeerLimits limits;
     private final RandomGenerator random;
     private final PeerByteCounter byteCounter;
+    private final FrameBudget frames;
     private final AtomicInteger pendingCallCount = new AtomicInteger();
     private final List<PeerCall> waitingCalls = new ArrayList<>();
 
@@ -64,13 +65,15 @@
             PeerIdentity identity,
             PeerLimits limits,
             RandomGenerator random,
-            PeerByteCounter byteCounter) {
+            PeerByteCounter byteCounter,
+            FrameBudget frames) {
         this.eventLoop = eventLoop;
         this.endpoint = endpoint;
         this.identity = identity;
         this.limits = limits;
         this.random = random;
         this.byteCounter = byteCounter;
+        this.frames = frames;
     }
 
     void submit(PeerCall call) {
@@ -142,6 +145,7 @@
                                 channel,
                                 limits,
                                 byteCounter,
+                                frames,
                                 new IdleStateHandler(keepAliveMillis, 0, 0, TimeUnit.MILLISECONDS),
                                 newHandler);
                     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerPipeline.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerPipeline.java
@@ -13,10 +13,14 @@
     private PeerPipeline() {}
 
     static void install(
-            SocketChannel channel, PeerLimits limits, PeerByteCounter byteCounter, ChannelHandler... handlers) {
+            SocketChannel channel,
+            PeerLimits limits,
+            PeerByteCounter byteCounter,
+            FrameBudget frames,
+            ChannelHandler... handlers) {
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addLast(byteCounter);
-        pipeline.addLast(new BoundedFrameDecoder(limits.maxFrameBytes()));
+        pipeline.addLast(new BoundedFrameDecoder(limits.maxFrameBytes(), frames));
         pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
         pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
         pipeline.addLast(new ProtobufEncoder());
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerReply.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerReply.java
@@ -15,6 +15,15 @@
         throw new UnsupportedOperationException("only the reply can be sent");
     }
 
+    /**
+     * Keeps the memory of the message reserved after its handler has returned, because the message waits for another thread.
+     *
+     * @return to be run once, when the message is no longer held or its memory is accounted for otherwise
+     */
+    default Runnable keepMemoryReserved() {
+        return () -> {};
+    }
+
     /** Returns whether the connection is open; a reply on a closed connection is dropped. */
     boolean isDeliverable();
 }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServer.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServer.java
@@ -34,6 +34,7 @@
     private final PeerLimits limits;
     private final PeerHandler handler;
     private final PeerByteCounter byteCounter = new PeerByteCounter();
+    private final FrameBudget frames = FrameBudget.ofHeap();
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
     /** Creates a server that does not listen yet. */
@@ -90,6 +91,7 @@
                 channel,
                 limits,
                 byteCounter,
+                frames,
                 new IdleStateHandler(idleTimeout.toMillis(), 0, 0, TimeUnit.MILLISECONDS),
                 new PeerServerConnection(identity, limits, handler));
     }
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServerConnection.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServerConnection.java
@@ -37,14 +37,41 @@
         if (!context.channel().isActive()) {
             return;
         }
-        if (message.hasHello() || peer.isEmpty()) {
-            handleHello(context, message);
-            return;
+        MessageMemory memory = new MessageMemory(
+                context.pipeline().get(BoundedFrameDecoder.class).takeReservation());
+        try {
+            if (message.hasHello() || peer.isEmpty()) {
+                handleHello(context, message);
+                return;
+            }
+            if (message.getBodyCase() == Envelope.BodyCase.BODY_NOT_SET) {
+                throw new PeerProtocolException("message without a body");
+            }
+            dispatch(peer.get(), message, replyTo(context.channel(), message.getRequestId(), memory));
+        } finally {
+            memory.releaseUnlessKept();
         }
-        if (message.getBodyCase() == Envelope.BodyCase.BODY_NOT_SET) {
-            throw new PeerProtocolException("message without a body");
+    }
+
+    /** Reservation of a message while it is handled. Confined to the connection's event loop. */
+    private static final class MessageMemory {
+        private final Runnable release;
+        private boolean kept;
+
+        private MessageMemory(Runnable release) {
+            this.release = release;
+        }
+
+        private Runnable keep() {
+            kept = true;
+            return release;
+        }
+
+        private void releaseUnlessKept() {
+            if (!kept) {
+                release.run();
+            }
         }
-        dispatch(peer.get(), message, replyTo(context.channel(), message.getRequestId()));
     }
 
     private void dispatch(ProcessId from, Envelope message, PeerReply reply) {
@@ -66,7 +93,7 @@
         context.writeAndFlush(identity.hello());
     }
 
-    private PeerReply replyTo(Channel channel, long requestId) {
+    private PeerReply replyTo(Channel channel, long requestId, MessageMemory memory) {
         AtomicBoolean replied = new AtomicBoolean();
         return new PeerReply() {
             @Override
@@ -83,6 +110,11 @@
                 }
             }
 
+            @Override
+            public Runnable keepMemoryReserved() {
+                return memory.keep();
+            }
+
             @Override
             public boolean isDeliverable() {
                 return channel.isActive();
@@ -108,7 +140,8 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
-        context.channel().config().setAutoRead(context.channel().isWritable());
+        boolean missesMemory = context.pipeline().get(BoundedFrameDecoder.class).isWaiting();
+        context.channel().config().setAutoRead(context.channel().isWritable() && !missesMemory);
         super.channelWritabilityChanged(context);
     }
 
--- a/daemon/src/test/java/io/daisyhoist/daemon/request/RequestPipelineTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/request/RequestPipelineTest.java
@@ -10,6 +10,8 @@
 
 import io.daisyhoist.core.error.RefusalCode;
 import io.daisyhoist.core.error.RunState;
+import io.daisyhoist.core.memory.MemoryBudget;
+import io.daisyhoist.core.memory.MemoryUse;
 import io.daisyhoist.daemon.request.TestGroup.ReceivedRequest;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
@@ -99,6 +101,16 @@
                     receivedRequests.stream().map(ReceivedRequest::node).toList());
         }
 
+        /** Guards against many daemons that forward more than their owner's memory. */
+        @Test
+        void get_ownerHasNoMemory_isNotRun() throws Exception {
+            MemoryBudget memory = group.nodes.get(0).memory;
+            memory.open(MemoryUse.RESPONSE).growAlways(memory.maxBytes());
+            OutboundResponse response = send(1, "GET", "level", Optional.empty());
+            assertRefused(RefusalCode.OVERLOADED, RunState.NOT_RUN, response);
+            assertEquals(0, receivedRequests.size());
+        }
+
         @Test
         void get_ownerProcessStopped_isServedByTheNextOwner() throws Exception {
             group.move(1);
--- a/daemon/src/test/java/io/daisyhoist/daemon/request/TestGroup.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/request/TestGroup.java
@@ -165,6 +165,7 @@
         final RequestPipeline pipeline;
         final AdmissionController admissionController;
         final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+        final MemoryBudget memory = new MemoryBudget(MEMORY_BYTES);
         private final Endpoint endpoint;
         private final Handler<HttpServerRequest> requests;
         private HttpServer backend;
@@ -197,7 +198,7 @@
                     () -> RoutingSnapshot.of(snapshot.record(), config),
                     new DaemonMetrics(registry),
                     HopTracer.noop(),
-                    new MemoryBudget(MEMORY_BYTES));
+                    memory);
             BackendClient backendClient =
                     new BackendClient(vertx, traffic.context(), new Endpoint("127.0.0.1", backendPort), 32, time);
             admissionController = new AdmissionController(time, new AdaptiveLimit(time, 8, 8), 16);
--- a/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/request/ForwardReceiver.java
@@ -18,6 +18,7 @@
 import io.daisyhoist.core.time.TimeSource;
 import io.daisyhoist.daemon.connection.PeerHandler;
 import io.daisyhoist.daemon.connection.PeerReply;
+import io.daisyhoist.daemon.limits.BodyBounds;
 import io.daisyhoist.mesh.body.BodyLimits;
 import io.daisyhoist.mesh.body.ReceivedBodyRest;
 import io.daisyhoist.mesh.body.RequestBody;
@@ -92,7 +93,7 @@
      * Creates a receiver.
      *
      * @param idempotent whether a request may be interrupted and repeated, according to its route
-     * @param memory memory for bodies that are streamed
+     * @param memory memory for requests
      */
     public ForwardReceiver(
             Context context,
@@ -114,7 +115,13 @@
     @Override
     public void handle(ProcessId from, Envelope message, PeerReply reply) {
         switch (message.getBodyCase()) {
-            case FORWARD_REQUEST -> context.runOnContext(run -> forward(from, message, reply));
+            case FORWARD_REQUEST -> {
+                Runnable frameMemory = reply.keepMemoryReserved();
+                context.runOnContext(run -> {
+                    frameMemory.run();
+                    forward(from, message, reply);
+                });
+            }
             case BODY_CHUNK ->
                 context.runOnContext(
                         run -> onBodyChunk(new CallId(from, message.getRequestId()), message.getBodyChunk()));
@@ -152,12 +159,11 @@
             return;
         }
         BackendRequestData request = decoded.get();
-        // A body that is held whole has been read already and takes no further memory.
-        Optional<MemoryBudget.Reservation> reservation = rest.isPresent()
-                ? memory.tryReserve(
-                        MemoryUse.PEER_MESSAGE,
-                        BodyLimits.streamedBytes(request.body().first().length()))
-                : Optional.of(memory.open(MemoryUse.PEER_MESSAGE));
+        Optional<MemoryBudget.Reservation> reservation = memory.tryReserve(
+                MemoryUse.PEER_MESSAGE,
+                rest.isPresent()
+                        ? BodyLimits.streamedBytes(request.body().first().length())
+                        : BodyBounds.reservedBytes(message.getSerializedSize()));
         if (reservation.isEmpty()) {
             logDropped(request.id(), "no_memory");
             refuse(reply, BackendOutcome.NotRunReason.OVERLOADED, NO_MEMORY_RETRY_AFTER);
--- a/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
+++ b/mesh/src/test/java/io/daisyhoist/mesh/request/ForwardReceiverTest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.daisyhoist.core.memory.MemoryBudget;
+import io.daisyhoist.core.memory.MemoryUse;
 import io.daisyhoist.core.model.DaemonId;
 import io.daisyhoist.core.model.ProcessId;
 import io.daisyhoist.daemon.connection.PeerReply;
@@ -22,6 +23,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 /** Tests against a backend server that reads requests and never responds. */
 class ForwardReceiverTest {
@@ -136,6 +138,22 @@
         await().during(Duration.ofMillis(200)).until(interrupted::isEmpty);
     }
 
+    /** Guards against many daemons that forward more requests than the memory of one holds. */
+    @Test
+    void handle_noMemory_isRefusedAsNotRunUntilOthersEnd() {
+        MemoryBudget.Reservation others = memory.open(MemoryUse.RESPONSE);
+        others.growAlways(memory.maxBytes());
+        forward("1");
+        await().until(() -> connection.replies.size() == 1);
+        BackendOutcome outcome = ForwardCodec.decode(connection.replies.get(0).getForwardResponse());
+        assertEquals(
+                BackendOutcome.NotRunReason.OVERLOADED,
+                assertInstanceOf(BackendOutcome.NotRun.class, outcome).reason());
+        others.release();
+        forward("2");
+        await().until(() -> started.size() == 1);
+    }
+
     /** Guards against a sender that waits until its deadline, and does not know whether its damaged request runs. */
     @Test
     void handle_damagedRequest_isRefusedAsNotRun() {
--- a/testkit/src/test/java/io/daisyhoist/testkit/process/ExcessiveClientsTest.java
+++ b/testkit/src/test/java/io/daisyhoist/testkit/process/ExcessiveClientsTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.awaitility.Awaitility.await;
@@ -42,6 +43,10 @@
     private static Cluster cluster;
     private static Node target;
 
+    ExcessiveClientsTest() {
+        super(new Bounds(MAX_RESIDENT_MEGABYTES, MAX_DESCRIPTORS, CROWD_DURATION));
+    }
+
     @BeforeAll
     static void startCluster() {
         cluster = Cluster.start(folder, false);
@@ -64,6 +69,21 @@
         await().atMost(START_TIMEOUT).until(daemon()::isServing);
     }
 
+    /** The crowd sends large bodies to the other daemons, which forward them all to the owner of one key. */
+    @Test
+    void largeBodiesForwardedByOtherDaemons() throws Exception {
+        String owner = target.ownerOf(KEY);
+        target = cluster.nodes().stream()
+                .filter(node -> node.name().equals(owner))
+                .findFirst()
+                .orElseThrow();
+        List<ServingProcess> others = cluster.nodes().stream()
+                .filter(node -> node != target)
+                .<ServingProcess>map(NodeDaemon::new)
+                .toList();
+        assertServesAfterLargeBodiesFrom(others);
+    }
+
     @Override
     protected ServingProcess daemon() {
         return new NodeDaemon(target);
@@ -107,19 +127,4 @@
             return node.logFile();
         }
     }
-
-    @Override
-    protected int maxResidentMegabytes() {
-        return MAX_RESIDENT_MEGABYTES;
-    }
-
-    @Override
-    protected int maxDescriptors() {
-        return MAX_DESCRIPTORS;
-    }
-
-    @Override
-    protected Duration crowdDuration() {
-        return CROWD_DURATION;
-    }
 }
