--- a/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionHandler.java
@@ -29,12 +29,6 @@
  * Confined to the connection's event loop.
  */
 final class ClientConnectionHandler extends ChannelDuplexHandler {
-    /** Memory of a parsed field and its copies on the way to a backend server, without its characters. */
-    private static final int FIELD_BYTES = 512;
-
-    /** Memory for each byte of a head: its characters and one copy. */
-    private static final int BYTES_PER_HEAD_BYTE = 2;
-
     /** Longer lines between chunks are of no use to anyone. */
     private static final int MAX_CHUNK_LINE_BYTES = 4_096;
 
@@ -46,18 +40,16 @@
     private final HeadScanner head = new HeadScanner();
     private final ChunkScanner chunks = new ChunkScanner();
     private final Deque<ByteBuf> waitingBytes = new ArrayDeque<>();
-    private final MemoryBudget.Reservation headMemory;
+    private final HeadMemory headMemory;
     private final MemoryBudget.Reservation waitingMemory;
     private final MemoryBudget.Reservation responseMemory;
     private Optional<HeldBody> body = Optional.empty();
     private ChannelHandlerContext context;
     private long remainingBodyBytes;
-    private long headEstimate;
 
     /** Time of the latest read. */
     private long readNanos;
 
-    private long trailerEstimate;
     private boolean paused;
 
     /** Whether the other handlers wanted the connection to be read when it was paused. */
@@ -74,7 +66,7 @@
         this.limiter = limiter;
         this.channel = channel;
         this.state = state;
-        this.headMemory = budget.open(MemoryUse.REQUEST_HEAD);
+        this.headMemory = new HeadMemory(state, budget);
         this.waitingMemory = budget.open(MemoryUse.REQUEST_HEAD);
         this.responseMemory = budget.open(MemoryUse.RESPONSE);
     }
@@ -230,13 +222,10 @@
             refuse(CloseReason.HEAD_TOO_LARGE);
             return false;
         }
-        long estimate = (long) head.fields() * FIELD_BYTES + (long) head.bytes() * BYTES_PER_HEAD_BYTE;
-        if (!headMemory.tryGrow(estimate - headEstimate)) {
+        if (!headMemory.tryReserveHead(head.fields(), head.bytes())) {
             head.restore(before);
             return false;
         }
-        state.addHeldBytes(estimate - headEstimate);
-        headEstimate = estimate;
         pass(bytes, length);
         return true;
     }
@@ -258,13 +247,7 @@
             abort(CloseReason.HEAD_TOO_LARGE);
             return false;
         }
-        // Fields after a body are rare and at most as large as a head, so that they may go beyond the budget.
-        long estimate =
-                (long) chunks.trailerFields() * FIELD_BYTES + (long) chunks.trailerBytes() * BYTES_PER_HEAD_BYTE;
-        headMemory.growAlways(estimate - trailerEstimate);
-        headEstimate += estimate - trailerEstimate;
-        state.addHeldBytes(estimate - trailerEstimate);
-        trailerEstimate = estimate;
+        headMemory.countTrailer(chunks.trailerFields(), chunks.trailerBytes());
         passBody(bytes, length);
         return true;
     }
@@ -287,7 +270,6 @@
     void onHead(HttpRequest request) {
         long length = HttpUtil.isTransferEncodingChunked(request) ? UNKNOWN_LENGTH : contentLength(request);
         remainingBodyBytes = length;
-        trailerEstimate = 0;
         chunks.reset();
         body = Optional.empty();
         responded = false;
@@ -332,9 +314,7 @@
     }
 
     private void onExchangeEnd() {
-        state.addHeldBytes(-headEstimate);
-        headMemory.shrink(headEstimate);
-        headEstimate = 0;
+        headMemory.releaseRequest();
         body = Optional.empty();
         state.enter(Phase.IDLE, limiter.nowNanos());
         if (!waitingBytes.isEmpty()) {
