Count a connection that is given up once

What operators could see: when requests waited for memory, a connection whose unread response was given up could be counted several times as freed, because its end is reported only after the event loop's current task; fewer connections were ended than necessary.

Cause and change: such a connection stayed in its phase until its end was reported; it now counts as refused at once.

Evidence: found by reading; ConnectionTableTest.responseNotTaken_isGivenUpForMemory now checks that a refused connection is not chosen.

--- a/core/src/main/java/io/daisyhoist/core/client/ConnectionState.java
+++ b/core/src/main/java/io/daisyhoist/core/client/ConnectionState.java
@@ -123,7 +123,9 @@
 
     /** Returns whether the client has taken no byte of a response for a while. */
     public boolean isResponseStalled(long nowNanos) {
-        return unwrittenBytes > 0 && nowNanos - unwrittenSinceNanos > RESPONSE_STALL_TIME.toNanos();
+        return phase != Phase.REFUSED
+                && unwrittenBytes > 0
+                && nowNanos - unwrittenSinceNanos > RESPONSE_STALL_TIME.toNanos();
     }
 
     /** Returns whether others that need memory or a connection may have those of this one. */
--- a/core/src/test/java/io/daisyhoist/core/client/ConnectionTableTest.java
+++ b/core/src/test/java/io/daisyhoist/core/client/ConnectionTableTest.java
@@ -96,6 +96,8 @@
             stalled.onUnwrittenBytes(1_000, 0);
             assertEquals(Optional.empty(), table.heaviest(SECOND));
             assertEquals(Optional.of(stalled), table.heaviest(2 * SECOND));
+            stalled.enter(Phase.REFUSED, 2 * SECOND);
+            assertEquals(Optional.empty(), table.heaviest(2 * SECOND));
         }
 
         @Test
--- a/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionHandler.java
@@ -342,6 +342,8 @@
             if (reason != CloseReason.REFUSED) {
                 limiter.record(reason, this);
             }
+            // The end of the connection is reported later; until then, it must not be given up once more.
+            state.enter(Phase.REFUSED, limiter.nowNanos());
             context.close();
         }
     }
