Peer port: bound connections that don't say which daemon they are

What callers saw: 160 connections to the port for other daemons that sent nothing left the own mode without an answer to an ordinary request for 30 s, because they kept all descriptors (240); in the fleet mode they took 267 of the 200 that the instance had.

Cause: accepted connections waited for their hello as long as idle connections of daemons live, in any number.

Daemons send their hello at once. ArchitectureTest now also keeps daemon.limits free of requests and process.

--- a/core/src/main/java/io/daisyhoist/core/client/ConnectionBounds.java
+++ b/core/src/main/java/io/daisyhoist/core/client/ConnectionBounds.java
@@ -39,6 +39,11 @@
         return (int) Math.max(1, Math.min(MAX_INTERNAL_CONNECTIONS, maxConnections * SHARE_OF_INTERNAL_PORT));
     }
 
+    /** Returns the maximum number of connections at the port for other daemons whose sender is not known yet. */
+    public static int maxUnidentifiedPeers(int maxConnections) {
+        return (int) Math.max(1, maxConnections * SHARE_OF_INTERNAL_PORT);
+    }
+
     /** Returns the default maximum number of connections of one address. */
     public static int maxConnectionsPerAddress(int maxConnections) {
         return (int) Math.max(1, maxConnections * SHARE_OF_ADDRESS);
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServer.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServer.java
@@ -28,6 +28,7 @@
 public final class PeerServer implements AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int BACKLOG = 1024;
+    private static final int DEFAULT_MAX_UNIDENTIFIED = 512;
 
     private final EventLoopGroup eventLoops;
     private final PeerIdentity identity;
@@ -35,14 +36,30 @@
     private final PeerHandler handler;
     private final PeerByteCounter byteCounter = new PeerByteCounter();
     private final FrameBudget frames = FrameBudget.ofHeap();
+    private final UnidentifiedConnections unidentified;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
 
-    /** Creates a server that does not listen yet. */
+    /** Creates a server that does not listen yet, for a process with many descriptors. */
     public PeerServer(EventLoopGroup eventLoops, PeerIdentity identity, PeerLimits limits, PeerHandler handler) {
+        this(eventLoops, identity, limits, DEFAULT_MAX_UNIDENTIFIED, handler);
+    }
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param maxUnidentified connections whose sender has not said yet which daemon it is
+     */
+    public PeerServer(
+            EventLoopGroup eventLoops,
+            PeerIdentity identity,
+            PeerLimits limits,
+            int maxUnidentified,
+            PeerHandler handler) {
         this.eventLoops = eventLoops;
         this.identity = identity;
         this.limits = limits;
         this.handler = handler;
+        this.unidentified = new UnidentifiedConnections(maxUnidentified);
     }
 
     /**
@@ -86,6 +103,7 @@
 
     private void initConnection(SocketChannel channel) {
         channels.add(channel);
+        unidentified.add(channel);
         Duration idleTimeout = limits.idleTimeout().multipliedBy(2);
         PeerPipeline.install(
                 channel,
@@ -93,7 +111,7 @@
                 byteCounter,
                 frames,
                 new IdleStateHandler(idleTimeout.toMillis(), 0, 0, TimeUnit.MILLISECONDS),
-                new PeerServerConnection(identity, limits, handler));
+                new PeerServerConnection(identity, limits, handler, () -> unidentified.remove(channel)));
     }
 
     /** Stops listening and closes all connections without waiting for replies. */
--- a/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServerConnection.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/connection/PeerServerConnection.java
@@ -23,12 +23,14 @@
     private final PeerIdentity identity;
     private final PeerLimits limits;
     private final PeerHandler handler;
+    private final Runnable onIdentified;
     private Optional<ProcessId> peer = Optional.empty();
 
-    PeerServerConnection(PeerIdentity identity, PeerLimits limits, PeerHandler handler) {
+    PeerServerConnection(PeerIdentity identity, PeerLimits limits, PeerHandler handler, Runnable onIdentified) {
         this.identity = identity;
         this.limits = limits;
         this.handler = handler;
+        this.onIdentified = onIdentified;
     }
 
     @Override
@@ -90,6 +92,7 @@
             throw new PeerProtocolException("hello of another process on the same connection");
         }
         peer = Optional.of(sender);
+        onIdentified.run();
         context.writeAndFlush(identity.hello());
     }
 
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/DataPlane.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/DataPlane.java
@@ -9,6 +9,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.daisyhoist.core.admission.AdaptiveLimit;
 import io.daisyhoist.core.admission.AdmissionController;
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.config.EffectiveConfig;
 import io.daisyhoist.core.config.ServiceSettings;
 import io.daisyhoist.core.memory.MemoryBudget;
@@ -111,6 +112,8 @@
                 controlPlane.peerLoops(),
                 controlPlane.identity(),
                 PeerLimits.DEFAULT,
+                ConnectionBounds.maxUnidentifiedPeers(
+                        settings.limits().connections().maxConnections()),
                 new ControlMessageHandler(controlPlane, groupLoop, pipeline.trafficHandler()));
         clientRequests =
                 new InFlightLimiter(pipeline.router(), settings.limits().maxRequestsInFlight());
--- a/daemon/src/test/java/io/daisyhoist/daemon/ArchitectureTest.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/ArchitectureTest.java
@@ -14,10 +14,10 @@
             .importPackages("io.daisyhoist.daemon");
 
     @Test
-    void connection_knowsNeitherRequestsNorTheProcess() {
+    void connectionAndLimits_knowNeitherRequestsNorTheProcess() {
         noClasses()
                 .that()
-                .resideInAPackage("..daemon.connection..")
+                .resideInAnyPackage("..daemon.connection..", "..daemon.limits..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("..daemon.request..", "..daemon.version..", "..daemon.process..")
--- a/daemon/src/test/java/io/daisyhoist/daemon/crowd/ExcessiveClientsTestCase.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/crowd/ExcessiveClientsTestCase.java
@@ -192,6 +192,12 @@
         });
     }
 
+    @Test
+    void idleConnections_atPeerPort() throws Exception {
+        assertServesAfterClients(
+                number -> keep(daemon().connect(InetAddress.getLoopbackAddress(), daemon().peerAddress())));
+    }
+
     /** The clients connect from as many addresses and stop in their heads. */
     @Test
     void headsWithoutEnd_fromManyAddresses() throws Exception {
--- a/daemon/src/test/java/io/daisyhoist/daemon/crowd/ServingProcess.java
+++ b/daemon/src/test/java/io/daisyhoist/daemon/crowd/ServingProcess.java
@@ -26,6 +26,9 @@
     /** Returns the addresses of the ports for operators, the platform and the backend server. */
     List<InetSocketAddress> internalAddresses();
 
+    /** Returns the address of the port for other daemons. */
+    InetSocketAddress peerAddress();
+
     /** Returns the beginning of a request that is routed to the backend server, and what follows it. */
     String requestHead(String end);
 
--- a/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
+++ b/mesh/src/main/java/io/daisyhoist/mesh/process/FleetDaemon.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 import com.google.common.flogger.FluentLogger;
+import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.customer.ApiKeyCheck;
 import io.daisyhoist.core.fleet.FleetMember;
 import io.daisyhoist.core.memory.MemoryBudget;
@@ -164,8 +165,12 @@
                 new FleetQuota.QuotaIo(new PeerQuotaTransport(context, peerClient), metrics));
         ForwardReceiver forwardReceiver = new ForwardReceiver(
                 context, admission, crashGuard, time, fleetControl.peerMessageListener(), this::isIdempotent, memory);
-        this.peerServer =
-                new PeerServer(peerLoops, identity, PEER_LIMITS, new QuotaReceiver(context, quota, forwardReceiver));
+        this.peerServer = new PeerServer(
+                peerLoops,
+                identity,
+                PEER_LIMITS,
+                ConnectionBounds.maxUnidentifiedPeers(settings.connections().maxConnections()),
+                new QuotaReceiver(context, quota, forwardReceiver));
         LoadBalancer loadBalancer = new LoadBalancer(
                 time, new SplittableRandom(incarnation), settings.zone(), new BalancerTelemetry(metrics));
         RequestContext requestContext = new RequestContext(
--- a/testkit/src/test/java/io/daisyhoist/testkit/process/ExcessiveClientsTest.java
+++ b/testkit/src/test/java/io/daisyhoist/testkit/process/ExcessiveClientsTest.java
@@ -101,6 +101,11 @@
             return List.of(address(node.adminUrl()));
         }
 
+        @Override
+        public InetSocketAddress peerAddress() {
+            return address(node.peerUrl());
+        }
+
         private static InetSocketAddress address(String text) {
             URI url = URI.create(text);
             return new InetSocketAddress(url.getHost(), url.getPort());
--- a/testkit/src/test/java/io/daisyhoist/testkit/process/Node.java
+++ b/testkit/src/test/java/io/daisyhoist/testkit/process/Node.java
@@ -140,6 +140,10 @@
         return DaemonSettingsFile.url(daemonSettings.adminPort());
     }
 
+    String peerUrl() {
+        return DaemonSettingsFile.url(daemonSettings.peerPort());
+    }
+
     BackendExecutions executions() {
         return new BackendExecutions(name, backend.executionLog().entriesSince(0));
     }
