Own mode: the limit of header bytes does not include the request line

Change: the limiter allows the request line in addition, and the HTTP decoder keeps the two limits apart; what it finds too long is refused as too large, as before. The internal ports allow 16 KiB for both together, as much as before.

--- a/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/ClientConnectionHandler.java
@@ -20,6 +20,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 
 /**
  * Reads the bytes of a client's connection before the HTTP decoder, and passes on only what the limits and the memory allow.
@@ -290,9 +292,10 @@
     }
 
     /** The decoder also reports the incomplete head of a connection that was closed. */
-    void onInvalidHead() {
+    void onInvalidHead(Throwable cause) {
         if (channel.isActive() && state.phase() == Phase.HEAD) {
-            refuse(CloseReason.HEAD_INVALID);
+            boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+            refuse(tooLarge ? CloseReason.HEAD_TOO_LARGE : CloseReason.HEAD_INVALID);
         }
     }
 
--- a/daemon/src/main/java/io/daisyhoist/daemon/limits/InternalHttpServer.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/InternalHttpServer.java
@@ -22,7 +22,9 @@
  * handlers. Stateless.
  */
 public final class InternalHttpServer {
-    private static final int MAX_HEADER_BYTES = 8 << 10;
+    /** Request line and header fields. */
+    private static final int MAX_HEADER_BYTES = 16 << 10;
+
     private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
--- a/daemon/src/main/java/io/daisyhoist/daemon/limits/MessageBoundaryHandler.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/limits/MessageBoundaryHandler.java
@@ -27,7 +27,7 @@
         if (message instanceof HttpRequest request) {
             if (request.decoderResult().isFailure()) {
                 ReferenceCountUtil.release(message);
-                connection.onInvalidHead();
+                connection.onInvalidHead(request.decoderResult().cause());
                 return;
             }
             connection.onHead(request);
--- a/daemon/src/main/java/io/daisyhoist/daemon/process/DataPlane.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/process/DataPlane.java
@@ -119,7 +119,7 @@
                 new InFlightLimiter(pipeline.router(), settings.limits().maxRequestsInFlight());
         LimitOptions limits = settings.limits();
         ClientConnectionLimiter limiter =
-                EdgeServer.newLimiter(vertx, time, limits::clients, limits.connections(), memory, metrics);
+                EdgeServer.newLimiter(vertx, time, limits.clients(), limits.connections(), memory, metrics);
         EdgeRoutes routes = new EdgeRoutes(
                 clientRequests,
                 name -> controlPlane.routing().config().service(name).map(ServiceSettings::requestTimeout),
@@ -128,7 +128,8 @@
                 time,
                 metrics,
                 tracer);
-        edgeServer = new EdgeServer(vertx, context, routes.router(vertx), limiter);
+        edgeServer = new EdgeServer(
+                vertx, context, routes.router(vertx), limiter, limits.clients().maxHeaderBytes());
         metrics.gauge("daisyhoist.client.connections", "Open connections of clients", limiter::connections);
         metrics.gauge("daisyhoist.memory.held.bytes", "Memory held for requests and responses", memory::heldBytes);
         metrics.gauge("daisyhoist.backend.in.flight", "Requests in flight or queued", pipeline.runner()::inFlight);
--- a/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeServer.java
+++ b/daemon/src/main/java/io/daisyhoist/daemon/request/EdgeServer.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
 import io.daisyhoist.core.client.ConnectionBounds;
 import io.daisyhoist.core.memory.MemoryBudget;
@@ -25,6 +24,9 @@
  * Connections are served by one event loop; the methods are thread-safe.
  */
 public final class EdgeServer {
+    /** The limit of header bytes does not include the request line. */
+    private static final int MAX_REQUEST_LINE_BYTES = 8 << 10;
+
     private final Context context;
     private final ClientConnectionLimiter limiter;
     private final HttpServer server;
@@ -34,11 +36,15 @@
      * Creates a server that does not listen yet.
      *
      * @param context event loop context that serves all connections
+     * @param maxHeaderBytes maximum size of the header fields of a request
      */
-    public EdgeServer(Vertx vertx, Context context, Router router, ClientConnectionLimiter limiter) {
+    public EdgeServer(
+            Vertx vertx, Context context, Router router, ClientConnectionLimiter limiter, int maxHeaderBytes) {
         this.context = context;
         this.limiter = limiter;
-        server = vertx.createHttpServer(ClientConnectionLimiter.serverOptions())
+        server = vertx.createHttpServer(ClientConnectionLimiter.serverOptions()
+                        .setMaxHeaderSize(maxHeaderBytes)
+                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES))
                 .connectionHandler(limiter::onConnection)
                 .requestHandler(request -> {
                     if (draining) {
@@ -48,18 +54,27 @@
                 });
     }
 
-    /** Creates the limiter of the connections of one server. */
+    /**
+     * Creates the limiter of the connections of one server.
+     *
+     * @param limits limits of requests, of which the maximum size of the header fields does not include the request line
+     */
     public static ClientConnectionLimiter newLimiter(
             Vertx vertx,
             TimeSource time,
-            Supplier<ClientLimits> limits,
+            ClientLimits limits,
             ConnectionBounds bounds,
             MemoryBudget budget,
             DaemonMetrics metrics) {
+        ClientLimits withRequestLine = new ClientLimits(
+                limits.maxHeaderBytes() + MAX_REQUEST_LINE_BYTES,
+                limits.maxBodyBytes(),
+                limits.headerTimeout(),
+                limits.idleTimeout());
         return new ClientConnectionLimiter(
                 vertx,
                 time,
-                limits,
+                () -> withRequestLine,
                 bounds,
                 budget,
                 new ClientConnectionLimiter.Refusals(EdgeRefusals::encode, metrics::onClientRefused));
